--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 CMAKE_FLAGS ?=
 PACKAGES = build-essential cmake pkg-config clang clang-format clang-tidy \
 	libwebsockets-dev libzmq3-dev libjansson-dev libmsgpack-dev \
-	libcmocka-dev librapidcheck-dev libxxhash-dev libglib2.0-dev curl
+	libcmocka-dev librapidcheck-dev libxxhash-dev libglib2.0-dev \
+	libhttp-parser-dev curl
 
-C_FILES = $(wildcard src/*.[ch] demo/*.[ch] bench/*.[ch] test/*.[ch] test/*.cpp test/*.hpp)
+C_FILES = $(wildcard src/*.[ch] platform/*.[ch] demo/*.[ch] bench/*.[ch] test/*.[ch] test/*.cpp test/*.hpp)
 
 .PHONY: all deps packages test demo up bench slopes soak format check-format lint sanitize clean
 
@@ -50,7 +51,7 @@
 	clang-format --dry-run -Werror $(C_FILES)
 
 lint: all
-	printf '%s\n' src/*.c demo/*.c bench/*.c | xargs -P 8 -n 4 clang-tidy --quiet -p $(BUILD)
+	printf '%s\n' src/*.c platform/*.c demo/*.c bench/*.c | xargs -P 8 -n 4 clang-tidy --quiet -p $(BUILD)
 
 # Unit tests, process tests and shorter property tests under AddressSanitizer
 # and UBSan; the process tests once more under ThreadSanitizer.
--- a/src/clock.h
+++ b/src/clock.h
@@ -1,10 +1,12 @@
-/* Time as decisions see it: microseconds on a monotonic clock.
+/* Time as decisions see it: microseconds on a steady clock that
+ * counts the time that the VM was suspended: a deadline passes all the same.
  *
  * Decision modules never read a clock; they take MrTime as an argument, so
  * that tests drive them on a virtual clock.  Only tasks call mr_now (). */
 #pragma once
 
 #include <glib.h>
+#include <time.h>
 
 typedef gint64 MrTime;
 
@@ -15,5 +17,7 @@
 static inline MrTime
 mr_now (void)
 {
-  return g_get_monotonic_time ();
+  struct timespec time;
+  clock_gettime (CLOCK_BOOTTIME, &time);
+  return time.tv_sec * MR_SECOND + time.tv_nsec / 1000;
 }
--- /dev/null
+++ b/src/configuration.c
@@ -0,0 +1,314 @@
+#include "configuration.h"
+
+#include <jansson.h>
+#include <stdatomic.h>
+
+struct _MrConfiguration
+{
+  atomic_int refs;
+  guint64 version;
+  MrCallerLimits limits;
+  GPtrArray *routes;    /* MrRoute */
+  GHashTable *hosts;    /* host -> GPtrArray of MrRoute, longest prefix first */
+  GHashTable *services; /* name -> MrServiceInfo */
+};
+
+static void
+S_route_free (gpointer data)
+{
+  MrRoute *route = data;
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->prefix);
+  for (guint i = 0; i < route->part_count; i++)
+    g_free (route->parts[i].service);
+  g_free (route->parts);
+  g_free (route);
+}
+
+static void
+S_service_free (gpointer data)
+{
+  MrServiceInfo *service = data;
+  g_free (service->name);
+  g_free (service);
+}
+
+MrConfiguration *
+mr_configuration_ref (MrConfiguration *c)
+{
+  atomic_fetch_add (&c->refs, 1);
+  return c;
+}
+
+void
+mr_configuration_unref (MrConfiguration *c)
+{
+  if (!c || atomic_fetch_sub (&c->refs, 1) > 1)
+    return;
+  g_hash_table_unref (c->hosts);
+  g_hash_table_unref (c->services);
+  g_ptr_array_unref (c->routes);
+  g_free (c);
+}
+
+/* Reading.  Each function names the field it could not use. */
+
+static MrStatus
+S_wrong (const char *where, const char *field)
+{
+  return mr_fail (MR_ERROR_INVALID, "configuration: %s: field '%s' is missing or wrong", where,
+                  field);
+}
+
+static MrStatus
+S_read_string (const json_t *object, const char *where, const char *field, char **out)
+{
+  const char *text = json_string_value (json_object_get (object, field));
+  if (!text || *text == '\0')
+    return S_wrong (where, field);
+  *out = g_strdup (text);
+  return MR_OK;
+}
+
+static MrStatus
+S_read_number (
+    const json_t *object, const char *where, const char *field, double least, double *out)
+{
+  const json_t *value = json_object_get (object, field);
+  if (!json_is_number (value) || json_number_value (value) < least)
+    return S_wrong (where, field);
+  *out = json_number_value (value);
+  return MR_OK;
+}
+
+static MrStatus
+S_read_part (const json_t *item, MrRoute *route, MrSplitPart *part)
+{
+  part->weight = 1;
+  if (route->kind != MR_ROUTE_SPLIT)
+    {
+      part->service = g_strdup (json_string_value (item));
+      return part->service ? MR_OK : S_wrong (route->name, "shards");
+    }
+  MrStatus status = S_read_string (item, route->name, "service", &part->service);
+  return status == MR_OK ? S_read_number (item, route->name, "weight", 0, &part->weight) : status;
+}
+
+static MrStatus
+S_read_parts (const json_t *object, MrRoute *route)
+{
+  json_t *single = json_object_get (object, "service");
+  const json_t *split = json_object_get (object, "split");
+  const json_t *shards = json_object_get (object, "shards");
+  const json_t *list = shards ? shards : split;
+  route->kind = shards ? MR_ROUTE_SHARDS : split ? MR_ROUTE_SPLIT : MR_ROUTE_SERVICE;
+  route->part_count = list ? (guint) json_array_size (list) : 1;
+  if (route->part_count == 0)
+    return S_wrong (route->name, shards ? "shards" : "split");
+  route->parts = g_new0 (MrSplitPart, route->part_count);
+  if (!list)
+    return S_read_part (single, route, &route->parts[0]);
+  for (guint i = 0; i < route->part_count; i++)
+    {
+      MrStatus status = S_read_part (json_array_get (list, i), route, &route->parts[i]);
+      if (status != MR_OK)
+        return status;
+    }
+  return MR_OK;
+}
+
+static MrStatus
+S_read_route_numbers (const json_t *object, MrRoute *route)
+{
+  double limit = 0;
+  double aim = 0;
+  double attempts = 0;
+  double rank = 0;
+  double top = 0;
+  MrStatus status = S_read_number (object, route->name, "time_limit", 1, &limit);
+  if (status == MR_OK)
+    status = S_read_number (object, route->name, "aim", 1, &aim);
+  if (status == MR_OK)
+    status = S_read_number (object, route->name, "attempts", 1, &attempts);
+  if (status == MR_OK)
+    status = S_read_number (object, route->name, "rank", 0, &rank);
+  if (status == MR_OK && route->kind == MR_ROUTE_SHARDS)
+    {
+      status = S_read_number (object, route->name, "top_records", 0, &top);
+      if (status == MR_OK)
+        status = S_read_number (object, route->name, "least_share", 0, &route->least_share);
+    }
+  route->time_limit = (MrTime) (limit * MR_MS);
+  route->aim = (MrTime) (aim * MR_MS);
+  route->attempts = (guint) attempts;
+  route->rank = (guint) rank;
+  route->top_records = (guint) top;
+  route->repeatable = json_is_true (json_object_get (object, "repeatable"));
+  return status;
+}
+
+static MrStatus
+S_read_route (MrConfiguration *c, const json_t *object)
+{
+  MrRoute *route = g_new0 (MrRoute, 1);
+  g_ptr_array_add (c->routes, route);
+  MrStatus status = S_read_string (object, "route", "name", &route->name);
+  if (status == MR_OK)
+    status = S_read_string (object, route->name, "host", &route->host);
+  if (status == MR_OK)
+    status = S_read_string (object, route->name, "prefix", &route->prefix);
+  if (status == MR_OK)
+    status = S_read_parts (object, route);
+  if (status == MR_OK)
+    status = S_read_route_numbers (object, route);
+  if (status != MR_OK)
+    return status;
+  for (char *at = route->host; *at; at++)
+    *at = g_ascii_tolower (*at);
+  GPtrArray *list = g_hash_table_lookup (c->hosts, route->host);
+  if (!list)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (c->hosts, route->host, list);
+    }
+  g_ptr_array_add (list, route);
+  return MR_OK;
+}
+
+static MrStatus
+S_read_service (MrConfiguration *c, const json_t *object)
+{
+  double connections = 0;
+  char *name = NULL;
+  MrStatus status = S_read_string (object, "service", "name", &name);
+  if (status == MR_OK)
+    status = S_read_number (object, name, "connections", 1, &connections);
+  if (status != MR_OK)
+    {
+      g_free (name);
+      return status;
+    }
+  MrServiceInfo *service = g_new (MrServiceInfo, 1);
+  *service = (MrServiceInfo){ .name = name, .most_connections = (guint) connections };
+  g_hash_table_replace (c->services, service->name, service);
+  return MR_OK;
+}
+
+static MrStatus
+S_read_limits (MrConfiguration *c, const json_t *object)
+{
+  double head = 0;
+  double body = 0;
+  double head_time = 0;
+  double idle_time = 0;
+  MrStatus status = S_read_number (object, "limits", "head_bytes", 1, &head);
+  if (status == MR_OK)
+    status = S_read_number (object, "limits", "body_bytes", 1, &body);
+  if (status == MR_OK)
+    status = S_read_number (object, "limits", "head_time", 1, &head_time);
+  if (status == MR_OK)
+    status = S_read_number (object, "limits", "idle_time", 1, &idle_time);
+  c->limits = (MrCallerLimits){
+    .head_bytes = (gsize) head,
+    .body_bytes = (gsize) body,
+    .head_time = (MrTime) (head_time * MR_MS),
+    .idle_time = (MrTime) (idle_time * MR_MS),
+  };
+  return status;
+}
+
+static int
+S_longest_first (gconstpointer a, gconstpointer b)
+{
+  gsize first = strlen ((*(const MrRoute *const *) a)->prefix);
+  gsize second = strlen ((*(const MrRoute *const *) b)->prefix);
+  return first < second ? 1 : first > second ? -1 : 0;
+}
+
+static MrStatus
+S_read (MrConfiguration *c, const json_t *root)
+{
+  double version = 0;
+  size_t i = 0;
+  json_t *item = NULL;
+  MrStatus status = S_read_number (root, "top", "version", 0, &version);
+  if (status == MR_OK)
+    status = S_read_limits (c, json_object_get (root, "limits"));
+  c->version = (guint64) version;
+  json_array_foreach (json_object_get (root, "services"), i, item)
+  {
+    if (status == MR_OK)
+      status = S_read_service (c, item);
+  }
+  json_array_foreach (json_object_get (root, "routes"), i, item)
+  {
+    if (status == MR_OK)
+      status = S_read_route (c, item);
+  }
+  GHashTableIter iter;
+  gpointer list = NULL;
+  g_hash_table_iter_init (&iter, c->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &list))
+    g_ptr_array_sort (list, S_longest_first);
+  return status;
+}
+
+MrConfiguration *
+mr_configuration_parse (MrText json)
+{
+  json_error_t error;
+  json_t *root = json_loadb (json.data, json.len, 0, &error);
+  if (!root)
+    {
+      mr_fail (MR_ERROR_INVALID, "configuration: line %d: %s", error.line, error.text);
+      return NULL;
+    }
+  MrConfiguration *c = g_new0 (MrConfiguration, 1);
+  atomic_init (&c->refs, 1);
+  c->routes = g_ptr_array_new_with_free_func (S_route_free);
+  c->hosts =
+      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) g_ptr_array_unref);
+  c->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_service_free);
+  MrStatus status = S_read (c, root);
+  json_decref (root);
+  if (status == MR_OK)
+    return c;
+  mr_configuration_unref (c);
+  return NULL;
+}
+
+guint64
+mr_configuration_version (const MrConfiguration *c)
+{
+  return c->version;
+}
+
+const MrCallerLimits *
+mr_configuration_limits (const MrConfiguration *c)
+{
+  return &c->limits;
+}
+
+const MrRoute *
+mr_configuration_match (const MrConfiguration *c, MrText host, MrText path)
+{
+  const char *colon = memchr (host.data ? host.data : "", ':', host.len);
+  gsize len = colon ? (gsize) (colon - host.data) : host.len;
+  g_autofree char *key = g_ascii_strdown (host.data ? host.data : "", (gssize) len);
+  const GPtrArray *list = g_hash_table_lookup (c->hosts, key);
+  for (guint i = 0; list && i < list->len; i++)
+    {
+      const MrRoute *route = g_ptr_array_index (list, i);
+      gsize prefix = strlen (route->prefix);
+      if (path.len >= prefix && memcmp (path.data, route->prefix, prefix) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+const MrServiceInfo *
+mr_configuration_service (const MrConfiguration *c, const char *name)
+{
+  return g_hash_table_lookup (c->services, name);
+}
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -6,6 +6,9 @@
 enum
 {
   WATCH_WAIT_MS = 10000,
+  /* A relay's: each call is paid for, and dead connections are found by
+   * keep-alive probes rather than by short watches. */
+  RELAY_WATCH_WAIT_MS = 28000,
 };
 
 static const MrTime VMS_PAUSE = 1 * MR_SECOND;
@@ -24,6 +27,8 @@
   [WATCH_SHARD_MAPS] = { "shardmaps", MR_OBJECT_SHARD_MAP },
   [WATCH_DOCUMENTS] = { "documents", 0 },
   [WATCH_VMS] = { "vms", 0 },
+  [WATCH_CONFIGURATION] = { "configurations", MR_OBJECT_CONFIGURATION },
+  [WATCH_TARGETS] = { "targets", MR_OBJECT_TARGET },
 };
 
 static void
@@ -50,14 +55,21 @@
              mr_platform_request_new (MR_PLATFORM_READ, kind, name));
 }
 
+static gboolean
+S_is_watcher (const MrControlTask *task)
+{
+  return task->relay || mr_watch_rank (task->members, task->settings->name) < MR_WATCHERS;
+}
+
 void
 mr_control_platform_tick (MrControlTask *task, MrTime now, MrTime *next)
 {
-  gboolean watcher = mr_watch_rank (task->members, task->settings->name) < MR_WATCHERS;
+  gboolean watcher = S_is_watcher (task);
   for (int i = 0; i < WATCHES; i++)
     {
       MrWatch *watch = &task->watches[i];
-      if (watch->busy || (i == WATCH_DOCUMENTS && !watcher))
+      if (watch->busy || (i == WATCH_DOCUMENTS && !watcher) ||
+          task->relay != (i >= WATCH_CONFIGURATION))
         continue;
       if (watcher && watch->gap == 0)
         watch->due = MIN (watch->due, now + watch->pause); /* it has just become one */
@@ -69,7 +81,9 @@
       MrPlatformAction action = i == WATCH_VMS ? MR_PLATFORM_VMS : MR_PLATFORM_LIST;
       MrPlatformRequest *request = mr_platform_request_new (action, watch_kinds[i].kind, "");
       request->since = watch->since;
-      request->wait_ms = watcher && watch->done && watch->gap == 0 ? WATCH_WAIT_MS : 0;
+      g_strlcpy (request->after, watch->after, sizeof request->after);
+      if (watcher && watch->done && watch->gap == 0 && watch->since > 0)
+        request->wait_ms = task->relay ? RELAY_WATCH_WAIT_MS : WATCH_WAIT_MS;
       watch->busy = TRUE;
       S_request (task, request);
     }
@@ -84,6 +98,7 @@
     return;
   task->platform_up = up;
   task->view_changed = TRUE;
+  mr_listing_set_store (task->listing, mr_now (), up);
   mr_log (up ? MR_LOG_NOTICE : MR_LOG_WARNING, up ? MR_EVENT_PLATFORM_UP : MR_EVENT_PLATFORM_DOWN,
           up ? "the platform answers" : "the platform does not answer; what is in force stays");
 }
@@ -151,13 +166,90 @@
   S_offer_leaving (task, result);
 }
 
+/* Relay: a full listing in pages, then changes. */
+
+static void
+S_on_relay_object (MrControlTask *task, MrTime now, int index, const MrPlatformObject *object)
+{
+  if (object->deleted)
+    {
+      if (index == WATCH_TARGETS)
+        mr_listing_removed (task->listing, now, object->name, object->version);
+      return;
+    }
+  if (index == WATCH_TARGETS)
+    mr_listing_present (task->listing, object->name, object->version);
+  mr_spread_offer (task->spread, watch_kinds[index].object, mr_text (object->name), object->version,
+                   mr_text_of (object->body), NULL);
+}
+
+/* Targets that were known and that a full listing does not name. */
+static void
+S_remove_unlisted (MrControlTask *task, MrTime now)
+{
+  GHashTableIter iter;
+  gpointer name = NULL;
+  guint64 version = mr_listing_version (task->listing);
+  g_hash_table_iter_init (&iter, task->records);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!mr_listing_has (task->listing, name) &&
+        mr_registry_version (task->registry, MR_OBJECT_TARGET, name) < version)
+      mr_listing_removed (task->listing, now, name, version);
+}
+
+static void
+S_on_relay_list (MrControlTask *task, MrTime now, int index, const MrPlatformResult *result)
+{
+  MrWatch *watch = &task->watches[index];
+  gboolean full = result->request->since == 0;
+  if (result->expired)
+    {
+      watch->since = 0;
+      return;
+    }
+  if (full && result->request->after[0] == '\0')
+    {
+      watch->listed = result->revision;
+      if (index == WATCH_TARGETS)
+        mr_listing_begin (task->listing, result->revision);
+    }
+  for (guint i = 0; i < result->objects->len; i++)
+    S_on_relay_object (task, now, index, g_ptr_array_index (result->objects, i));
+  watch->after[0] = '\0';
+  if (full && result->more && result->objects->len > 0)
+    {
+      const MrPlatformObject *last = g_ptr_array_index (result->objects, result->objects->len - 1);
+      g_strlcpy (watch->after, last->name, sizeof watch->after);
+      return;
+    }
+  if (full && index == WATCH_TARGETS)
+    S_remove_unlisted (task, now);
+  watch->since = full ? watch->listed : MAX (watch->since, result->revision);
+}
+
+void
+mr_control_platform_removals (MrControlTask *task, MrTime now, MrTime *next)
+{
+  char *name = NULL;
+  guint64 version = 0;
+  while (mr_listing_take (task->listing, now, &name, &version))
+    {
+      mr_spread_offer (task->spread, MR_OBJECT_TARGET, mr_text (name), version, (MrText){ 0 },
+                       NULL);
+      g_clear_pointer (&name, g_free);
+    }
+  *next = MIN (*next, mr_listing_next (task->listing));
+}
+
 static void
 S_on_watch_result (MrControlTask *task, MrTime now, int index, const MrPlatformResult *result)
 {
   gboolean success = result->status == MR_OK;
-  gboolean watcher = mr_watch_rank (task->members, task->settings->name) < MR_WATCHERS;
+  gboolean watcher = S_is_watcher (task);
   if (success && index == WATCH_VMS)
     S_on_vms (task, result);
+  else if (success && index >= WATCH_CONFIGURATION)
+    S_on_relay_list (task, now, index, result);
   else if (success)
     S_on_list (task, now, index, result);
   mr_watch_ended (&task->watches[index], now, success, watcher, g_rand_double (task->random));
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -6,6 +6,7 @@
 
 #include "control_task.h"
 #include "controller.h"
+#include "listing.h"
 #include "message.h"
 #include "peer_link.h"
 #include "spread.h"
@@ -19,6 +20,8 @@
   WATCH_SHARD_MAPS,
   WATCH_DOCUMENTS, /* watchers only */
   WATCH_VMS,
+  WATCH_CONFIGURATION, /* of a relay, as all that follow */
+  WATCH_TARGETS,
   WATCHES,
 };
 
@@ -45,6 +48,10 @@
   GHashTable *maps; /* service -> GQueue of MrShardMap, newest first */
   MrWatch watches[WATCHES];
   GArray *seeds; /* MrMember from the settings */
+  gboolean relay;
+  MrListing *listing;             /* of targets */
+  MrConfiguration *configuration; /* of routes */
+  GHashTable *records;            /* target id -> MrTargetRecord */
   gboolean members_changed;
   gboolean view_changed;
   gboolean ready;
@@ -76,4 +83,6 @@
 
 /* Starts the calls that are due; lowers @next to when to come back. */
 void mr_control_platform_tick (MrControlTask *task, MrTime now, MrTime *next);
+/* Believes removals of targets that are due. */
+void mr_control_platform_removals (MrControlTask *task, MrTime now, MrTime *next);
 void mr_control_platform_result (MrControlTask *task, const MrPlatformResult *result);
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -106,6 +106,40 @@
     mr_shard_map_unref (g_queue_pop_tail (queue));
 }
 
+/* A configuration that can't be read leaves the one before it in force. */
+static void
+S_take_configuration (MrControlTask *task, const MrObject *object)
+{
+  MrConfiguration *configuration = mr_configuration_parse (mr_text_of (object->body));
+  if (!configuration)
+    {
+      mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_BAD,
+              "configurations/%s version %" G_GUINT64_FORMAT ": %s", object->name, object->version,
+              mr_status_message ());
+      return;
+    }
+  mr_configuration_unref (task->configuration);
+  task->configuration = configuration;
+}
+
+static void
+S_take_target (MrControlTask *task, const MrObject *object)
+{
+  if (object->body->len == 0)
+    {
+      g_hash_table_remove (task->records, object->name);
+      return;
+    }
+  mr_listing_present (task->listing, object->name, object->version);
+  MrTargetRecord *record =
+      mr_target_record_parse (mr_text (object->name), mr_text_of (object->body));
+  if (record)
+    g_hash_table_replace (task->records, record->target.id, record);
+  else
+    mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_BAD, "targets/%s version %" G_GUINT64_FORMAT ": %s",
+            object->name, object->version, mr_status_message ());
+}
+
 static void
 S_on_taken (MrSpreadHost *host, const MrObject *object)
 {
@@ -114,6 +148,10 @@
           mr_object_kind_name (object->kind), object->name, object->version);
   if (object->kind == MR_OBJECT_SHARD_MAP)
     S_take_map (task, object);
+  if (object->kind == MR_OBJECT_CONFIGURATION)
+    S_take_configuration (task, object);
+  if (object->kind == MR_OBJECT_TARGET)
+    S_take_target (task, object);
   if (object->kind == MR_OBJECT_ACCEPTED)
     mr_controller_read (task->controller, mr_now (), "accepted", mr_text (object->name),
                         object->version, mr_text_of (object->body));
@@ -166,11 +204,35 @@
   mr_accepted_clear (&accepted);
 }
 
+static void
+S_set_ready (MrControlTask *task, gboolean read)
+{
+  task->ready = TRUE;
+  task->view_changed = TRUE;
+  mr_log (MR_LOG_NOTICE, MR_EVENT_READY, "ready: %u objects, from %s",
+          mr_registry_count (task->registry), read ? "the platform" : "peers");
+}
+
+/* A relay serves with what it has: the store's answers are current, and what a
+ * peer holds is at worst a moment older. */
+static void
+S_check_relay_ready (MrControlTask *task)
+{
+  gboolean read = task->watches[WATCH_TARGETS].since > 0;
+  if (task->configuration && (read || mr_spread_synced (task->spread)))
+    S_set_ready (task, read);
+}
+
 static void
 S_check_ready (MrControlTask *task, MrTime now)
 {
   if (task->ready)
     return;
+  if (task->relay)
+    {
+      S_check_relay_ready (task);
+      return;
+    }
   gboolean read = task->watches[WATCH_ACCEPTED].done && task->watches[WATCH_SHARD_MAPS].done;
   gboolean synced = mr_spread_synced (task->spread);
   gboolean alone = !mr_membership_joined (task->membership);
@@ -179,10 +241,17 @@
   if (!synced && !(read && (now - task->started > CONFIRM_WAIT ||
                             (alone && now - task->started > CONFIRM_WAIT / 3))))
     return;
-  task->ready = TRUE;
-  task->view_changed = TRUE;
-  mr_log (MR_LOG_NOTICE, MR_EVENT_READY, "ready: %u objects, from %s",
-          mr_registry_count (task->registry), read ? "the platform" : "peers");
+  S_set_ready (task, read);
+}
+
+static void
+S_add_records (const MrControlTask *task, MrView *view)
+{
+  GHashTableIter iter;
+  gpointer record = NULL;
+  g_hash_table_iter_init (&iter, task->records);
+  while (g_hash_table_iter_next (&iter, NULL, &record))
+    g_ptr_array_add (view->targets, mr_target_record_ref (record));
 }
 
 static void
@@ -202,8 +271,12 @@
   view->platform_up = task->platform_up;
   ViewBuild build = { .task = task, .view = view };
   mr_registry_foreach (task->registry, S_add_object, &build);
+  if (task->configuration)
+    view->configuration = mr_configuration_ref (task->configuration);
+  S_add_records (task, view);
   mr_mailbox_post (task->entry, &mr_view_message_new (view)->base);
-  mr_mailbox_post (task->targets, &mr_view_message_new (view)->base);
+  if (task->targets)
+    mr_mailbox_post (task->targets, &mr_view_message_new (view)->base);
   mr_view_unref (view);
   mr_metrics_add (MR_METRIC_VIEWS, 1);
 }
@@ -245,6 +318,7 @@
   next = MIN (next, mr_membership_tick (task->membership, now));
   next = MIN (next, mr_controller_tick (task->controller, now));
   mr_control_platform_tick (task, now, &next);
+  mr_control_platform_removals (task, now, &next);
   S_check_ready (task, now);
   S_publish (task);
   if (now >= task->prune_at)
@@ -272,6 +346,13 @@
     }
 }
 
+void *
+mr_control_task_thread (void *task)
+{
+  mr_control_task_run (task);
+  return NULL;
+}
+
 static void
 S_wake (void *user)
 {
@@ -346,6 +427,10 @@
     .successors = S_on_successors,
     .taken = S_on_taken,
   };
+  task->relay = info->relay;
+  task->listing = mr_listing_new ();
+  task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         (GDestroyNotify) mr_target_record_unref);
   mr_control_platform_init (task);
   MrMember self = S_self (info->settings, info->seed);
   task->registry = mr_registry_new ();
@@ -381,6 +466,9 @@
   if (!task)
     return;
   mr_controller_free (task->controller);
+  mr_listing_free (task->listing);
+  mr_configuration_unref (task->configuration);
+  g_hash_table_unref (task->records);
   mr_spread_free (task->spread);
   mr_membership_free (task->membership);
   mr_registry_free (task->registry);
--- a/src/control_task.h
+++ b/src/control_task.h
@@ -15,6 +15,7 @@
   const MrSettings *settings;
   guint64 incarnation; /* of the process, as in messages between daemons */
   guint32 seed;
+  gboolean relay; /* routes and targets are followed, not documents */
 } MrControlTaskInfo;
 
 MrControlTask *mr_control_task_new (const MrControlTaskInfo *info);
@@ -29,4 +30,6 @@
 
 /* Runs until mr_control_task_stop (). */
 void mr_control_task_run (MrControlTask *task);
+/* The same as the body of a thread. */
+void *mr_control_task_thread (void *task);
 void mr_control_task_stop (MrControlTask *task);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -293,6 +293,7 @@
       return;
     case MR_CALL_SHED:
     case MR_CALL_DRAINING:
+    case MR_CALL_MISDIRECTED:
     case MR_CALL_NOT_CONNECTED:
       mr_dispatch_place (d, now, job);
       return;
@@ -387,6 +388,9 @@
     case MR_CALL_DRAINING:
       mr_dispatch_leave (d, now, target, "it drains");
       break;
+    case MR_CALL_MISDIRECTED:
+      mr_dispatch_leave (d, now, target, "its address belongs to another process");
+      break;
     case MR_CALL_NOT_CONNECTED:
     case MR_CALL_BROKEN:
       action = mr_health_on_break (&target->health, now);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "batch.h"
+#include "call.h"
 #include "health.h"
 #include "target.h"
 
@@ -20,19 +21,6 @@
 typedef struct _MrDispatch MrDispatch;
 typedef struct _MrDispatchHost MrDispatchHost;
 
-typedef enum
-{
-  MR_CALL_ANSWER,
-  MR_CALL_SHED,          /* refused for load; did not run */
-  MR_CALL_DRAINING,      /* refused, the target is leaving; did not run */
-  MR_CALL_NO_SNAPSHOT,   /* the target does not hold the snapshot or shard */
-  MR_CALL_NOT_CONNECTED, /* nothing was sent */
-  MR_CALL_BROKEN,        /* sent, but no whole answer */
-  MR_CALL_ERROR,         /* the target answered with a failure */
-  MR_CALL_CANCELLED,     /* ended on our wish, as the target confirmed */
-  MR_CALL_SILENT,        /* given up: neither answer nor confirmation */
-} MrCallOutcome;
-
 /* A call to be sent. Borrowed. */
 typedef struct
 {
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -7,6 +7,8 @@
   /* libwebsockets' own limits; users of a call set shorter ones.  Its limit for
    * connecting also runs while a call on a warm connection waits. */
   ANSWER_SECONDS = 120,
+  KEEPALIVE_SECONDS = 1,
+  KEEPALIVE_PROBES = 2,
   ANSWER_MAX = 4 * 1024 * 1024,
 };
 
@@ -238,6 +240,11 @@
     .vhost_name = name,
     .timeout_secs = ANSWER_SECONDS,
     .connect_timeout_secs = ANSWER_SECONDS,
+    /* A connection that something on the way has lost goes silent for good; the
+     * probes end it after KEEPALIVE_SECONDS * (KEEPALIVE_PROBES + 1). */
+    .ka_time = KEEPALIVE_SECONDS,
+    .ka_probes = KEEPALIVE_PROBES,
+    .ka_interval = KEEPALIVE_SECONDS,
   };
   client->vhosts[lane] = lws_create_vhost (client->context, &info);
   return client->vhosts[lane];
--- /dev/null
+++ b/src/listing.c
@@ -0,0 +1,163 @@
+#include "listing.h"
+
+/* Entries are back within about two seconds of the store's return. */
+static const MrTime GRACE = 2300 * MR_MS;
+/* This many removals at once look like a lapse even if no outage was seen: a
+ * silent one may end before any call of ours failed.  Held back for a moment
+ * only, which is still well inside the time in which a leaving target may be
+ * given work. */
+enum
+{
+  MANY = 4
+};
+static const MrTime MANY_WINDOW = 500 * MR_MS;
+static const MrTime MANY_GRACE = 1500 * MR_MS;
+
+typedef struct
+{
+  guint64 version;
+  MrTime due;
+} Removal;
+
+struct _MrListing
+{
+  GHashTable *seen;     /* names in the listing under way */
+  GHashTable *removals; /* name -> Removal */
+  guint64 version;
+  bool up;
+  MrTime changed_at; /* of the store's state; 0: it has always answered */
+  MrTime burst_at;   /* first of the latest removals */
+  guint burst;
+};
+
+MrListing *
+mr_listing_new (void)
+{
+  MrListing *listing = g_new0 (MrListing, 1);
+  listing->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  listing->removals = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  listing->up = true;
+  return listing;
+}
+
+void
+mr_listing_free (MrListing *listing)
+{
+  if (!listing)
+    return;
+  g_hash_table_unref (listing->seen);
+  g_hash_table_unref (listing->removals);
+  g_free (listing);
+}
+
+/* While the store is down no entry can come back, so the wait starts anew at
+ * its return. */
+static void
+S_delay_all (MrListing *listing, MrTime due)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, listing->removals);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    ((Removal *) item)->due = MAX (((Removal *) item)->due, due);
+}
+
+void
+mr_listing_set_store (MrListing *listing, MrTime now, bool up)
+{
+  if (up == listing->up)
+    return;
+  listing->up = up;
+  listing->changed_at = now;
+  S_delay_all (listing, up ? now + GRACE : MR_NEVER);
+}
+
+void
+mr_listing_begin (MrListing *listing, guint64 version)
+{
+  g_hash_table_remove_all (listing->seen);
+  listing->version = version;
+}
+
+guint64
+mr_listing_version (const MrListing *listing)
+{
+  return listing->version;
+}
+
+void
+mr_listing_present (MrListing *listing, const char *name, guint64 version)
+{
+  const Removal *removal = g_hash_table_lookup (listing->removals, name);
+  if (removal && removal->version < version)
+    g_hash_table_remove (listing->removals, name);
+  g_hash_table_add (listing->seen, g_strdup (name));
+}
+
+bool
+mr_listing_has (const MrListing *listing, const char *name)
+{
+  return g_hash_table_contains (listing->seen, name);
+}
+
+static MrTime
+S_due (MrListing *listing, MrTime now)
+{
+  if (!listing->up)
+    return MR_NEVER;
+  if (listing->changed_at != 0 && now < listing->changed_at + GRACE)
+    return listing->changed_at + GRACE;
+  if (now - listing->burst_at > MANY_WINDOW)
+    {
+      listing->burst_at = now;
+      listing->burst = 0;
+    }
+  if (++listing->burst < MANY)
+    return now;
+  S_delay_all (listing, listing->burst_at + MANY_GRACE);
+  return listing->burst_at + MANY_GRACE;
+}
+
+void
+mr_listing_removed (MrListing *listing, MrTime now, const char *name, guint64 version)
+{
+  const Removal *known = g_hash_table_lookup (listing->removals, name);
+  if (known && known->version >= version)
+    return;
+  Removal *removal = g_new (Removal, 1);
+  *removal = (Removal){ .version = version, .due = S_due (listing, now) };
+  g_hash_table_replace (listing->removals, g_strdup (name), removal);
+  g_hash_table_remove (listing->seen, name);
+}
+
+bool
+mr_listing_take (MrListing *listing, MrTime now, char **name, guint64 *version)
+{
+  GHashTableIter iter;
+  gpointer key = NULL;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, listing->removals);
+  while (g_hash_table_iter_next (&iter, &key, &item))
+    {
+      const Removal *removal = item;
+      if (removal->due > now)
+        continue;
+      *name = g_strdup (key);
+      *version = removal->version;
+      g_hash_table_iter_remove (&iter);
+      return true;
+    }
+  return false;
+}
+
+MrTime
+mr_listing_next (const MrListing *listing)
+{
+  MrTime next = MR_NEVER;
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, listing->removals);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    next = MIN (next, ((const Removal *) item)->due);
+  return next;
+}
--- a/src/log.h
+++ b/src/log.h
@@ -1,12 +1,13 @@
-/* Syslog-style lines on standard error with numbered events.
+/* Log lines: one JSON object a line on standard output, with numbered events.
  *
- * A line reads `<PRI>merlinringd[PID]: E1234 text`.  Numbers are stable and
- * listed in docs/EVENTS.md.  Each event number is limited to
- * LOG_BURST lines a second, so that a fault that repeats can't fill a log; the
- * first line after a limited second says how many were left out. */
+ * A line reads {"time":MS,"level":N,"event":"E1234",...}; numbers are stable
+ * and listed in docs/EVENTS.md.  Volume is bounded: each event number gets
+ * LOG_BURST lines a second, and the first line after a limited second says how
+ * many were left out.  Writing never waits: while the reader of the output has
+ * stopped reading, lines are dropped and counted. */
 #pragma once
 
-#include <glib.h>
+#include "text.h"
 
 typedef enum
 {
@@ -24,6 +25,7 @@
   MR_EVENT_STOPPING = 1002,
   MR_EVENT_STOPPED = 1003,
   MR_EVENT_LIBRARY = 1004,
+  MR_EVENT_RELOADED = 1005,
   MR_EVENT_MEMBER_ALIVE = 1100,
   MR_EVENT_MEMBER_SUSPECT = 1101,
   MR_EVENT_MEMBER_DEAD = 1102,
@@ -36,6 +38,7 @@
   MR_EVENT_DOCUMENT_ACCEPTED = 1203,
   MR_EVENT_DOCUMENT_INVALID = 1204,
   MR_EVENT_WRITE_UNSURE = 1205,
+  MR_EVENT_CONFIGURATION = 1206,
   MR_EVENT_PLATFORM_DOWN = 1300,
   MR_EVENT_PLATFORM_UP = 1301,
   MR_EVENT_TARGET_SUSPECT = 1400,
@@ -44,10 +47,32 @@
   MR_EVENT_TARGET_LEAVING = 1403,
   MR_EVENT_CONNECTION_SILENT = 1404,
   MR_EVENT_REPLY_DISCARDED = 1405,
+  MR_EVENT_TARGET_KNOWN = 1406,
+  MR_EVENT_CONNECT_FAILED = 1407,
   MR_EVENT_OWNER_SILENT = 1500,
   MR_EVENT_ORDER_UNKNOWN = 1600,
+  MR_EVENT_REQUEST_SERVED = 1700,
+  MR_EVENT_REQUEST_PARTIAL = 1701,
+  MR_EVENT_REQUEST_REFUSED = 1702,
+  MR_EVENT_REQUEST_FAILED = 1703,
+  MR_EVENT_REQUEST_TIMEOUT = 1704,
+  MR_EVENT_CALLER_GONE = 1705,
+  MR_EVENT_NO_ROUTE = 1706,
 } MrEvent;
 
 /* Lines above @level are left out; the default is MR_LOG_INFO. */
 void mr_log_set_level (MrLogLevel level);
+
+/* A line whose one field, "message", is the formatted text. */
 void mr_log (MrLogLevel level, MrEvent event, const char *format, ...) G_GNUC_PRINTF (3, 4);
+
+/* A line with fields of its own, built up and written by mr_log_end (). */
+typedef struct _MrLogLine MrLogLine;
+
+/* NULL if the line is to be left out; the functions below take that. */
+MrLogLine *mr_log_begin (MrLogLevel level, MrEvent event);
+void mr_log_text (MrLogLine *line, const char *key, MrText value);
+void mr_log_number (MrLogLine *line, const char *key, gint64 value);
+/* @json: a value that is JSON already. */
+void mr_log_json (MrLogLine *line, const char *key, MrText json);
+void mr_log_end (MrLogLine *line);
--- a/src/loop.c
+++ b/src/loop.c
@@ -17,6 +17,8 @@
 {
   MrLoopHost *host;
   struct lws_context *context;
+  gboolean closing;
+  struct lws_vhost *raw_vhost; /* NULL until a stream is made */
   MrMailbox *box;
   lws_sorted_usec_list_t timer;
   atomic_bool stop;
@@ -64,7 +66,7 @@
   loop->host = host;
   struct lws_context_creation_info info = {
     .port = CONTEXT_PORT_NO_LISTEN,
-    .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS,
+    .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6,
     .timeout_secs = 120,
     .connect_timeout_secs = 120,
     .fd_limit_per_thread = descriptors + SPARE_DESCRIPTORS,
@@ -89,6 +91,7 @@
 {
   if (!loop)
     return;
+  loop->closing = TRUE;
   lws_sul_schedule (loop->context, 0, &loop->timer, NULL, LWS_SET_TIMER_USEC_CANCEL);
   lws_context_destroy (loop->context);
   mr_mailbox_free (loop->box);
@@ -101,6 +104,31 @@
   return loop->context;
 }
 
+static const struct lws_protocols raw_protocols[] = {
+  { .name = MR_LOOP_RAW_PROTOCOL, .callback = mr_loop_raw_callback },
+  { 0 },
+};
+
+struct lws_vhost *
+mr_loop_raw_vhost (MrLoop *loop)
+{
+  if (loop->raw_vhost)
+    return loop->raw_vhost;
+  struct lws_context_creation_info info = {
+    .port = CONTEXT_PORT_NO_LISTEN,
+    .protocols = raw_protocols,
+    .vhost_name = MR_LOOP_RAW_PROTOCOL,
+  };
+  loop->raw_vhost = lws_create_vhost (loop->context, &info);
+  return loop->raw_vhost;
+}
+
+gboolean
+mr_loop_is_closing (const MrLoop *loop)
+{
+  return loop->closing;
+}
+
 MrMailbox *
 mr_loop_mailbox (MrLoop *loop)
 {
--- a/src/loop.h
+++ b/src/loop.h
@@ -29,6 +29,15 @@
 struct lws_context *mr_loop_context (MrLoop *loop);
 MrMailbox *mr_loop_mailbox (MrLoop *loop);
 
+/* Where streams (stream.h) live: a vhost whose one protocol is the callback
+ * below. */
+#define MR_LOOP_RAW_PROTOCOL "stream"
+struct lws_vhost *mr_loop_raw_vhost (MrLoop *loop);
+/* TRUE inside mr_loop_free (): streams end without telling their hosts. */
+gboolean mr_loop_is_closing (const MrLoop *loop);
+int mr_loop_raw_callback (
+    struct lws *wsi, enum lws_callback_reasons reason, void *session, void *in, size_t len);
+
 /* Runs until mr_loop_stop (); to be called from one thread only. */
 void mr_loop_run (MrLoop *loop);
 
--- a/src/message.h
+++ b/src/message.h
@@ -115,11 +115,12 @@
 {
   MrMessage base;
   MrPlatformAction action;
-  char kind[16];
+  char kind[24];
   char name[MR_NAME_MAX + 1];
-  guint64 since;
-  guint wait_ms;    /* of LIST; over 0 makes it a watch */
-  guint64 expected; /* of WRITE */
+  guint64 since;               /* of LIST; 0: everything */
+  char after[MR_NAME_MAX + 1]; /* of LIST: names that follow this one */
+  guint wait_ms;               /* of LIST; over 0 makes it a watch */
+  guint64 expected;            /* of WRITE */
   GString *body;
 } MrPlatformRequest;
 
@@ -146,7 +147,9 @@
   MrPlatformRequest *request;
   int status; /* MrStatus */
   guint64 revision;
-  guint64 version; /* of a write */
+  guint64 version;  /* of a write */
+  gboolean more;    /* of LIST: names follow the last one */
+  gboolean expired; /* of LIST: the changes since then are no longer known */
   GPtrArray *objects;
   GArray *vms; /* MrPlatformVm */
 } MrPlatformResult;
--- /dev/null
+++ b/src/platform_codec.c
@@ -0,0 +1,116 @@
+#include "platform_codec.h"
+
+#include "controller.h"
+#include <jansson.h>
+
+static char *
+S_path (const MrPlatformRequest *request)
+{
+  switch (request->action)
+    {
+    case MR_PLATFORM_LIST:
+      return g_strdup_printf ("/v1/objects/%s?since=%" G_GUINT64_FORMAT "&wait_ms=%u",
+                              request->kind, request->since, request->wait_ms);
+    case MR_PLATFORM_READ:
+      return g_strdup_printf ("/v1/objects/%s/%s", request->kind, request->name);
+    case MR_PLATFORM_WRITE:
+      if (request->expected == MR_VERSION_ANY)
+        return g_strdup_printf ("/v1/objects/%s/%s?version=any", request->kind, request->name);
+      return g_strdup_printf ("/v1/objects/%s/%s?version=%" G_GUINT64_FORMAT, request->kind,
+                              request->name, request->expected);
+    case MR_PLATFORM_VMS:
+      return g_strdup ("/v1/vms");
+    }
+  return NULL;
+}
+
+static void
+S_read_object (MrPlatformResult *result, const json_t *object)
+{
+  const json_t *body = json_object_get (object, "body");
+  const char *name = json_string_value (json_object_get (object, "name"));
+  const json_t *version = json_object_get (object, "version");
+  if (!name || !json_is_integer (version) || strlen (name) > MR_NAME_MAX)
+    return;
+  MrText text = { .data = json_string_value (body), .len = json_string_length (body) };
+  mr_platform_result_add (result, mr_text (name), (guint64) json_integer_value (version),
+                          json_is_true (json_object_get (object, "deleted")), text);
+}
+
+static void
+S_read_vm (MrPlatformResult *result, const json_t *object)
+{
+  const char *ip = json_string_value (json_object_get (object, "ip"));
+  const char *role = json_string_value (json_object_get (object, "role"));
+  const char *state = json_string_value (json_object_get (object, "state"));
+  if (!ip || !role || !state)
+    return;
+  MrPlatformVm vm = {
+    .port = (int) json_integer_value (json_object_get (object, "port")),
+    .entry = g_str_equal (role, "entry"),
+    .leaving = g_str_equal (state, "leaving"),
+  };
+  g_strlcpy (vm.ip, ip, sizeof vm.ip);
+  g_array_append_val (result->vms, vm);
+}
+
+static void
+S_read_answer (MrPlatformResult *result, MrText body)
+{
+  json_t *root = json_loadb (body.data, body.len, 0, NULL);
+  size_t i = 0;
+  json_t *item = NULL;
+  result->revision = (guint64) json_integer_value (json_object_get (root, "revision"));
+  result->version = (guint64) json_integer_value (json_object_get (root, "version"));
+  json_array_foreach (json_object_get (root, "objects"), i, item)
+  {
+    S_read_object (result, item);
+  }
+  json_array_foreach (json_object_get (root, "vms"), i, item)
+  {
+    S_read_vm (result, item);
+  }
+  if (result->request->action == MR_PLATFORM_READ)
+    S_read_object (result, root);
+  if (!root && result->status == MR_OK)
+    result->status = MR_ERROR_UNAVAIL;
+  json_decref (root);
+}
+
+static MrStatus
+S_status (const MrPlatformRequest *request, int http_status)
+{
+  switch (http_status)
+    {
+    case 200:
+      return MR_OK;
+    case 404:
+      return MR_ERROR_NOT_FOUND;
+    case 409:
+      return MR_ERROR_CONFLICT;
+    case 503:
+      return MR_ERROR_UNAVAIL;
+    default:
+      return request->action == MR_PLATFORM_WRITE ? MR_ERROR_UNSURE : MR_ERROR_UNAVAIL;
+    }
+}
+
+static void
+S_read (MrPlatformResult *result, int http_status, MrText body)
+{
+  result->status = (int) S_status (result->request, http_status);
+  S_read_answer (result, body);
+}
+
+static void
+S_write (const MrPlatformRequest *request, MrPlatformCall *call)
+{
+  *call = (MrPlatformCall){
+    .method = request->action == MR_PLATFORM_WRITE ? "PUT" : "GET",
+    .path = S_path (request),
+    .body =
+        request->body ? g_string_new_len (request->body->str, (gssize) request->body->len) : NULL,
+  };
+}
+
+const MrPlatformCodec mr_platform_codec = { .write = S_write, .read = S_read };
--- a/src/platform_task.c
+++ b/src/platform_task.c
@@ -1,9 +1,6 @@
 #include "platform_task.h"
 
-#include "controller.h"
 #include "http_client.h"
-#include "message.h"
-#include <jansson.h>
 
 enum
 {
@@ -11,7 +8,7 @@
 };
 
 /* Time a call may take over its own waiting time. */
-static const MrTime CALL_WAIT = 3 * MR_SECOND;
+static const MrTime CALL_WAIT = 2 * MR_SECOND;
 
 typedef struct
 {
@@ -27,6 +24,7 @@
   MrLoopHost host;
   MrLoop *loop;
   MrHttpClient *client;
+  const MrPlatformCodec *codec;
   MrMailbox *results;
   char *ip;
   int port;
@@ -34,95 +32,10 @@
   GQueue waiting; /* MrPlatformRequest */
 };
 
-static char *
-S_path (const MrPlatformRequest *request)
-{
-  switch (request->action)
-    {
-    case MR_PLATFORM_LIST:
-      return g_strdup_printf ("/v1/objects/%s?since=%" G_GUINT64_FORMAT "&wait_ms=%u",
-                              request->kind, request->since, request->wait_ms);
-    case MR_PLATFORM_READ:
-      return g_strdup_printf ("/v1/objects/%s/%s", request->kind, request->name);
-    case MR_PLATFORM_WRITE:
-      if (request->expected == MR_VERSION_ANY)
-        return g_strdup_printf ("/v1/objects/%s/%s?version=any", request->kind, request->name);
-      return g_strdup_printf ("/v1/objects/%s/%s?version=%" G_GUINT64_FORMAT, request->kind,
-                              request->name, request->expected);
-    case MR_PLATFORM_VMS:
-      return g_strdup ("/v1/vms");
-    }
-  return NULL;
-}
-
-static void
-S_read_object (MrPlatformResult *result, const json_t *object)
-{
-  const json_t *body = json_object_get (object, "body");
-  const char *name = json_string_value (json_object_get (object, "name"));
-  const json_t *version = json_object_get (object, "version");
-  if (!name || !json_is_integer (version) || strlen (name) > MR_NAME_MAX)
-    return;
-  MrText text = { .data = json_string_value (body), .len = json_string_length (body) };
-  mr_platform_result_add (result, mr_text (name), (guint64) json_integer_value (version),
-                          json_is_true (json_object_get (object, "deleted")), text);
-}
-
-static void
-S_read_vm (MrPlatformResult *result, const json_t *object)
-{
-  const char *ip = json_string_value (json_object_get (object, "ip"));
-  const char *role = json_string_value (json_object_get (object, "role"));
-  const char *state = json_string_value (json_object_get (object, "state"));
-  if (!ip || !role || !state)
-    return;
-  MrPlatformVm vm = {
-    .port = (int) json_integer_value (json_object_get (object, "port")),
-    .entry = g_str_equal (role, "entry"),
-    .leaving = g_str_equal (state, "leaving"),
-  };
-  g_strlcpy (vm.ip, ip, sizeof vm.ip);
-  g_array_append_val (result->vms, vm);
-}
-
-static void
-S_read_answer (MrPlatformResult *result, MrText body)
-{
-  json_t *root = json_loadb (body.data, body.len, 0, NULL);
-  size_t i = 0;
-  json_t *item = NULL;
-  result->revision = (guint64) json_integer_value (json_object_get (root, "revision"));
-  result->version = (guint64) json_integer_value (json_object_get (root, "version"));
-  json_array_foreach (json_object_get (root, "objects"), i, item)
-  {
-    S_read_object (result, item);
-  }
-  json_array_foreach (json_object_get (root, "vms"), i, item)
-  {
-    S_read_vm (result, item);
-  }
-  if (result->request->action == MR_PLATFORM_READ)
-    S_read_object (result, root);
-  if (!root && result->status == MR_OK)
-    result->status = MR_ERROR_UNAVAIL;
-  json_decref (root);
-}
-
 /* A write that got no answer may stand at the platform all the same. */
 static MrStatus
-S_status (const MrPlatformRequest *request, const MrHttpAnswer *answer)
+S_lost_status (const MrPlatformRequest *request, const MrHttpAnswer *answer)
 {
-  if (answer && answer->outcome == MR_HTTP_OK)
-    {
-      if (answer->status == 200)
-        return MR_OK;
-      if (answer->status == 404)
-        return MR_ERROR_NOT_FOUND;
-      if (answer->status == 409)
-        return MR_ERROR_CONFLICT;
-      if (answer->status == 503)
-        return MR_ERROR_UNAVAIL;
-    }
   if (answer && answer->outcome == MR_HTTP_REFUSED)
     return MR_ERROR_UNAVAIL;
   return request->action == MR_PLATFORM_WRITE ? MR_ERROR_UNSURE : MR_ERROR_UNAVAIL;
@@ -131,9 +44,10 @@
 static void
 S_post (MrPlatformTask *task, MrPlatformRequest *request, const MrHttpAnswer *answer)
 {
-  MrPlatformResult *result = mr_platform_result_new (request, (int) S_status (request, answer));
+  MrPlatformResult *result =
+      mr_platform_result_new (request, (int) S_lost_status (request, answer));
   if (answer && answer->outcome == MR_HTTP_OK)
-    S_read_answer (result, answer->body);
+    task->codec->read (result, answer->status, answer->body);
   mr_mailbox_post (task->results, &result->base);
 }
 
@@ -156,13 +70,10 @@
 static void
 S_start (MrPlatformTask *task, MrPlatformRequest *request, guint lane)
 {
-  static const char *const methods[] = {
-    [MR_PLATFORM_LIST] = "GET",
-    [MR_PLATFORM_READ] = "GET",
-    [MR_PLATFORM_WRITE] = "PUT",
-    [MR_PLATFORM_VMS] = "GET",
-  };
-  g_autofree char *path = S_path (request);
+  MrPlatformCall call = { 0 };
+  task->codec->write (request, &call);
+  g_autofree char *path = call.path;
+  g_autoptr (GString) body = call.body;
   Exchange *exchange = g_new0 (Exchange, 1);
   *exchange = (Exchange){
     .task = task,
@@ -171,12 +82,12 @@
     .give_up_at = mr_now () + CALL_WAIT + request->wait_ms * MR_MS,
   };
   MrHttpCallInfo info = {
-    .method = methods[request->action],
+    .method = call.method,
     .ip = task->ip,
     .port = task->port,
     .lane = lane,
     .path = path,
-    .body = request->body ? mr_text_of (request->body) : (MrText){ 0 },
+    .body = body ? mr_text_of (body) : (MrText){ 0 },
     .done = S_done,
     .user = exchange,
   };
@@ -237,7 +148,7 @@
 }
 
 MrPlatformTask *
-mr_platform_task_new (const char *ip, int port, MrMailbox *results)
+mr_platform_task_new (const char *ip, int port, const MrPlatformCodec *codec, MrMailbox *results)
 {
   MrPlatformTask *task = g_new0 (MrPlatformTask, 1);
   task->host = (MrLoopHost){ .on_message = S_on_message, .on_tick = S_on_tick };
@@ -249,6 +160,7 @@
     }
   task->client = mr_http_client_new (task->loop, LANES);
   task->results = results;
+  task->codec = codec;
   task->ip = g_strdup (ip);
   task->port = port;
   g_queue_init (&task->waiting);
--- a/src/platform_task.h
+++ b/src/platform_task.h
@@ -5,10 +5,12 @@
 #pragma once
 
 #include "loop.h"
+#include "platform_codec.h"
 
 typedef struct _MrPlatformTask MrPlatformTask;
 
 /* @results: where results go. */
-MrPlatformTask *mr_platform_task_new (const char *ip, int port, MrMailbox *results);
+MrPlatformTask *
+mr_platform_task_new (const char *ip, int port, const MrPlatformCodec *codec, MrMailbox *results);
 void mr_platform_task_free (MrPlatformTask *task);
 MrLoop *mr_platform_task_loop (MrPlatformTask *task);
--- a/src/registry.c
+++ b/src/registry.c
@@ -16,6 +16,8 @@
     [MR_OBJECT_ACCEPTED] = "accepted",
     [MR_OBJECT_SHARD_MAP] = "shardmaps",
     [MR_OBJECT_VM] = "vms",
+    [MR_OBJECT_CONFIGURATION] = "configurations",
+    [MR_OBJECT_TARGET] = "targets",
   };
   return names[kind];
 }
--- a/src/registry.h
+++ b/src/registry.h
@@ -1,5 +1,5 @@
 /* Versioned objects as one daemon knows them: accepted documents, shard maps
- * and the list of VMs.
+ * the list of VMs, the configuration of routes, and targets.
  *
  * The one rule that makes configuration never revert: an object is replaced
  * only by a higher version, whatever store or peer offers it.  Versions come
@@ -15,6 +15,8 @@
   MR_OBJECT_ACCEPTED = 1, /* a document in force */
   MR_OBJECT_SHARD_MAP = 2,
   MR_OBJECT_VM = 3,
+  MR_OBJECT_CONFIGURATION = 4, /* routes and services in force, in one object */
+  MR_OBJECT_TARGET = 5,        /* one target; an empty body: it is gone */
 } MrObjectKind;
 
 typedef struct
--- /dev/null
+++ b/src/relay.h
@@ -0,0 +1,173 @@
+/* Decisions on relayed requests: which target gets what and when, what is sent
+ * a second time, what is answered to the caller.
+ *
+ * A request goes to one target of a service, or to one target of each shard,
+ * whose answers are merged.  Pure decisions: time comes as an argument, calls
+ * go out through a vtable, and an answer is an opaque pointer of the host's.
+ *
+ *   relay.c        requests: admission, ends of calls, verdicts
+ *   relay_place.c  choice of target, queues, starts
+ *   relay_time.c   what is due: second sends, soft and hard ends, silence
+ *
+ * What is measured and what was ruled out: docs/design/platform.md. */
+#pragma once
+
+#include "budget.h"
+#include "call.h"
+#include "configuration.h"
+#include "target.h"
+
+typedef struct _MrRelay MrRelay;
+typedef struct _MrRelayHost MrRelayHost;
+typedef struct _MrRelayWork MrRelayWork;
+
+/* A call to be sent.  Borrowed. */
+typedef struct
+{
+  guint64 id; /* never reused within an incarnation */
+  const MrTargetState *target;
+  gpointer request;    /* as submitted */
+  MrTime deadline;     /* of the caller */
+  gboolean repeatable; /* may go out on a connection that could just be closing */
+} MrRelayCall;
+
+typedef enum
+{
+  MR_VERDICT_ANSWER,  /* answers[0] is a target's answer */
+  MR_VERDICT_MERGE,   /* answers hold enough shards; missing ones are NULL */
+  MR_VERDICT_REFUSED, /* has not run and never will */
+  MR_VERDICT_FAILED,  /* may have run */
+  MR_VERDICT_TIMEOUT, /* may have run; the time limit has passed */
+} MrVerdict;
+
+typedef enum
+{
+  MR_CAUSE_NONE,
+  MR_CAUSE_NO_TARGET,  /* every target of a service is down, leaving or unknown */
+  MR_CAUSE_OVERLOAD,   /* the wait would outlast the caller's use for an answer */
+  MR_CAUSE_ATTEMPTS,   /* every target that may be tried was */
+  MR_CAUSE_BUDGET,     /* another send would go over the bound on extra load */
+  MR_CAUSE_BROKEN,     /* the target broke off and the request may not be repeated */
+  MR_CAUSE_FEW_SHARDS, /* too few shards can still answer */
+  MR_CAUSE_TIME,       /* the deadline or the route's time limit has passed */
+  MR_CAUSE_SOFT_END,   /* answered without the missing shards, to be in time */
+} MrCause;
+
+const char *mr_cause_name (MrCause cause);
+const char *mr_verdict_name (MrVerdict verdict);
+
+/* Why a call was sent. */
+typedef enum
+{
+  MR_SEND_FIRST,
+  MR_SEND_HEDGE, /* the first is slow */
+  MR_SEND_RETRY, /* the one before has ended without an answer */
+} MrSendReason;
+
+const char *mr_send_reason_name (MrSendReason reason);
+
+/* One call of a request, for its log line. */
+typedef struct
+{
+  char target[MR_NAME_MAX + 1];
+  guint part;
+  MrSendReason reason;
+  MrTime at; /* since the request arrived */
+  MrTime took;
+  MrCallOutcome outcome;
+  gboolean ended;
+  MrTime heard; /* how long ago the target had answered anything, at the send */
+} MrSendNote;
+
+typedef struct
+{
+  MrVerdict verdict;
+  MrCause cause;
+  MrTime retry_after; /* of a refusal */
+  guint part_count;
+  gpointer *answers;    /* borrowed */
+  guint missing;        /* parts without an answer */
+  const GArray *sends;  /* MrSendNote */
+  MrTime expected_wait; /* that caused a refusal for load */
+} MrRelayResult;
+
+/* Vtable; first member of the task that carries calls out. */
+struct _MrRelayHost
+{
+  void (*call) (MrRelayHost *host, const MrRelayCall *call);
+  /* The call is not wanted any more: close its connection.  Its end is not
+   * reported. */
+  void (*drop) (MrRelayHost *host, guint64 id);
+  /* Connect once to see whether it lives; mr_relay_probe_end () tells. */
+  void (*probe) (MrRelayHost *host, const MrTargetState *target);
+  /* Replace the idle connections of @target; all of them if it is gone. */
+  void (*renew) (MrRelayHost *host, const MrTargetState *target);
+  /* The one verdict on a request; must not submit another from within. */
+  void (*done) (MrRelayHost *host, gpointer request, const MrRelayResult *result);
+  void (*free_answer) (gpointer answer);
+};
+
+typedef struct
+{
+  char *domain; /* failure domain of this VM; borrowed */
+  MrWindowTerms budget;
+  guint32 seed;
+} MrRelayInfo;
+
+typedef struct
+{
+  guint64 requests;
+  guint64 calls;
+  guint64 hedges;
+  guint64 retries;
+  guint64 over_budget; /* second sends that the budget forbade */
+  guint64 partial;
+  guint64 refused;
+  guint64 failed;
+  guint64 timeouts;
+  guint64 silent;
+} MrRelayCounts;
+
+MrRelay *mr_relay_new (MrRelayHost *host, const MrRelayInfo *info);
+void mr_relay_free (MrRelay *relay);
+
+/* How many daemons share the targets' connections and the budget. */
+void mr_relay_set_members (MrRelay *relay, guint members);
+
+/* A target as it is known now; @leaving ones get no new work. */
+void mr_relay_target (MrRelay *relay,
+                      MrTime now,
+                      const char *service,
+                      const MrTarget *target,
+                      gboolean leaving,
+                      MrTime cold_for);
+void mr_relay_target_gone (MrRelay *relay, MrTime now, const char *id);
+
+/* Takes the request on; the verdict comes through done (), perhaps at once, in
+ * which case NULL is returned.  @route belongs to @configuration. */
+MrRelayWork *mr_relay_submit (MrRelay *relay,
+                              MrTime now,
+                              gpointer request,
+                              MrConfiguration *configuration,
+                              const MrRoute *route,
+                              MrTime deadline);
+
+/* The caller has gone: there will be no verdict.  Calls that may be repeated
+ * are dropped, others run to their end. */
+void mr_relay_forget (MrRelay *relay, MrTime now, MrRelayWork *work);
+
+/* A call has ended; takes @answer, which may be NULL. */
+void
+mr_relay_call_end (MrRelay *relay, MrTime now, guint64 id, MrCallOutcome outcome, gpointer answer);
+void mr_relay_probe_end (MrRelay *relay, MrTime now, const char *target, gboolean answered);
+
+/* Carries out what is due; returns when to come back, or MR_NEVER. */
+MrTime mr_relay_tick (MrRelay *relay, MrTime now);
+
+const MrRelayCounts *mr_relay_counts (const MrRelay *relay);
+guint mr_relay_open (const MrRelay *relay);
+/* Targets that may be given work. */
+guint mr_relay_usable_targets (const MrRelay *relay);
+void mr_relay_foreach_target (const MrRelay *relay,
+                              void (*visit) (const MrTargetState *target, void *user),
+                              void *user);
--- /dev/null
+++ b/src/relay_daemon.c
@@ -0,0 +1,114 @@
+#include "relay_daemon.h"
+
+#include "control_task.h"
+#include "log.h"
+#include "message.h"
+#include "platform_task.h"
+#include "process.h"
+#include "relay_task.h"
+#include <unistd.h>
+
+typedef struct
+{
+  MrProcess process;
+  const MrRelaySettings *settings;
+  MrRelayTask *relay;
+  MrControlTask *control;
+  MrPlatformTask *platform;
+  void (*reload) (void);
+} Daemon;
+
+static void
+S_on_stopped (void *user)
+{
+  (void) user;
+  mr_process_end ();
+}
+
+static MrStatus
+S_make_tasks (Daemon *d, const MrDialect *dialect, const MrPlatformCodec *codec)
+{
+  const MrSettings *base = &d->settings->base;
+  MrControlTaskInfo control = {
+    .settings = base,
+    .incarnation = mr_process_incarnation (&d->process),
+    .seed = mr_process_seed (&d->process),
+    .relay = TRUE,
+  };
+  d->control = mr_control_task_new (&control);
+  if (!d->control)
+    return MR_ERROR_SYSTEM;
+  MrRelayTaskInfo relay = {
+    .settings = d->settings,
+    .dialect = dialect,
+    .seed = mr_process_seed (&d->process),
+    .stopped = S_on_stopped,
+  };
+  d->relay = mr_relay_task_new (&relay);
+  d->platform = mr_platform_task_new (base->platform_ip, base->platform_port, codec,
+                                      mr_control_task_mailbox (d->control));
+  return d->relay && d->platform ? MR_OK : MR_ERROR_SYSTEM;
+}
+
+static void
+S_start (Daemon *d)
+{
+  MrMailbox *relay = mr_loop_mailbox (mr_relay_task_loop (d->relay));
+  mr_relay_task_connect (d->relay, mr_control_task_mailbox (d->control));
+  mr_control_task_connect (d->control, relay, NULL,
+                           mr_loop_mailbox (mr_platform_task_loop (d->platform)));
+  mr_process_run (&d->process, mr_control_task_thread, d->control);
+  mr_process_run (&d->process, mr_process_run_loop, mr_platform_task_loop (d->platform));
+  mr_process_run (&d->process, mr_process_run_loop, mr_relay_task_loop (d->relay));
+}
+
+static void
+S_on_stop (void *user)
+{
+  Daemon *d = user;
+  mr_mailbox_post (mr_loop_mailbox (mr_relay_task_loop (d->relay)), mr_stop_message_new ());
+}
+
+static void
+S_on_reload (void *user)
+{
+  const Daemon *d = user;
+  if (d->reload)
+    d->reload ();
+}
+
+static void
+S_stop (Daemon *d)
+{
+  mr_loop_stop (mr_relay_task_loop (d->relay));
+  mr_loop_stop (mr_platform_task_loop (d->platform));
+  mr_control_task_stop (d->control);
+  mr_process_join (&d->process);
+}
+
+MrStatus
+mr_relay_daemon_run (const MrRelaySettings *settings,
+                     const MrDialect *dialect,
+                     const MrPlatformCodec *codec,
+                     void (*reload) (void))
+{
+  Daemon d = { .settings = settings, .reload = reload };
+  const MrSettings *base = &settings->base;
+  mr_log_set_level ((MrLogLevel) base->log_level);
+  MrStatus status = mr_process_init (&d.process);
+  if (status == MR_OK)
+    status = S_make_tasks (&d, dialect, codec);
+  if (status == MR_OK)
+    {
+      S_start (&d);
+      mr_log (MR_LOG_NOTICE, MR_EVENT_STARTED, "%s started in %s: callers %s:%d, peers %s:%d",
+              base->name, base->domain, base->ip, base->http_port, base->ip, base->peer_port);
+      mr_process_wait (&d.process, S_on_stop, S_on_reload, &d);
+      S_stop (&d);
+      mr_log (MR_LOG_NOTICE, MR_EVENT_STOPPED, "%s stopped", base->name);
+    }
+  mr_relay_task_free (d.relay);
+  mr_platform_task_free (d.platform);
+  mr_control_task_free (d.control);
+  return status;
+}
--- /dev/null
+++ b/src/relay_pages.c
@@ -0,0 +1,126 @@
+#include "relay_task_private.h"
+
+#include "addresses.h"
+#include "metrics.h"
+
+enum
+{
+  STATUS_OK = 200,
+  STATUS_NOT_FOUND = 404,
+  STATUS_UNAVAILABLE = 503,
+};
+
+static const char json_type[] = "Content-Type: application/json\r\n";
+static const char text_type[] = "Content-Type: text/plain; version=0.0.4\r\n";
+
+static void
+S_on_ready (MrCallerServerHost *host, MrCaller *caller, const MrHttpParser *in, MrTime began)
+{
+  const MrRelayTask *task = ((Pages *) host)->task;
+  (void) began;
+  gboolean known = task->dialect->is_ready_question (mr_http_parser_target (in));
+  gboolean ready = mr_relay_task_ready (task) && task->stop_at == 0;
+  int status = !known ? STATUS_NOT_FOUND : ready ? STATUS_OK : STATUS_UNAVAILABLE;
+  mr_caller_answer (caller, status, (MrText){ 0 }, (MrText){ 0 });
+}
+
+static void
+S_on_question (MrCallerServerHost *host, MrCaller *caller, const MrHttpParser *in, MrTime began)
+{
+  MrRelayTask *task = ((Pages *) host)->task;
+  MrAddressQuestion question = { 0 };
+  (void) began;
+  if (!task->dialect->read_address_question (mr_http_parser_target (in), &question))
+    {
+      mr_caller_answer (caller, STATUS_NOT_FOUND, (MrText){ 0 }, (MrText){ 0 });
+      return;
+    }
+  g_autoptr (GPtrArray) addresses = g_ptr_array_new_with_free_func (g_free);
+  if (task->view)
+    {
+      g_autoptr (GPtrArray) chosen = mr_addresses_choose (task->view->members, task->answers++);
+      for (guint i = 0; i < chosen->len; i++)
+        {
+          const MrMember *member = g_ptr_array_index (chosen, i);
+          g_ptr_array_add (addresses, g_strdup_printf ("%s:%d", member->ip, member->http_port));
+        }
+    }
+  if (addresses->len == 0)
+    {
+      mr_caller_answer (caller, STATUS_UNAVAILABLE, (MrText){ 0 }, (MrText){ 0 });
+      return;
+    }
+  g_autoptr (GString) body = task->dialect->write_addresses (addresses, MR_ADDRESS_KEEP);
+  mr_caller_answer (caller, STATUS_OK, mr_text (json_type), mr_text_of (body));
+}
+
+static void
+S_append (GString *out, const char *name, const char *kind, guint64 value)
+{
+  g_string_append_printf (out, "# TYPE merlinring_%s %s\nmerlinring_%s %" G_GUINT64_FORMAT "\n",
+                          name, kind, name, value);
+}
+
+static void
+S_append_relay (GString *out, const MrRelayTask *task)
+{
+  const MrRelayCounts *counts = mr_relay_counts (task->relay);
+  const MrTargetClientCounts *client = mr_target_client_counts (task->client);
+  const struct
+  {
+    const char *name;
+    guint64 value;
+  } counters[] = {
+    { "relay_requests_total", counts->requests },
+    { "relay_calls_total", counts->calls },
+    { "relay_hedges_total", counts->hedges },
+    { "relay_retries_total", counts->retries },
+    { "relay_over_budget_total", counts->over_budget },
+    { "relay_partial_total", counts->partial },
+    { "relay_refused_total", counts->refused },
+    { "relay_failed_total", counts->failed },
+    { "relay_timeouts_total", counts->timeouts },
+    { "relay_silent_total", counts->silent },
+    { "relay_connections_total", client->connections },
+    { "relay_reused_total", client->reused },
+    { "relay_skipped_answers_total", client->skipped },
+    { "relay_stray_bytes_total", client->stray },
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS (counters); i++)
+    S_append (out, counters[i].name, "counter", counters[i].value);
+  S_append (out, "relay_open_requests", "gauge", mr_relay_open (task->relay));
+  S_append (out, "relay_usable_targets", "gauge", mr_relay_usable_targets (task->relay));
+  S_append (out, "relay_caller_connections", "gauge", mr_caller_server_connections (task->callers));
+  for (guint i = 1; i < G_N_ELEMENTS (task->statuses); i++)
+    g_string_append_printf (
+        out, "merlinring_relay_answers_total{status=\"%uxx\"} %" G_GUINT64_FORMAT "\n", i,
+        task->statuses[i]);
+  mr_metrics_write_histogram (out, "relay_latency", "result=\"success\"", &task->latency);
+}
+
+static void
+S_on_metrics (MrCallerServerHost *host, MrCaller *caller, const MrHttpParser *in, MrTime began)
+{
+  const MrRelayTask *task = ((Pages *) host)->task;
+  (void) in;
+  (void) began;
+  g_autoptr (GString) body = g_string_new (NULL);
+  mr_metrics_write (body);
+  S_append_relay (body, task);
+  mr_caller_answer (caller, STATUS_OK, mr_text (text_type), mr_text_of (body));
+}
+
+static void
+S_on_gone (MrCallerServerHost *host, MrCaller *caller)
+{
+  (void) host;
+  (void) caller; /* answered at once, so nothing is kept for it */
+}
+
+void
+mr_relay_pages_init (MrRelayTask *task)
+{
+  task->ready_pages = (Pages){ { S_on_ready, S_on_gone }, task };
+  task->directory_pages = (Pages){ { S_on_question, S_on_gone }, task };
+  task->metrics_pages = (Pages){ { S_on_metrics, S_on_gone }, task };
+}
--- /dev/null
+++ b/src/relay_place.c
@@ -0,0 +1,302 @@
+#include "relay_private.h"
+
+#include <math.h>
+
+/* Cost of a target in another failure domain, against 1 in ours: its round trip
+ * is a few milliseconds longer and its bytes are paid for, which a third more
+ * load on the near one outweighs. */
+static const double FAR_COST = 1.35;
+static const double COLD_COST = 1.6;
+/* A target whose oldest call has gone unanswered for this many times the usual
+ * stands still (a pause, a crash, a lost path): it gets first sends only if
+ * there is no other.  Searchers that pause for 250 ms every 6 s meet a third of
+ * all wide searches; passing them over costs no second send. */
+static const double STALLED_FACTOR = 2.5;
+static const MrTime STALLED_MIN = 15 * MR_MS;
+static const double STALLED_COST = 50;
+/* Weight of failures: a target that fails half of its calls costs six times as
+ * much as one that fails none. */
+static const double FAILING_COST = 10;
+/* Share of the budget that second sends for slowness may use: what is left
+ * repairs calls that failed. */
+static const double HEDGE_SHARE = 0.75;
+/* Of the fleet's size, kept free for VMs that join while others still hold
+ * their connections. */
+static const double MEMBERS_RESERVE = 1.5;
+
+static gboolean
+S_stalled (const MrTargetState *target, MrTime now)
+{
+  const Call *oldest = g_queue_peek_head (&((MrTargetState *) target)->open);
+  if (!oldest || target->health.answered_at > oldest->started)
+    return FALSE;
+  MrTime usual = (MrTime) (STALLED_FACTOR * oldest->kind->mean);
+  return now - oldest->started > MAX (usual, STALLED_MIN);
+}
+
+static double
+S_cost (const MrRelay *relay, MrTime now, const MrTargetState *target)
+{
+  double cost = target->relative * (target->in_flight + 1) * (1 + FAILING_COST * target->failing);
+  if (!g_str_equal (target->domain, relay->domain))
+    cost *= FAR_COST;
+  if (now < target->cold_until)
+    cost *= COLD_COST;
+  if (S_stalled (target, now))
+    cost *= STALLED_COST;
+  return cost;
+}
+
+static gboolean
+S_tried (const Job *job, const MrTargetState *target)
+{
+  for (guint i = 0; i < job->tried_count; i++)
+    if (job->tried[i] == target)
+      return TRUE;
+  return FALSE;
+}
+
+/* Best target not tried; @hope is set if one may have room later. */
+static MrTargetState *
+S_pick (MrRelay *relay, MrTime now, const Job *job, gboolean *hope)
+{
+  const GPtrArray *targets = job->service->targets;
+  MrTargetState *best = NULL;
+  double best_cost = G_MAXDOUBLE;
+  *hope = FALSE;
+  guint offset =
+      targets->len > 1 ? (guint) g_rand_int_range (relay->random, 0, (gint32) targets->len) : 0;
+  for (guint n = 0; n < targets->len; n++)
+    {
+      MrTargetState *target = g_ptr_array_index (targets, (n + offset) % targets->len);
+      gboolean usable = mr_health_usable (&target->health);
+      if (S_tried (job, target) || (!usable && target->health.state != MR_HEALTH_SUSPECT))
+        continue;
+      *hope = TRUE;
+      if (!usable || !mr_target_state_free_slot (target))
+        continue;
+      double cost = S_cost (relay, now, target);
+      if (cost < best_cost)
+        {
+          best = target;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+/* Connections of a target that are this daemon's: its share of the cap. */
+static void
+S_set_share (const MrRelay *relay,
+             const MrRelayWork *work,
+             MrTargetState *target,
+             const char *service)
+{
+  const MrServiceInfo *info = mr_configuration_service (work->configuration, service);
+  double most = info ? info->most_connections : target->connections;
+  mr_limit_set_most (&target->limit,
+                     floor (most / (MAX (relay->terms.members, 1) * MEMBERS_RESERVE)));
+}
+
+static Call **
+S_free_place (Job *job)
+{
+  for (guint i = 0; i < CALLS_OF_JOB; i++)
+    if (!job->calls[i])
+      return &job->calls[i];
+  return NULL;
+}
+
+static guint
+S_note (
+    MrRelayWork *work, const Job *job, MrTime now, const MrTargetState *target, MrSendReason reason)
+{
+  MrSendNote note = {
+    .part = job->part,
+    .reason = reason,
+    .at = now - work->arrived,
+    .heard = target->health.answered_at > 0 ? now - target->health.answered_at : -1,
+  };
+  g_strlcpy (note.target, target->id, sizeof note.target);
+  g_array_append_val (work->sends, note);
+  return work->sends->len - 1;
+}
+
+static void
+S_start (MrRelay *relay, MrTime now, Job *job, MrTargetState *target, MrSendReason reason)
+{
+  MrRelayWork *work = job->work;
+  Call *call = g_new0 (Call, 1);
+  *call = (Call){
+    .timed = TIMED_CALL,
+    .id = ++relay->last_call,
+    .job = job,
+    .target = target,
+    .kind = work->kind,
+    .started = now,
+    .note = S_note (work, job, now, target, reason),
+  };
+  call->timer.owner = call;
+  call->link.data = call;
+  *S_free_place (job) = call;
+  if (job->tried_count < TRIED_OF_JOB)
+    job->tried[job->tried_count++] = target;
+  job->sends++;
+  g_queue_push_tail_link (&target->open, &call->link);
+  target->in_flight++;
+  target->calls++;
+  g_hash_table_insert (relay->calls, &call->id, call);
+  relay->counts.calls++;
+  if (reason == MR_SEND_HEDGE)
+    relay->counts.hedges++;
+  else if (reason == MR_SEND_RETRY)
+    relay->counts.retries++;
+  job->hedge_at = work->route->repeatable ? now + mr_relay_hedge_delay (work) : MR_NEVER;
+  mr_timers_set (relay->timers, &call->timer,
+                 now + mr_relay_silent_delay (work->kind, work->route));
+  mr_relay_schedule (relay, work);
+  MrRelayCall out = {
+    .id = call->id,
+    .target = target,
+    .request = work->request,
+    .deadline = MIN (work->deadline, work->hard_end),
+    .repeatable = work->route->repeatable,
+  };
+  relay->host->call (relay->host, &out);
+}
+
+static gboolean
+S_goes_before (const Job *a, const Job *b)
+{
+  if (a->work->route->rank != b->work->route->rank)
+    return a->work->route->rank < b->work->route->rank;
+  return a->work->arrived < b->work->arrived;
+}
+
+static void
+S_queue (Job *job, MrSendReason reason)
+{
+  GQueue *queue = &job->service->waiting;
+  GList *after = queue->tail;
+  while (after && S_goes_before (job, after->data))
+    after = after->prev;
+  job->link = (GList){ .data = job };
+  job->waiting = TRUE;
+  job->reason = reason;
+  if (after)
+    g_queue_insert_after_link (queue, after, &job->link);
+  else
+    g_queue_push_head_link (queue, &job->link);
+}
+
+void
+mr_relay_unqueue (Job *job)
+{
+  if (!job->waiting)
+    return;
+  job->waiting = FALSE;
+  g_queue_unlink (&job->service->waiting, &job->link);
+}
+
+/* FALSE if another send may not go out. */
+static gboolean
+S_may_send (MrRelay *relay, MrTime now, Job *job, MrSendReason reason, MrCause *cause)
+{
+  if (reason == MR_SEND_FIRST)
+    return TRUE;
+  if (job->sends >= job->work->route->attempts)
+    {
+      *cause = MR_CAUSE_ATTEMPTS;
+      return FALSE;
+    }
+  /* What never left costs the targets nothing. */
+  if (job->sends == 0)
+    return TRUE;
+  double share = reason == MR_SEND_HEDGE ? HEDGE_SHARE : 1;
+  if (mr_window_budget_spend (&job->service->budget, &relay->terms, now, share))
+    return TRUE;
+  relay->counts.over_budget++;
+  *cause = MR_CAUSE_BUDGET;
+  return FALSE;
+}
+
+gboolean
+mr_relay_place (MrRelay *relay, MrTime now, Job *job, MrSendReason reason)
+{
+  MrRelayWork *work = job->work;
+  MrCause cause = MR_CAUSE_NONE;
+  gboolean hope = FALSE;
+  for (guint i = 0; i < job->service->targets->len; i++)
+    S_set_share (relay, work, g_ptr_array_index (job->service->targets, i), job->service->name);
+  MrTargetState *target = S_pick (relay, now, job, &hope);
+  if (!hope)
+    cause = job->tried_count > 0 ? MR_CAUSE_ATTEMPTS : MR_CAUSE_NO_TARGET;
+  else if (S_may_send (relay, now, job, reason, &cause))
+    {
+      if (target)
+        S_start (relay, now, job, target, reason);
+      else
+        S_queue (job, reason);
+      return TRUE;
+    }
+  if (mr_relay_job_calls (job) > 0)
+    return TRUE; /* the call that is still out may answer */
+  gboolean last = work->open == 1;
+  mr_relay_end_job (relay, now, job, cause);
+  return !last && g_hash_table_contains (relay->works, work);
+}
+
+gboolean
+mr_relay_hedge (MrRelay *relay, MrTime now, Job *job)
+{
+  MrCause cause = MR_CAUSE_NONE;
+  gboolean hope = FALSE;
+  /* With others waiting for room a second send would take the place of a first. */
+  if (!S_free_place (job) || !g_queue_is_empty (&job->service->waiting))
+    return FALSE;
+  MrTargetState *target = S_pick (relay, now, job, &hope);
+  if (!target || S_stalled (target, now) || !S_may_send (relay, now, job, MR_SEND_HEDGE, &cause))
+    return FALSE;
+  S_start (relay, now, job, target, MR_SEND_HEDGE);
+  return TRUE;
+}
+
+void
+mr_relay_pump (MrRelay *relay, MrTime now, Service *service)
+{
+  GList *link = service ? service->waiting.head : NULL;
+  while (link)
+    {
+      Job *job = link->data;
+      gboolean hope = FALSE;
+      link = link->next;
+      MrTargetState *target = S_pick (relay, now, job, &hope);
+      if (target)
+        {
+          mr_relay_unqueue (job);
+          S_start (relay, now, job, target, job->reason);
+          continue;
+        }
+      if (hope)
+        return; /* no room for this one, nor for those behind it */
+      mr_relay_unqueue (job);
+      mr_relay_end_job (relay, now, job, MR_CAUSE_NO_TARGET);
+      link = service->waiting.head; /* the end may have taken others out */
+    }
+}
+
+guint
+mr_relay_usable (const Service *service, double *room)
+{
+  guint usable = 0;
+  *room = 0;
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const MrTargetState *target = g_ptr_array_index (service->targets, i);
+      if (!mr_health_usable (&target->health) && target->health.state != MR_HEALTH_SUSPECT)
+        continue;
+      usable++;
+      *room += mr_limit_calls (&target->limit);
+    }
+  return usable;
+}
--- /dev/null
+++ b/src/relay_private.h
@@ -0,0 +1,143 @@
+/* Inside of the relay's decisions, shared by its files. */
+#pragma once
+
+#include "histogram.h"
+#include "relay.h"
+#include "timers.h"
+
+enum
+{
+  CALLS_OF_JOB = 3, /* open at once */
+  TRIED_OF_JOB = 8, /* targets remembered as tried */
+};
+
+typedef struct _Job Job;
+
+typedef struct
+{
+  char *name;
+  GPtrArray *targets; /* MrTargetState, borrowed */
+  GQueue waiting;     /* Job, lowest rank and oldest first */
+  MrWindowBudget budget;
+} Service;
+
+/* Running measures of one route's calls: requests of one route are alike. */
+typedef struct
+{
+  MrHistogram latency;
+  double mean; /* us */
+} Kind;
+
+/* What a timer belongs to; first member of its owner. */
+typedef enum
+{
+  TIMED_WORK,
+  TIMED_CALL,
+} Timed;
+
+typedef struct
+{
+  Timed timed;
+  MrTimer timer; /* silence, or the end of waiting for a call nobody wants */
+  guint64 id;
+  Job *job; /* NULL once nobody wants it */
+  MrTargetState *target;
+  GList link; /* in the target's open calls */
+  Kind *kind;
+  MrTime started;
+  guint note; /* index in the work's sends */
+} Call;
+
+/* One part of a request. */
+struct _Job
+{
+  MrRelayWork *work;
+  guint part;
+  Service *service;
+  GList link; /* in the service's queue */
+  gboolean waiting;
+  gboolean ended;
+  MrSendReason reason; /* of the send it waits for */
+  guint sends;         /* that may have reached a target */
+  guint tried_count;
+  const MrTargetState *tried[TRIED_OF_JOB];
+  Call *calls[CALLS_OF_JOB];
+  MrTime hedge_at;
+  gpointer failure; /* last answer that tells a failure */
+};
+
+struct _MrRelayWork
+{
+  Timed timed;
+  MrTimer timer;
+  gpointer request;
+  MrConfiguration *configuration;
+  const MrRoute *route;
+  Kind *kind;
+  MrTime arrived;
+  MrTime soft_end; /* from then on, enough shards are answered with */
+  MrTime hard_end;
+  MrTime deadline; /* as the caller said */
+  gboolean ran;    /* a target may have begun on it */
+  MrCause cause;   /* of the part that failed last */
+  guint part_count;
+  guint open;   /* parts not ended */
+  guint have;   /* parts with an answer */
+  guint needed; /* parts that an answer needs */
+  Job *jobs;
+  gpointer *answers;
+  GArray *sends; /* MrSendNote */
+};
+
+struct _MrRelay
+{
+  MrRelayHost *host;
+  char *domain;
+  MrWindowTerms terms;
+  GRand *random;
+  GHashTable *services; /* name -> Service */
+  GHashTable *kinds;    /* route name -> Kind */
+  GHashTable *splits;   /* route name -> Split */
+  GHashTable *targets;  /* id -> MrTargetState */
+  GHashTable *homes;    /* id -> Service, of the targets */
+  GHashTable *calls;    /* id -> Call */
+  GHashTable *works;    /* set of MrRelayWork */
+  GPtrArray *retired;   /* MrTargetState of targets that are gone */
+  MrTimers *timers;
+  MrTime health_at; /* next look at the targets that are down */
+  guint64 last_call;
+  MrRelayCounts counts;
+};
+
+Service *mr_relay_service (MrRelay *relay, const char *name);
+
+/* Carries out what a target's health asks for. */
+void mr_relay_act (MrRelay *relay, MrTime now, MrTargetState *target, MrHealthAction action);
+
+/* Sends the job to its best target, queues it, or ends it without an answer.
+ * Returns FALSE if the work has ended with it. */
+gboolean mr_relay_place (MrRelay *relay, MrTime now, Job *job, MrSendReason reason);
+
+/* A second send beside one that is under way; FALSE if none may go out now. */
+gboolean mr_relay_hedge (MrRelay *relay, MrTime now, Job *job);
+
+/* Gives room at the service's targets to the jobs that wait. */
+void mr_relay_pump (MrRelay *relay, MrTime now, Service *service);
+void mr_relay_unqueue (Job *job);
+
+/* Usable targets of the service, and calls they have room for together. */
+guint mr_relay_usable (const Service *service, double *room);
+
+guint mr_relay_job_calls (const Job *job);
+/* The job's calls are not wanted any more; they may run out until @until. */
+void mr_relay_orphan_calls (MrRelay *relay, MrTime now, Job *job, MrTime until);
+void mr_relay_end_job (MrRelay *relay, MrTime now, Job *job, MrCause cause);
+void mr_relay_finish (MrRelay *relay, MrTime now, MrRelayWork *work, MrVerdict verdict);
+void mr_relay_schedule (MrRelay *relay, MrRelayWork *work);
+void mr_relay_call_free (MrRelay *relay, Call *call);
+
+/* After which a call of this kind is slow enough for a second send. */
+MrTime mr_relay_hedge_delay (const MrRelayWork *work);
+/* How long a call that nobody wants may run out. */
+MrTime mr_relay_linger (void);
+MrTime mr_relay_silent_delay (const Kind *kind, const MrRoute *route);
--- /dev/null
+++ b/src/relay_request.c
@@ -0,0 +1,430 @@
+#include "relay_task_private.h"
+
+#include "log.h"
+#include "merge_records.h"
+
+enum
+{
+  /* One plain success in this many has a log line; all else has one each. */
+  SAMPLE = 50,
+  STATUS_OK = 200,
+  STATUS_NOT_FOUND = 404,
+  STATUS_BAD_GATEWAY = 502,
+  STATUS_UNAVAILABLE = 503,
+  STATUS_GATEWAY_TIMEOUT = 504,
+  NOTES_LOGGED = 24,
+};
+
+/* A daemon that has just started knows its configuration within this. */
+static const MrTime RETRY_NOT_READY = 300 * MR_MS;
+
+typedef struct
+{
+  MrRelayTask *task;
+  MrCaller *caller; /* NULL once it has gone */
+  MrRelayWork *work;
+  MrConfiguration *configuration;
+  const MrRoute *route;
+  MrTime began;
+  MrTime deadline;
+  char *id;
+  gboolean bodiless;
+  GString *head; /* request line and fields that are passed on */
+  GString *body;
+} Request;
+
+static void
+S_request_free (Request *request)
+{
+  mr_configuration_unref (request->configuration);
+  g_free (request->id);
+  g_string_free (request->head, TRUE);
+  g_string_free (request->body, TRUE);
+  g_free (request);
+}
+
+/* The request as it is passed on. */
+
+static gboolean
+S_is_ours_to_set (const MrDialect *dialect, MrText name)
+{
+  return mr_text_equal_fold (name, dialect->remaining_ms) ||
+         mr_text_equal_fold (name, dialect->expected_id);
+}
+
+static void
+S_append_field (GString *out, MrHttpField field)
+{
+  g_string_append_len (out, field.name.data, (gssize) field.name.len);
+  g_string_append (out, ": ");
+  g_string_append_len (out, field.value.data, (gssize) field.value.len);
+  g_string_append (out, "\r\n");
+}
+
+static GString *
+S_copy_head (const MrDialect *dialect, const MrHttpParser *in)
+{
+  MrText method = mr_http_parser_method (in);
+  MrText target = mr_http_parser_target (in);
+  GString *out = g_string_sized_new (512);
+  g_string_append_printf (out, "%.*s %.*s HTTP/1.1\r\n", (int) method.len, method.data,
+                          (int) target.len, target.data);
+  for (guint i = 0; i < mr_http_parser_field_count (in); i++)
+    {
+      MrHttpField field = mr_http_parser_field (in, i);
+      if (!mr_http_parser_is_hop_field (in, field.name) && !S_is_ours_to_set (dialect, field.name))
+        S_append_field (out, field);
+    }
+  return out;
+}
+
+/* How long the caller will wait; without its word, as long as the route. */
+static MrTime
+S_deadline (const MrDialect *dialect, const MrHttpParser *in, const MrRoute *route, MrTime began)
+{
+  guint64 ms = 0;
+  MrText text = mr_http_parser_find (in, dialect->remaining_ms, NULL);
+  if (mr_text_to_u64 (text, &ms) && ms <= G_MAXINT32)
+    return began + (MrTime) ms * MR_MS;
+  return began + route->time_limit;
+}
+
+static void
+S_on_call (MrRelayHost *host, const MrRelayCall *call)
+{
+  MrRelayTask *task = RELAY_TASK_OF (host, relay_host);
+  const Request *request = call->request;
+  MrTime now = mr_now ();
+  /* Never more than what is left, rounded down: a target that is told too much
+   * works on for a caller who has gone. */
+  gint64 left = MAX ((call->deadline - now) / MR_MS, 1);
+  GString *bytes = g_string_sized_new (request->head->len + request->body->len + 128);
+  g_string_append_len (bytes, request->head->str, (gssize) request->head->len);
+  g_string_append_printf (bytes, "%s: %" G_GINT64_FORMAT "\r\n%s: %s\r\n",
+                          task->dialect->remaining_ms, left, task->dialect->expected_id,
+                          call->target->id);
+  if (request->body->len > 0 || !call->repeatable)
+    g_string_append_printf (bytes, "Content-Length: %zu\r\n", request->body->len);
+  g_string_append (bytes, "\r\n");
+  g_string_append_len (bytes, request->body->str, (gssize) request->body->len);
+  MrTargetCall out = {
+    .id = call->id,
+    .target = call->target,
+    .bytes = mr_text_of (bytes),
+    .request_id = mr_text (request->id),
+    .bodiless = request->bodiless,
+    .repeatable = call->repeatable,
+    .part = request->route->kind == MR_ROUTE_SHARDS,
+  };
+  mr_target_client_call (task->client, now, &out);
+  g_string_free (bytes, TRUE);
+}
+
+static void
+S_on_drop (MrRelayHost *host, guint64 id)
+{
+  mr_target_client_drop (RELAY_TASK_OF (host, relay_host)->client, id);
+}
+
+static void
+S_on_probe (MrRelayHost *host, const MrTargetState *target)
+{
+  mr_target_client_probe (RELAY_TASK_OF (host, relay_host)->client, mr_now (), target);
+}
+
+static void
+S_on_renew (MrRelayHost *host, const MrTargetState *target)
+{
+  mr_target_client_renew (RELAY_TASK_OF (host, relay_host)->client, target);
+}
+
+static void
+S_free_answer (gpointer answer)
+{
+  mr_http_parser_free (answer);
+}
+
+static void
+S_on_call_ended (MrTargetClientHost *host, guint64 id, MrCallOutcome outcome, MrHttpParser *answer)
+{
+  MrRelayTask *task = RELAY_TASK_OF (host, client_host);
+  mr_relay_call_end (task->relay, mr_now (), id, outcome, answer);
+}
+
+static void
+S_on_probed (MrTargetClientHost *host, const char *target, gboolean answered)
+{
+  MrRelayTask *task = RELAY_TASK_OF (host, client_host);
+  mr_relay_probe_end (task->relay, mr_now (), target, answered);
+}
+
+/* Log lines of requests. */
+
+static void
+S_append_note (GString *out, const MrSendNote *note)
+{
+  g_string_append_printf (
+      out,
+      "%s{\"part\":%u,\"target\":\"%s\",\"why\":\"%s\",\"at_us\":%" G_GINT64_FORMAT
+      ",\"heard_us\":%" G_GINT64_FORMAT ",\"end\":\"%s\",\"took_us\":%" G_GINT64_FORMAT "}",
+      out->len > 1 ? "," : "", note->part, note->target, mr_send_reason_name (note->reason),
+      note->at, note->heard, note->ended ? mr_call_outcome_name (note->outcome) : "open",
+      note->took);
+}
+
+/* Calls that explain the outcome: second sends, and calls without an answer. */
+static GString *
+S_notes (const GArray *sends)
+{
+  GString *out = g_string_new ("[");
+  guint listed = 0;
+  for (guint i = 0; i < sends->len && listed < NOTES_LOGGED; i++)
+    {
+      const MrSendNote *note = &g_array_index (sends, MrSendNote, i);
+      gboolean plain = note->ended && note->outcome == MR_CALL_ANSWER &&
+                       note->reason == MR_SEND_FIRST && sends->len > 1;
+      if (plain)
+        continue;
+      S_append_note (out, note);
+      listed++;
+    }
+  return g_string_append_c (out, ']');
+}
+
+static gboolean
+S_is_plain (const MrRelayResult *result)
+{
+  return result->verdict <= MR_VERDICT_MERGE && result->missing == 0 &&
+         result->sends->len == result->part_count;
+}
+
+static void
+S_log_result (const Request *request, const MrRelayResult *result, int status, MrTime now)
+{
+  static const MrEvent events[] = {
+    [MR_VERDICT_ANSWER] = MR_EVENT_REQUEST_SERVED,   [MR_VERDICT_MERGE] = MR_EVENT_REQUEST_SERVED,
+    [MR_VERDICT_REFUSED] = MR_EVENT_REQUEST_REFUSED, [MR_VERDICT_FAILED] = MR_EVENT_REQUEST_FAILED,
+    [MR_VERDICT_TIMEOUT] = MR_EVENT_REQUEST_TIMEOUT,
+  };
+  if (S_is_plain (result) && request->task->served++ % SAMPLE != 0)
+    return;
+  gboolean served = result->verdict <= MR_VERDICT_MERGE;
+  MrEvent event =
+      served && result->missing > 0 ? MR_EVENT_REQUEST_PARTIAL : events[result->verdict];
+  MrLogLine *line = mr_log_begin (served ? MR_LOG_INFO : MR_LOG_NOTICE, event);
+  if (!line)
+    return;
+  g_autoptr (GString) notes = S_notes (result->sends);
+  mr_log_text (line, "request", mr_text (request->id));
+  mr_log_text (line, "route", mr_text (request->route->name));
+  mr_log_number (line, "version", (gint64) mr_configuration_version (request->configuration));
+  mr_log_text (line, "verdict", mr_text (mr_verdict_name (result->verdict)));
+  mr_log_text (line, "cause", mr_text (mr_cause_name (result->cause)));
+  mr_log_number (line, "status", status);
+  mr_log_number (line, "took_us", now - request->began);
+  mr_log_number (line, "left_us", request->deadline - now);
+  mr_log_number (line, "parts", result->part_count);
+  mr_log_number (line, "missing", result->missing);
+  mr_log_number (line, "sends", result->sends->len);
+  if (result->verdict == MR_VERDICT_REFUSED)
+    {
+      mr_log_number (line, "expected_wait_us", result->expected_wait);
+      mr_log_number (line, "retry_after_us", result->retry_after);
+    }
+  mr_log_json (line, "calls", mr_text_of (notes));
+  mr_log_end (line);
+}
+
+/* Answers. */
+
+static void
+S_answer (MrRelayTask *task, MrCaller *caller, int status, MrText fields, MrText body)
+{
+  task->statuses[CLAMP (status / 100, 0, 5)]++;
+  mr_caller_answer (caller, status, fields, body);
+}
+
+static void
+S_answer_error (MrRelayTask *task, MrCaller *caller, int status, const char *reason, MrTime after)
+{
+  g_autoptr (GString) fields = g_string_new ("Content-Type: application/json\r\n");
+  g_autofree char *body = g_strdup_printf ("{\"error\":\"%s\"}\n", reason);
+  if (after > 0)
+    g_string_append_printf (fields, "Retry-After: %.3f\r\n", (double) after / (double) MR_SECOND);
+  S_answer (task, caller, status, mr_text_of (fields), mr_text (body));
+}
+
+static void
+S_pass_on (const Request *request, const MrHttpParser *answer)
+{
+  g_autoptr (GString) fields = g_string_new (NULL);
+  for (guint i = 0; i < mr_http_parser_field_count (answer); i++)
+    {
+      MrHttpField field = mr_http_parser_field (answer, i);
+      if (!mr_http_parser_is_hop_field (answer, field.name))
+        S_append_field (fields, field);
+    }
+  S_answer (request->task, request->caller, mr_http_parser_status (answer), mr_text_of (fields),
+            mr_http_parser_body (answer));
+}
+
+static void
+S_answer_merged (const Request *request, const MrRelayResult *result)
+{
+  const MrDialect *dialect = request->task->dialect;
+  g_autofree MrText *parts = g_new0 (MrText, result->part_count);
+  g_autoptr (GString) fields = g_string_new ("Content-Type: application/octet-stream\r\n");
+  guint count = 0;
+  g_string_append_printf (fields, "%s: ", dialect->signatures);
+  for (guint i = 0; i < result->part_count; i++)
+    {
+      const MrHttpParser *answer = result->answers[i];
+      if (!answer)
+        continue;
+      MrText signature = mr_http_parser_find (answer, dialect->signature, NULL);
+      g_string_append_printf (fields, "%s%.*s", count > 0 ? ", " : "", (int) signature.len,
+                              signature.data);
+      parts[count++] = mr_http_parser_body (answer);
+    }
+  g_string_append_printf (fields, "\r\n%s: %u\r\n", dialect->missing_parts, result->missing);
+  g_autoptr (GString) body = mr_merge_records (parts, count, request->route->top_records);
+  S_answer (request->task, request->caller, STATUS_OK, mr_text_of (fields), mr_text_of (body));
+}
+
+static int
+S_status (const MrRelayResult *result)
+{
+  switch (result->verdict)
+    {
+    case MR_VERDICT_ANSWER:
+      return mr_http_parser_status (result->answers[0]);
+    case MR_VERDICT_MERGE:
+      return STATUS_OK;
+    case MR_VERDICT_REFUSED:
+      return STATUS_UNAVAILABLE;
+    case MR_VERDICT_FAILED:
+      return STATUS_BAD_GATEWAY;
+    case MR_VERDICT_TIMEOUT:
+      return STATUS_GATEWAY_TIMEOUT;
+    }
+  return STATUS_BAD_GATEWAY;
+}
+
+static void
+S_on_done (MrRelayHost *host, gpointer user, const MrRelayResult *result)
+{
+  MrRelayTask *task = RELAY_TASK_OF (host, relay_host);
+  Request *request = user;
+  int status = S_status (result);
+  MrTime now = mr_now ();
+  request->work = NULL;
+  switch (result->verdict)
+    {
+    case MR_VERDICT_ANSWER:
+      S_pass_on (request, result->answers[0]);
+      break;
+    case MR_VERDICT_MERGE:
+      S_answer_merged (request, result);
+      break;
+    case MR_VERDICT_REFUSED:
+    case MR_VERDICT_FAILED:
+    case MR_VERDICT_TIMEOUT:
+      S_answer_error (task, request->caller, status, mr_cause_name (result->cause),
+                      result->retry_after);
+      break;
+    }
+  if (status < 300)
+    mr_histogram_add (&task->latency, now - request->began);
+  S_log_result (request, result, status, now);
+  S_request_free (request);
+}
+
+/* Arrivals. */
+
+static void
+S_refuse (
+    MrRelayTask *task, MrCaller *caller, const MrHttpParser *in, int status, const char *reason)
+{
+  MrLogLine *line = mr_log_begin (MR_LOG_NOTICE, MR_EVENT_NO_ROUTE);
+  const MrConfiguration *configuration = task->view ? task->view->configuration : NULL;
+  mr_log_text (line, "request", mr_http_parser_find (in, task->dialect->request_id, NULL));
+  mr_log_text (line, "host", mr_http_parser_find (in, "Host", NULL));
+  mr_log_text (line, "target", mr_http_parser_target (in));
+  mr_log_number (line, "version",
+                 configuration ? (gint64) mr_configuration_version (configuration) : 0);
+  mr_log_number (line, "status", status);
+  mr_log_text (line, "cause", mr_text (reason));
+  mr_log_end (line);
+  S_answer_error (task, caller, status, reason, status == STATUS_UNAVAILABLE ? RETRY_NOT_READY : 0);
+}
+
+static void
+S_on_request (MrCallerServerHost *host, MrCaller *caller, const MrHttpParser *in, MrTime began)
+{
+  MrRelayTask *task = RELAY_TASK_OF (host, caller_host);
+  MrConfiguration *configuration = task->view ? task->view->configuration : NULL;
+  /* Without a configuration nobody can tell an unknown route from a known one. */
+  if (!configuration || !mr_relay_task_ready (task))
+    {
+      S_refuse (task, caller, in, STATUS_UNAVAILABLE, "not-ready");
+      return;
+    }
+  const MrRoute *route = mr_configuration_match (
+      configuration, mr_http_parser_find (in, "Host", NULL), mr_http_parser_target (in));
+  if (!route)
+    {
+      S_refuse (task, caller, in, STATUS_NOT_FOUND, "no-route");
+      return;
+    }
+  MrText body = mr_http_parser_body (in);
+  Request *request = g_new0 (Request, 1);
+  *request = (Request){
+    .task = task,
+    .caller = caller,
+    .configuration = mr_configuration_ref (configuration),
+    .route = route,
+    .began = began,
+    .deadline = S_deadline (task->dialect, in, route, began),
+    .id = mr_text_dup (mr_http_parser_find (in, task->dialect->request_id, NULL)),
+    .bodiless = mr_text_equal (mr_http_parser_method (in), MR_TEXT ("HEAD")),
+    .head = S_copy_head (task->dialect, in),
+    .body = g_string_new_len (body.data, (gssize) body.len),
+  };
+  mr_caller_set_user (caller, request);
+  MrRelayWork *work =
+      mr_relay_submit (task->relay, mr_now (), request, configuration, route, request->deadline);
+  if (work)
+    request->work = work;
+}
+
+static void
+S_on_gone (MrCallerServerHost *host, MrCaller *caller)
+{
+  MrRelayTask *task = RELAY_TASK_OF (host, caller_host);
+  Request *request = mr_caller_user (caller);
+  if (!request || !request->work)
+    return;
+  MrTime now = mr_now ();
+  MrLogLine *line = mr_log_begin (MR_LOG_INFO, MR_EVENT_CALLER_GONE);
+  mr_log_text (line, "request", mr_text (request->id));
+  mr_log_text (line, "route", mr_text (request->route->name));
+  mr_log_number (line, "after_us", now - request->began);
+  mr_log_end (line);
+  mr_relay_forget (task->relay, now, request->work);
+  S_request_free (request);
+}
+
+void
+mr_relay_request_init (MrRelayTask *task)
+{
+  task->caller_host = (MrCallerServerHost){ .request = S_on_request, .gone = S_on_gone };
+  task->client_host = (MrTargetClientHost){ .ended = S_on_call_ended, .probed = S_on_probed };
+  task->relay_host = (MrRelayHost){
+    .call = S_on_call,
+    .drop = S_on_drop,
+    .probe = S_on_probe,
+    .renew = S_on_renew,
+    .done = S_on_done,
+    .free_answer = S_free_answer,
+  };
+}
--- /dev/null
+++ b/src/relay_settings.h
@@ -0,0 +1,17 @@
+/* Settings of a relay beside those that every daemon has. */
+#pragma once
+
+#include "settings.h"
+
+typedef struct
+{
+  MrSettings base;        /* http_port takes callers' requests */
+  int ready_port;         /* whoever watches over the VMs asks here */
+  int directory_port;     /* callers ask here for addresses */
+  int metrics_port;       /* 0: none */
+  int grace_ms;           /* from the order to stop until the process is killed */
+  int window_ms;          /* in which second sends are bounded */
+  double extra_ratio;     /* second sends for each request */
+  double extra_allowance; /* of the whole fleet, beside the ratio */
+  int max_descriptors;
+} MrRelaySettings;
--- /dev/null
+++ b/src/relay_task.c
@@ -0,0 +1,238 @@
+#include "relay_task_private.h"
+
+#include "log.h"
+
+/* Of the time that a planned stop has, kept for the last requests, and for the
+ * process to end. */
+static const MrTime FINISH_TIME = 1400 * MR_MS;
+static const MrTime EXIT_TIME = 300 * MR_MS;
+
+gboolean
+mr_relay_task_ready (const MrRelayTask *task)
+{
+  return task->view && task->view->ready && task->view->configuration;
+}
+
+/* Views. */
+
+static void
+S_drop_targets (MrRelayTask *task, MrTime now, const MrView *view)
+{
+  g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
+  for (guint i = 0; i < view->targets->len; i++)
+    g_hash_table_add (listed, ((MrTargetRecord *) g_ptr_array_index (view->targets, i))->target.id);
+  GHashTableIter iter;
+  gpointer id = NULL;
+  g_hash_table_iter_init (&iter, task->records);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    if (!g_hash_table_contains (listed, id))
+      {
+        mr_relay_target_gone (task->relay, now, id);
+        g_hash_table_iter_remove (&iter);
+      }
+}
+
+static void
+S_take_targets (MrRelayTask *task, MrTime now, const MrView *view)
+{
+  S_drop_targets (task, now, view);
+  for (guint i = 0; i < view->targets->len; i++)
+    {
+      MrTargetRecord *record = g_ptr_array_index (view->targets, i);
+      if (g_hash_table_lookup (task->records, record->target.id) == record)
+        continue;
+      mr_relay_target (task->relay, now, record->service, &record->target, record->leaving,
+                       record->cold_for);
+      g_hash_table_replace (task->records, record->target.id, mr_target_record_ref (record));
+    }
+}
+
+static void
+S_take_configuration (MrRelayTask *task, const MrView *view)
+{
+  const MrConfiguration *before = task->view ? task->view->configuration : NULL;
+  if (!view->configuration || view->configuration == before)
+    return;
+  mr_log (MR_LOG_NOTICE, MR_EVENT_CONFIGURATION,
+          "configuration %" G_GUINT64_FORMAT " is in force here, after %" G_GUINT64_FORMAT,
+          mr_configuration_version (view->configuration),
+          before ? mr_configuration_version (before) : 0);
+  mr_caller_server_set_limits (task->callers, mr_configuration_limits (view->configuration));
+}
+
+static void
+S_announce (MrRelayTask *task)
+{
+  gboolean ready = mr_relay_task_ready (task);
+  if (ready == task->announced || task->stop_at != 0)
+    return;
+  task->announced = ready;
+  mr_mailbox_post (task->control, &mr_self_message_new (MR_MEMBER_ALIVE, !ready)->base);
+}
+
+static void
+S_on_view (MrRelayTask *task, MrView *view)
+{
+  MrTime now = mr_now ();
+  guint members = 0;
+  for (guint i = 0; i < view->members->count; i++)
+    if (mr_member_usable (&view->members->members[i]))
+      members++;
+  task->most_members = MAX (task->most_members, members);
+  mr_relay_set_members (task->relay, task->most_members);
+  S_take_configuration (task, view);
+  S_take_targets (task, now, view);
+  mr_view_unref (task->view);
+  task->view = mr_view_ref (view);
+  S_announce (task);
+}
+
+/* Planned stop: out of the address answers at once, serving all the while for
+ * callers who still hold an old answer, and gone when nothing is open. */
+static void
+S_on_stop (MrRelayTask *task)
+{
+  if (task->stop_at != 0)
+    return;
+  task->stop_at = mr_now ();
+  mr_log (MR_LOG_NOTICE, MR_EVENT_STOPPING, "planned stop: %u requests open, %u callers connected",
+          mr_relay_open (task->relay), mr_caller_server_connections (task->callers));
+  mr_caller_server_drain (task->callers);
+  mr_mailbox_post (task->control, &mr_self_message_new (MR_MEMBER_LEAVING, TRUE)->base);
+}
+
+static void
+S_tick_stop (MrRelayTask *task, MrTime now, MrTime *next)
+{
+  if (task->stop_at == 0 || task->stopped)
+    return;
+  MrTime end = task->stop_at + task->settings->grace_ms * MR_MS;
+  if (now >= end - FINISH_TIME)
+    {
+      mr_caller_server_close (task->callers);
+      if (mr_caller_server_connections (task->callers) == 0 || now >= end - EXIT_TIME)
+        {
+          task->stopped = TRUE;
+          task->on_stopped (task->user);
+          return;
+        }
+    }
+  const MrTime step = 50 * MR_MS;
+  *next = MIN (*next, MAX (now + step, end - FINISH_TIME));
+}
+
+static void
+S_on_message (MrLoopHost *host, MrMessage *message)
+{
+  MrRelayTask *task = (MrRelayTask *) host;
+  if (message->type == MR_MESSAGE_VIEW)
+    S_on_view (task, ((MrViewMessage *) message)->view);
+  else if (message->type == MR_MESSAGE_STOP)
+    S_on_stop (task);
+  mr_message_free (message);
+}
+
+static MrTime
+S_on_tick (MrLoopHost *host, MrTime now)
+{
+  MrRelayTask *task = (MrRelayTask *) host;
+  MrTime next = mr_caller_server_tick (task->callers, now);
+  next = MIN (next, mr_caller_server_tick (task->ready_server, now));
+  next = MIN (next, mr_caller_server_tick (task->directory, now));
+  if (task->metrics)
+    next = MIN (next, mr_caller_server_tick (task->metrics, now));
+  next = MIN (next, mr_target_client_tick (task->client, now));
+  next = MIN (next, mr_relay_tick (task->relay, now));
+  S_tick_stop (task, now, &next);
+  return next;
+}
+
+/* Set-up. */
+
+static MrStatus
+S_listen (MrRelayTask *task)
+{
+  const MrRelaySettings *settings = task->settings;
+  const char *ip = settings->base.ip;
+  task->callers =
+      mr_caller_server_new (&task->caller_host, task->loop, ip, settings->base.http_port);
+  if (task->callers)
+    task->ready_server =
+        mr_caller_server_new (&task->ready_pages.host, task->loop, ip, settings->ready_port);
+  if (task->ready_server)
+    task->directory = mr_caller_server_new (&task->directory_pages.host, task->loop, ip,
+                                            settings->directory_port);
+  if (!task->directory)
+    return MR_ERROR_SYSTEM;
+  if (settings->metrics_port == 0)
+    return MR_OK;
+  task->metrics =
+      mr_caller_server_new (&task->metrics_pages.host, task->loop, ip, settings->metrics_port);
+  return task->metrics ? MR_OK : MR_ERROR_SYSTEM;
+}
+
+MrRelayTask *
+mr_relay_task_new (const MrRelayTaskInfo *info)
+{
+  MrRelayTask *task = g_new0 (MrRelayTask, 1);
+  const MrRelaySettings *settings = info->settings;
+  task->loop_host = (MrLoopHost){ .on_message = S_on_message, .on_tick = S_on_tick };
+  task->settings = settings;
+  task->dialect = info->dialect;
+  task->on_stopped = info->stopped;
+  task->user = info->user;
+  task->answers = info->seed;
+  task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                         (GDestroyNotify) mr_target_record_unref);
+  mr_relay_request_init (task);
+  mr_relay_pages_init (task);
+  task->loop = mr_loop_new (&task->loop_host, (guint) settings->max_descriptors);
+  if (task->loop && S_listen (task) == MR_OK)
+    {
+      MrRelayInfo relay = {
+        .domain = settings->base.domain,
+        .seed = info->seed,
+        .budget = {
+          .window = settings->window_ms * MR_MS,
+          .ratio = settings->extra_ratio,
+          .allowance = settings->extra_allowance,
+          .members = 1,
+          .born = mr_now (),
+        },
+      };
+      task->relay = mr_relay_new (&task->relay_host, &relay);
+      task->client = mr_target_client_new (&task->client_host, task->loop, info->dialect);
+      return task;
+    }
+  mr_relay_task_free (task);
+  return NULL;
+}
+
+void
+mr_relay_task_free (MrRelayTask *task)
+{
+  if (!task)
+    return;
+  mr_loop_free (task->loop);
+  mr_caller_server_free (task->callers);
+  mr_caller_server_free (task->ready_server);
+  mr_caller_server_free (task->directory);
+  mr_caller_server_free (task->metrics);
+  mr_target_client_free (task->client);
+  mr_relay_free (task->relay);
+  mr_view_unref (task->view);
+  g_hash_table_unref (task->records);
+  g_free (task);
+}
+
+void
+mr_relay_task_connect (MrRelayTask *task, MrMailbox *control)
+{
+  task->control = control;
+}
+
+MrLoop *
+mr_relay_task_loop (MrRelayTask *task)
+{
+  return task->loop;
+}
--- /dev/null
+++ b/src/relay_task_private.h
@@ -0,0 +1,66 @@
+/* Inside of the relay's task, shared by its files:
+ *   relay_task.c     views, readiness, planned stop, the loop
+ *   relay_request.c  a caller's request from its head to its answer
+ *   relay_pages.c    readiness, addresses, metrics */
+#pragma once
+
+#include "caller_server.h"
+#include "histogram.h"
+#include "message.h"
+#include "relay.h"
+#include "relay_task.h"
+#include "target_client.h"
+
+typedef struct
+{
+  MrCallerServerHost host;
+  MrRelayTask *task;
+} Pages;
+
+struct _MrRelayTask
+{
+  MrLoopHost loop_host;
+  MrRelayHost relay_host;
+  MrTargetClientHost client_host;
+  MrCallerServerHost caller_host;
+  Pages ready_pages;
+  Pages directory_pages;
+  Pages metrics_pages;
+  const MrRelaySettings *settings;
+  const MrDialect *dialect;
+  MrLoop *loop;
+  MrMailbox *control;
+  MrRelay *relay;
+  MrTargetClient *client;
+  MrCallerServer *callers;
+  MrCallerServer *ready_server;
+  MrCallerServer *directory;
+  MrCallerServer *metrics; /* NULL: not asked for */
+  MrView *view;
+  guint most_members;  /* seen; VMs that have left may still count somewhere */
+  GHashTable *records; /* target id -> MrTargetRecord as told to the relay */
+  gboolean announced;  /* told the others that this daemon takes callers */
+  gboolean refused_lately;
+  MrTime stop_at; /* when the planned stop began; 0: none */
+  gboolean stopped;
+  void (*on_stopped) (void *user);
+  void *user;
+  guint32 answers;     /* of the directory, as a seed */
+  guint64 served;      /* plain answers, for the sampling of their log lines */
+  guint64 statuses[6]; /* answers by hundreds */
+  MrHistogram latency; /* of answers with success */
+};
+
+#define RELAY_TASK_OF(pointer, member)                                                             \
+  ((MrRelayTask *) (void *) ((char *) (pointer) -offsetof (MrRelayTask, member)))
+
+/* Keep time of an address answer.  Some callers keep one three times as long, so
+ * that a daemon that leaves is asked for that long; it must fit the time that a
+ * planned stop has (6 s). */
+#define MR_ADDRESS_KEEP (1 * MR_SECOND)
+
+/* TRUE if this daemon can serve what the operators have put in force. */
+gboolean mr_relay_task_ready (const MrRelayTask *task);
+
+void mr_relay_request_init (MrRelayTask *task);
+void mr_relay_pages_init (MrRelayTask *task);
--- /dev/null
+++ b/src/relay_time.c
@@ -0,0 +1,198 @@
+#include "relay_private.h"
+
+enum
+{
+  SAMPLES_MIN = 30, /* under this the quantile is not used */
+};
+
+/* Share of calls that are left alone: with a budget of one second send in five
+ * requests, the slowest tenth can be sent again and half of the budget is left
+ * for failures. */
+static const double HEDGE_QUANTILE = 0.92;
+/* Before enough is measured: a quarter of the route's aim. */
+static const double HEDGE_FIRST_SHARE = 0.25;
+static const MrTime HEDGE_MIN = 4 * MR_MS;
+/* A second send that found no target is tried again after this. */
+static const MrTime HEDGE_AGAIN = 5 * MR_MS;
+/* A call is doubted after this; a searcher's ordinary pause (250 ms) is not a
+ * reason to close its connections. */
+static const MrTime SILENT_MIN = 700 * MR_MS;
+static const double SILENT_FACTOR = 8;
+static const MrTime SILENT_MAX = 4 * MR_SECOND;
+/* A call that nobody wants any more may run out for this long, which spares a
+ * new connection (6 ms of a searcher's slot); past it the connection closes. */
+static const MrTime LINGER = 400 * MR_MS;
+/* Requests remember the targets they tried; none lasts as long as this. */
+static const MrTime RETIRED_KEPT = 300 * MR_SECOND;
+/* Health of targets that are down is looked at this often. */
+static const MrTime HEALTH_GAP = 50 * MR_MS;
+
+MrTime
+mr_relay_hedge_delay (const MrRelayWork *work)
+{
+  const MrHistogram *latency = &work->kind->latency;
+  if (latency->total < SAMPLES_MIN)
+    return MAX ((MrTime) (HEDGE_FIRST_SHARE * (double) work->route->aim), HEDGE_MIN);
+  return MAX (mr_histogram_quantile (latency, HEDGE_QUANTILE), HEDGE_MIN);
+}
+
+MrTime
+mr_relay_silent_delay (const Kind *kind, const MrRoute *route)
+{
+  (void) route;
+  MrTime delay = (MrTime) (SILENT_FACTOR * kind->mean);
+  return CLAMP (delay, SILENT_MIN, SILENT_MAX);
+}
+
+MrTime
+mr_relay_linger (void)
+{
+  return LINGER;
+}
+
+guint
+mr_relay_job_calls (const Job *job)
+{
+  guint count = 0;
+  for (guint i = 0; i < CALLS_OF_JOB; i++)
+    if (job->calls[i])
+      count++;
+  return count;
+}
+
+void
+mr_relay_call_free (MrRelay *relay, Call *call)
+{
+  mr_timers_set (relay->timers, &call->timer, MR_NEVER);
+  g_queue_unlink (&call->target->open, &call->link);
+  call->target->in_flight--;
+  g_hash_table_remove (relay->calls, &call->id);
+  g_free (call);
+}
+
+void
+mr_relay_orphan_calls (MrRelay *relay, MrTime now, Job *job, MrTime until)
+{
+  for (guint i = 0; i < CALLS_OF_JOB; i++)
+    {
+      Call *call = job->calls[i];
+      if (!call)
+        continue;
+      job->calls[i] = NULL;
+      call->job = NULL;
+      if (until <= now)
+        {
+          relay->host->drop (relay->host, call->id);
+          mr_relay_call_free (relay, call);
+          continue;
+        }
+      mr_timers_set (relay->timers, &call->timer, until);
+    }
+}
+
+void
+mr_relay_schedule (MrRelay *relay, MrRelayWork *work)
+{
+  MrTime due = work->hard_end;
+  if (work->have >= work->needed && work->soft_end < due)
+    due = work->soft_end;
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      const Job *job = &work->jobs[i];
+      if (!job->ended && !job->waiting && job->hedge_at < due && job->sends < work->route->attempts)
+        due = job->hedge_at;
+    }
+  mr_timers_set (relay->timers, &work->timer, due);
+}
+
+static void
+S_check_work (MrRelay *relay, MrTime now, MrRelayWork *work)
+{
+  if (now >= work->hard_end)
+    {
+      work->cause = MR_CAUSE_TIME;
+      mr_relay_finish (relay, now, work, MR_VERDICT_TIMEOUT);
+      return;
+    }
+  if (now >= work->soft_end && work->have >= work->needed)
+    {
+      work->cause = MR_CAUSE_SOFT_END;
+      mr_relay_finish (relay, now, work, MR_VERDICT_MERGE);
+      return;
+    }
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      Job *job = &work->jobs[i];
+      if (job->ended || job->waiting || now < job->hedge_at)
+        continue;
+      if (!mr_relay_hedge (relay, now, job))
+        job->hedge_at = now + HEDGE_AGAIN;
+    }
+  mr_relay_schedule (relay, work);
+}
+
+/* The call has been out for long: either nobody wants it any more, or its
+ * target is doubted. */
+static void
+S_check_call (MrRelay *relay, MrTime now, Call *call)
+{
+  MrTargetState *target = call->target;
+  if (!call->job)
+    {
+      MrTime started = call->started;
+      relay->host->drop (relay->host, call->id);
+      mr_relay_call_free (relay, call);
+      mr_relay_act (relay, now, target, mr_health_on_lost (&target->health, started, now));
+      mr_relay_pump (relay, now, g_hash_table_lookup (relay->homes, target->id));
+      return;
+    }
+  relay->counts.silent++;
+  mr_timers_set (relay->timers, &call->timer, now + SILENT_MAX);
+  mr_relay_act (relay, now, target, mr_health_on_silence (&target->health, call->started, now));
+}
+
+/* Forgets targets that are gone once no request can remember them. */
+static void
+S_release_retired (MrRelay *relay, MrTime now)
+{
+  for (guint i = 0; i < relay->retired->len;)
+    {
+      const MrTargetState *target = g_ptr_array_index (relay->retired, i);
+      if (target->in_flight == 0 && now - target->health.leaving_at > RETIRED_KEPT)
+        g_ptr_array_remove_index_fast (relay->retired, i);
+      else
+        i++;
+    }
+}
+
+static void
+S_check_health (MrRelay *relay, MrTime now)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  relay->health_at = now + HEALTH_GAP;
+  g_hash_table_iter_init (&iter, relay->targets);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    {
+      MrTargetState *target = item;
+      if (target->health.state == MR_HEALTH_DOWN)
+        mr_relay_act (relay, now, target, mr_health_tick (&target->health, now));
+    }
+  S_release_retired (relay, now);
+}
+
+MrTime
+mr_relay_tick (MrRelay *relay, MrTime now)
+{
+  for (MrTimer *timer = mr_timers_pop (relay->timers, now); timer;
+       timer = mr_timers_pop (relay->timers, now))
+    {
+      if (*(Timed *) timer->owner == TIMED_WORK)
+        S_check_work (relay, now, timer->owner);
+      else
+        S_check_call (relay, now, timer->owner);
+    }
+  if (now >= relay->health_at)
+    S_check_health (relay, now);
+  return mr_timers_next (relay->timers);
+}
--- /dev/null
+++ b/src/stream.h
@@ -0,0 +1,58 @@
+/* TCP byte streams on a task's loop.
+ *
+ * libwebsockets polls the descriptors; reads and writes are done here, because
+ * a relay has to know what its raw-socket role hides: whether a connection
+ * ended in order or was reset, and whether a single byte of a request has left
+ * (docs/design/platform.md).  A stream never calls back after it was closed. */
+#pragma once
+
+#include "loop.h"
+#include "text.h"
+
+typedef struct _MrStream MrStream;
+typedef struct _MrStreamHost MrStreamHost;
+typedef struct _MrListener MrListener;
+
+typedef enum
+{
+  MR_STREAM_REFUSED,  /* the connection was never made; nothing was sent */
+  MR_STREAM_FINISHED, /* the peer ended its side in order */
+  MR_STREAM_RESET,
+} MrStreamEnd;
+
+/* Vtable; first member of whoever uses the stream. */
+struct _MrStreamHost
+{
+  /* A connection that this process opened stands. */
+  void (*opened) (MrStreamHost *host, MrStream *stream);
+  /* @bytes are borrowed. */
+  void (*received) (MrStreamHost *host, MrStream *stream, MrText bytes);
+  /* All buffered bytes have gone to the kernel; may be NULL. */
+  void (*drained) (MrStreamHost *host, MrStream *stream);
+  /* Last call; the stream is closed and must not be used again. */
+  void (*ended) (MrStreamHost *host, MrStream *stream, MrStreamEnd end);
+};
+
+/* Starts to connect; NULL with a message if the system refuses at once. */
+MrStream *mr_stream_connect (MrLoop *loop, MrStreamHost *host, const char *ip, int port);
+
+/* Hands over who is called back. */
+void mr_stream_set_host (MrStream *stream, MrStreamHost *host);
+
+/* Writes what the kernel takes and buffers the rest. */
+void mr_stream_write (MrStream *stream, MrText bytes);
+
+/* Bytes that the kernel has taken so far, and that still wait. */
+guint64 mr_stream_sent (const MrStream *stream);
+gsize mr_stream_unsent (const MrStream *stream);
+
+/* Closes; buffered bytes are dropped. */
+void mr_stream_close (MrStream *stream);
+
+/* Listens on @ip:@port; @accepted gets each new stream without a host. */
+MrListener *mr_listener_new (MrLoop *loop,
+                             const char *ip,
+                             int port,
+                             void (*accepted) (void *user, MrStream *stream),
+                             void *user);
+void mr_listener_close (MrListener *listener);
--- a/src/target.c
+++ b/src/target.c
@@ -17,6 +17,7 @@
   state->domain = g_strdup (target->domain);
   state->connections = target->connections;
   state->latency = LATENCY_FIRST;
+  state->relative = 1;
   mr_limit_init (&state->limit, target->slots);
   for (int i = 0; i < MR_CLASS_COUNT; i++)
     g_queue_init (&state->waiting[i]);
@@ -65,3 +66,21 @@
 {
   target->latency += LATENCY_WEIGHT * ((double) latency - target->latency);
 }
+
+/* One sample counts for at most this many times the usual: a single long pause
+ * must not keep a target out of use for the next hundred calls. */
+static const double RELATIVE_MAX = 4;
+static const double FAILING_WEIGHT = 0.1;
+
+void
+mr_target_state_add_relative (MrTargetState *target, MrTime latency, double usual)
+{
+  double sample = MIN ((double) latency / MAX (usual, 1), RELATIVE_MAX);
+  target->relative += LATENCY_WEIGHT * (sample - target->relative);
+}
+
+void
+mr_target_state_add_outcome (MrTargetState *target, gboolean failed)
+{
+  target->failing += FAILING_WEIGHT * ((failed ? 1.0 : 0.0) - target->failing);
+}
--- a/src/target.h
+++ b/src/target.h
@@ -18,11 +18,15 @@
   guint connections; /* most that the target accepts in all */
   MrHealth health;
   MrLimit limit;
-  guint in_flight; /* calls whose slot may still be taken */
-  double latency;  /* running mean of answers, us */
-  guint64 calls;   /* started, ever */
-  guint64 shed;    /* answers that refused for load */
-  guint64 lacks;   /* generation that it said it does not hold */
+  guint in_flight;   /* calls whose slot may still be taken */
+  double latency;    /* running mean of answers, us */
+  double relative;   /* running mean of latency over that of the same kind of request; 1 is usual */
+  double failing;    /* running share of calls that failed or were shed */
+  MrTime cold_until; /* slow until then: it has just started */
+  GQueue open;       /* calls not ended, oldest first; kept by the relay */
+  guint64 calls;     /* started, ever */
+  guint64 shed;      /* answers that refused for load */
+  guint64 lacks;     /* generation that it said it does not hold */
   MrTime lacks_until;
   GQueue waiting[MR_CLASS_COUNT];
 };
@@ -42,3 +46,7 @@
 double mr_target_state_cost (const MrTargetState *target);
 
 void mr_target_state_add_latency (MrTargetState *target, MrTime latency);
+
+/* One answer that took @latency where requests of its kind take @usual. */
+void mr_target_state_add_relative (MrTargetState *target, MrTime latency, double usual);
+void mr_target_state_add_outcome (MrTargetState *target, gboolean failed);
--- /dev/null
+++ b/src/target_client.c
@@ -0,0 +1,505 @@
+#include "target_client.h"
+
+#include "log.h"
+#include "stream.h"
+#include "timers.h"
+
+enum
+{
+  /* No answer of a searcher is near this; it bounds what a broken one costs. */
+  ANSWER_BYTES_MAX = 8 * 1024 * 1024,
+};
+
+/* A connection is made in one round trip and some 6 ms of the target's; one
+ * that takes this long meets a dead end. */
+static const MrTime CONNECT_WAIT = 400 * MR_MS;
+/* Idle connections are given up before the target closes them: a request that
+ * crosses a close is lost.  Share of the time that the target states. */
+static const double IDLE_SHARE = 0.7;
+static const MrTime IDLE_DEFAULT = 4 * MR_SECOND;
+/* A request that may not be repeated goes out on a connection that was in use
+ * this recently, or on a new one: its reset on an old one would leave it open
+ * whether it ran. */
+static const MrTime FRESH = 500 * MR_MS;
+
+typedef struct
+{
+  char *target;
+  GQueue idle; /* Connection, last used first */
+} Pool;
+
+typedef struct
+{
+  MrStreamHost host;
+  MrTargetClient *client;
+  MrStream *stream;
+  Pool *pool;
+  GList link;     /* in the pool's idle ones */
+  GList all_link; /* in the client's connections */
+  MrTimer timer;  /* end of connecting, or of idling */
+  gboolean connecting;
+  gboolean idle;
+  gboolean probe;
+  gboolean used;       /* has carried a call */
+  guint64 call_id;     /* 0: none */
+  guint64 sent_before; /* bytes, when the call began */
+  char *request_id;
+  gboolean bodiless;
+  gboolean part;
+  GString *waiting; /* the request, until the connection stands */
+  MrHttpParser *parser;
+  MrTime idle_most;
+} Connection;
+
+/* An end that could not be reported from within the call that caused it. */
+typedef struct
+{
+  guint64 call_id; /* 0: a probe */
+  char *target;
+} Failed;
+
+struct _MrTargetClient
+{
+  MrTargetClientHost *host;
+  MrLoop *loop;
+  const MrDialect *dialect;
+  GHashTable *pools; /* target -> Pool */
+  GHashTable *calls; /* call id -> Connection */
+  GQueue connections;
+  GQueue failed; /* Failed */
+  MrTimers *timers;
+  MrTargetClientCounts counts;
+};
+
+static void
+S_pool_free (gpointer data)
+{
+  Pool *pool = data;
+  g_free (pool->target);
+  g_free (pool);
+}
+
+MrTargetClient *
+mr_target_client_new (MrTargetClientHost *host, MrLoop *loop, const MrDialect *dialect)
+{
+  MrTargetClient *client = g_new0 (MrTargetClient, 1);
+  client->host = host;
+  client->loop = loop;
+  client->dialect = dialect;
+  client->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_pool_free);
+  client->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
+  client->timers = mr_timers_new ();
+  g_queue_init (&client->connections);
+  g_queue_init (&client->failed);
+  return client;
+}
+
+static Pool *
+S_pool (MrTargetClient *client, const char *target)
+{
+  Pool *pool = g_hash_table_lookup (client->pools, target);
+  if (pool)
+    return pool;
+  pool = g_new0 (Pool, 1);
+  pool->target = g_strdup (target);
+  g_queue_init (&pool->idle);
+  g_hash_table_insert (client->pools, pool->target, pool);
+  return pool;
+}
+
+static void
+S_leave_idle (Connection *c)
+{
+  if (!c->idle)
+    return;
+  c->idle = FALSE;
+  g_queue_unlink (&c->pool->idle, &c->link);
+}
+
+static void
+S_connection_free (Connection *c)
+{
+  S_leave_idle (c);
+  mr_timers_set (c->client->timers, &c->timer, MR_NEVER);
+  g_queue_unlink (&c->client->connections, &c->all_link);
+  if (c->call_id)
+    g_hash_table_remove (c->client->calls, &c->call_id);
+  if (c->waiting)
+    g_string_free (c->waiting, TRUE);
+  mr_http_parser_free (c->parser);
+  g_free (c->request_id);
+  g_free (c);
+}
+
+static void
+S_close (Connection *c)
+{
+  mr_stream_close (c->stream);
+  S_connection_free (c);
+}
+
+void
+mr_target_client_free (MrTargetClient *client)
+{
+  if (!client)
+    return;
+  while (client->connections.head)
+    S_connection_free (client->connections.head->data);
+  for (Failed *f = g_queue_pop_head (&client->failed); f; f = g_queue_pop_head (&client->failed))
+    {
+      g_free (f->target);
+      g_free (f);
+    }
+  g_hash_table_unref (client->calls);
+  g_hash_table_unref (client->pools);
+  mr_timers_free (client->timers);
+  g_free (client);
+}
+
+/* Answers. */
+
+static MrTime
+S_stated_idle (const MrHttpParser *answer)
+{
+  MrText value = mr_http_parser_find (answer, "Keep-Alive", NULL);
+  g_autofree char *copy = mr_text_dup (value);
+  const char *seconds = strstr (copy, "timeout=");
+  if (!seconds)
+    return IDLE_DEFAULT;
+  guint64 number = g_ascii_strtoull (seconds + strlen ("timeout="), NULL, 10);
+  return (MrTime) (IDLE_SHARE * (double) CLAMP (number, 1, 3600) * (double) MR_SECOND);
+}
+
+/* The target did not run the request, by its own word. */
+static gboolean
+S_says_not_run (const MrTargetClient *client, const MrHttpParser *answer)
+{
+  guint count = 0;
+  mr_http_parser_find (answer, client->dialect->not_run, &count);
+  return count > 0;
+}
+
+static MrCallOutcome
+S_outcome (const Connection *c, const MrHttpParser *answer)
+{
+  enum
+  {
+    MISDIRECTED = 421,
+    SUCCESS_FIRST = 200,
+    SUCCESS_LAST = 299,
+    SERVER_ERRORS = 500,
+  };
+  int status = mr_http_parser_status (answer);
+  guint signatures = 0;
+  guint encodings = 0;
+  if (status == MISDIRECTED)
+    return MR_CALL_MISDIRECTED;
+  if (S_says_not_run (c->client, answer))
+    return MR_CALL_SHED;
+  mr_http_parser_find (answer, c->client->dialect->signature, &signatures);
+  mr_http_parser_find (answer, "Content-Encoding", &encodings);
+  if (status >= SUCCESS_FIRST && status <= SUCCESS_LAST)
+    /* A success that the target has not signed, or whose body is not as the
+     * target wrote it, is nobody's answer. */
+    return signatures == 1 && encodings == 0 ? MR_CALL_ANSWER : MR_CALL_BROKEN;
+  return c->part || status >= SERVER_ERRORS ? MR_CALL_ERROR : MR_CALL_ANSWER;
+}
+
+/* Whether the answer is to the call that is out.  On a connection that carried
+ * calls before, a late second answer to one of them can come first. */
+static gboolean
+S_is_ours (const Connection *c, const MrHttpParser *answer)
+{
+  guint count = 0;
+  MrText echo = mr_http_parser_find (answer, c->client->dialect->request_id, &count);
+  if (count == 0)
+    return !c->used;
+  return count == 1 && mr_text_equal (echo, mr_text (c->request_id));
+}
+
+static void
+S_make_idle (Connection *c)
+{
+  c->idle = TRUE;
+  c->link.data = c;
+  g_queue_push_head_link (&c->pool->idle, &c->link);
+  mr_timers_set (c->client->timers, &c->timer, mr_now () + c->idle_most);
+}
+
+/* The parser holds a whole answer; @rest are the bytes behind it. */
+static void
+S_on_answer (Connection *c, gsize rest)
+{
+  MrHttpParser *answer = c->parser;
+  c->parser = mr_http_parser_new (MR_HTTP_RESPONSE);
+  mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .body = ANSWER_BYTES_MAX });
+  MrCallOutcome outcome = S_outcome (c, answer);
+  /* A target may answer before it has read the request; what is left of it would
+   * be taken for the next one. */
+  gboolean keep =
+      mr_http_parser_keep_alive (answer) && rest == 0 && mr_stream_unsent (c->stream) == 0;
+  if (rest > 0)
+    c->client->counts.stray++;
+  c->idle_most = S_stated_idle (answer);
+  c->used = TRUE;
+  guint64 id = c->call_id;
+  g_hash_table_remove (c->client->calls, &c->call_id);
+  c->call_id = 0;
+  MrTargetClientHost *host = c->client->host;
+  if (outcome == MR_CALL_BROKEN)
+    g_clear_pointer (&answer, mr_http_parser_free);
+  if (keep)
+    S_make_idle (c);
+  else
+    S_close (c);
+  host->ended (host, id, outcome, answer);
+}
+
+static void
+S_break (Connection *c, MrCallOutcome outcome)
+{
+  guint64 id = c->call_id;
+  MrTargetClientHost *host = c->client->host;
+  S_close (c);
+  host->ended (host, id, outcome, NULL);
+}
+
+static void
+S_received (MrStreamHost *host, MrStream *stream, MrText bytes)
+{
+  Connection *c = (Connection *) host;
+  (void) stream;
+  if (c->call_id == 0)
+    {
+      c->client->counts.stray++;
+      S_close (c);
+      return;
+    }
+  while (bytes.len > 0)
+    {
+      gsize used = mr_http_parser_feed (c->parser, bytes);
+      bytes.data += used;
+      bytes.len -= used;
+      MrHttpState state = mr_http_parser_state (c->parser);
+      if (state > MR_HTTP_DONE)
+        {
+          S_break (c, MR_CALL_BROKEN);
+          return;
+        }
+      if (state != MR_HTTP_DONE)
+        return;
+      if (S_is_ours (c, c->parser))
+        {
+          S_on_answer (c, bytes.len);
+          return;
+        }
+      c->client->counts.skipped++;
+      mr_http_parser_reset (c->parser);
+      mr_http_parser_set_bodiless (c->parser, c->bodiless);
+    }
+}
+
+static void
+S_opened (MrStreamHost *host, MrStream *stream)
+{
+  Connection *c = (Connection *) host;
+  c->connecting = FALSE;
+  mr_timers_set (c->client->timers, &c->timer, MR_NEVER);
+  if (c->probe)
+    {
+      MrTargetClientHost *owner = c->client->host;
+      g_autofree char *target = g_strdup (c->pool->target);
+      S_close (c);
+      owner->probed (owner, target, TRUE);
+      return;
+    }
+  mr_stream_write (stream, mr_text_of (c->waiting));
+  g_string_free (c->waiting, TRUE);
+  c->waiting = NULL;
+}
+
+static void
+S_fail_probe (Connection *c)
+{
+  MrTargetClientHost *owner = c->client->host;
+  g_autofree char *target = g_strdup (c->pool->target);
+  S_close (c);
+  owner->probed (owner, target, FALSE);
+}
+
+static void
+S_ended (MrStreamHost *host, MrStream *stream, MrStreamEnd end)
+{
+  Connection *c = (Connection *) host;
+  if (c->probe)
+    {
+      S_fail_probe (c);
+      return;
+    }
+  if (c->call_id == 0)
+    {
+      S_connection_free (c);
+      return;
+    }
+  if (end == MR_STREAM_FINISHED)
+    mr_http_parser_finish (c->parser);
+  if (mr_http_parser_state (c->parser) == MR_HTTP_DONE && S_is_ours (c, c->parser))
+    {
+      S_on_answer (c, 0);
+      return;
+    }
+  gboolean sent = mr_stream_sent (stream) > c->sent_before;
+  S_break (c, sent ? MR_CALL_BROKEN : MR_CALL_NOT_CONNECTED);
+}
+
+static const MrStreamHost stream_host = {
+  .opened = S_opened,
+  .received = S_received,
+  .ended = S_ended,
+};
+
+/* Calls. */
+
+static Connection *
+S_connect (MrTargetClient *client, MrTime now, const MrTargetState *target)
+{
+  Connection *c = g_new0 (Connection, 1);
+  c->host = stream_host;
+  c->client = client;
+  c->pool = S_pool (client, target->id);
+  c->timer.owner = c;
+  c->stream = mr_stream_connect (client->loop, &c->host, target->ip, target->port);
+  if (!c->stream)
+    {
+      mr_log (MR_LOG_WARNING, MR_EVENT_CONNECT_FAILED, "target %s: %s", target->id,
+              mr_status_message ());
+      g_free (c);
+      return NULL;
+    }
+  c->connecting = TRUE;
+  c->parser = mr_http_parser_new (MR_HTTP_RESPONSE);
+  mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .body = ANSWER_BYTES_MAX });
+  c->all_link.data = c;
+  g_queue_push_tail_link (&client->connections, &c->all_link);
+  mr_timers_set (client->timers, &c->timer, now + CONNECT_WAIT);
+  client->counts.connections++;
+  return c;
+}
+
+static Connection *
+S_take_idle (MrTargetClient *client, MrTime now, const MrTargetCall *call)
+{
+  Pool *pool = S_pool (client, call->target->id);
+  Connection *c = g_queue_peek_head (&pool->idle);
+  if (!c)
+    return NULL;
+  MrTime idle_for = now - (c->timer.due - c->idle_most);
+  if (!call->repeatable && idle_for > FRESH)
+    {
+      S_close (c); /* it makes room for a new one */
+      return NULL;
+    }
+  S_leave_idle (c);
+  mr_timers_set (client->timers, &c->timer, MR_NEVER);
+  client->counts.reused++;
+  return c;
+}
+
+static void
+S_defer_failure (MrTargetClient *client, guint64 call_id, const char *target)
+{
+  Failed *failed = g_new (Failed, 1);
+  *failed = (Failed){ .call_id = call_id, .target = g_strdup (target) };
+  g_queue_push_tail (&client->failed, failed);
+}
+
+void
+mr_target_client_call (MrTargetClient *client, MrTime now, const MrTargetCall *call)
+{
+  Connection *c = S_take_idle (client, now, call);
+  if (!c)
+    c = S_connect (client, now, call->target);
+  if (!c)
+    {
+      S_defer_failure (client, call->id, call->target->id);
+      return;
+    }
+  c->call_id = call->id;
+  c->sent_before = mr_stream_sent (c->stream);
+  g_free (c->request_id);
+  c->request_id = mr_text_dup (call->request_id);
+  c->bodiless = call->bodiless;
+  c->part = call->part;
+  mr_http_parser_reset (c->parser);
+  mr_http_parser_set_bodiless (c->parser, call->bodiless);
+  g_hash_table_insert (client->calls, &c->call_id, c);
+  if (c->connecting)
+    c->waiting = g_string_new_len (call->bytes.data, (gssize) call->bytes.len);
+  else
+    mr_stream_write (c->stream, call->bytes);
+}
+
+void
+mr_target_client_drop (MrTargetClient *client, guint64 id)
+{
+  Connection *c = g_hash_table_lookup (client->calls, &id);
+  if (c)
+    S_close (c);
+}
+
+void
+mr_target_client_probe (MrTargetClient *client, MrTime now, const MrTargetState *target)
+{
+  Connection *c = S_connect (client, now, target);
+  if (c)
+    c->probe = TRUE;
+  else
+    S_defer_failure (client, 0, target->id);
+}
+
+void
+mr_target_client_renew (MrTargetClient *client, const MrTargetState *target)
+{
+  Pool *pool = S_pool (client, target->id);
+  while (!g_queue_is_empty (&pool->idle))
+    S_close (g_queue_peek_head (&pool->idle));
+}
+
+static void
+S_report_failed (MrTargetClient *client)
+{
+  for (guint count = client->failed.length; count > 0; count--)
+    {
+      Failed *failed = g_queue_pop_head (&client->failed);
+      if (failed->call_id)
+        client->host->ended (client->host, failed->call_id, MR_CALL_NOT_CONNECTED, NULL);
+      else
+        client->host->probed (client->host, failed->target, FALSE);
+      g_free (failed->target);
+      g_free (failed);
+    }
+}
+
+MrTime
+mr_target_client_tick (MrTargetClient *client, MrTime now)
+{
+  S_report_failed (client);
+  for (MrTimer *timer = mr_timers_pop (client->timers, now); timer;
+       timer = mr_timers_pop (client->timers, now))
+    {
+      Connection *c = timer->owner;
+      if (c->probe)
+        S_fail_probe (c);
+      else if (c->call_id)
+        S_break (c, MR_CALL_NOT_CONNECTED);
+      else
+        S_close (c);
+    }
+  return g_queue_is_empty (&client->failed) ? mr_timers_next (client->timers) : now;
+}
+
+const MrTargetClientCounts *
+mr_target_client_counts (const MrTargetClient *client)
+{
+  return &client->counts;
+}
--- /dev/null
+++ b/src/target_record.h
@@ -0,0 +1,24 @@
+/* What the platform's list says of one target: an immutable record, shared by
+ * reference count, in JSON between daemons. */
+#pragma once
+
+#include "clock.h"
+#include "shardmap.h"
+#include "status.h"
+#include "text.h"
+
+typedef struct
+{
+  int refs; /* atomic */
+  char *service;
+  MrTarget target; /* id: of this process of the target, never reused */
+  gboolean leaving;
+  MrTime cold_for; /* slow for this long yet, when the record was written */
+} MrTargetRecord;
+
+/* Reads the JSON form; NULL with a message. */
+MrTargetRecord *mr_target_record_parse (MrText id, MrText json);
+/* Writes it; freed with g_free (). */
+char *mr_target_record_write (const MrTargetRecord *record);
+MrTargetRecord *mr_target_record_ref (MrTargetRecord *record);
+void mr_target_record_unref (MrTargetRecord *record);
--- a/src/view.h
+++ b/src/view.h
@@ -2,9 +2,11 @@
  * leaving targets, as of one moment.  Immutable, shared by reference count. */
 #pragma once
 
+#include "configuration.h"
 #include "document.h"
 #include "member.h"
 #include "shardmap.h"
+#include "target_record.h"
 
 typedef struct
 {
@@ -17,9 +19,11 @@
 typedef struct
 {
   MrMemberList *members;
-  GHashTable *services; /* name -> MrServiceView */
-  GHashTable *leaving;  /* set of "ip:port" of targets */
-  gboolean ready;       /* configuration is known well enough to serve */
+  GHashTable *services;           /* name -> MrServiceView */
+  GHashTable *leaving;            /* set of "ip:port" of targets */
+  MrConfiguration *configuration; /* of routes; NULL: none known */
+  GPtrArray *targets;             /* MrTargetRecord, of all that are listed */
+  gboolean ready;                 /* configuration is known well enough to serve */
   gboolean platform_up;
 } MrView;
 
--- a/src/watch.c
+++ b/src/watch.c
@@ -3,7 +3,9 @@
 #include <xxhash.h>
 
 static const MrTime GAP_FIRST = 200 * MR_MS;
-static const MrTime GAP_MAX = 5 * MR_SECOND;
+/* Few daemons watch, so their retries cost the store little, and a change that
+ * it accepts right after an outage has to be known within a few seconds. */
+static const MrTime GAP_MAX = 1 * MR_SECOND;
 /* Reads of those that do not watch. */
 static const MrTime READ_GAP = 180 * MR_SECOND;
 
--- a/src/watch.h
+++ b/src/watch.h
@@ -22,9 +22,11 @@
 /* One repeated call to the platform. */
 typedef struct
 {
-  guint64 since; /* revision that was read last */
-  gboolean busy; /* the call is out */
-  gboolean done; /* it has succeeded at least once */
+  guint64 since;               /* revision that was read last */
+  guint64 listed;              /* revision of the full listing under way */
+  char after[MR_NAME_MAX + 1]; /* of a full listing: the page to read next */
+  gboolean busy;               /* the call is out */
+  gboolean done;               /* it has succeeded at least once */
   MrTime due;
   MrTime gap;   /* after a failure; doubles */
   MrTime pause; /* a watcher's, between two calls */
--- a/src/wire_decode.c
+++ b/src/wire_decode.c
@@ -142,7 +142,7 @@
 static MrObjectKind
 S_read_kind (Reader *r)
 {
-  guint64 kind = S_unsigned (r, MR_OBJECT_VM);
+  guint64 kind = S_unsigned (r, MR_OBJECT_TARGET);
   if (kind == 0)
     r->bad = TRUE;
   return (MrObjectKind) MAX (kind, 1);
