Old removals of targets no longer hide targets that came back

Cause: a daemon that had been cut off read the store's old changes after its peers had told it newer ones. The adapter gave a removal the revision of the answer it came in, so the removal of an entry that had lapsed stood above the entry's return and spread to the fleet: 11 s without targets for two shards. An outage that ended before any call failed let mass removals through early.

Ruled out: the peers' spread itself (it only passed on the higher version).

Change: a removal ranks right after the object's last change; four or more removals at once are held for as long as a lapse takes to come back. Tests: test_store (fails with the old version), test_listing.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -211,7 +211,7 @@
     {
       watch->listed = result->revision;
       if (index == WATCH_TARGETS)
-        mr_listing_begin (task->listing, result->revision);
+        mr_listing_begin (task->listing, result->removed_version);
     }
   for (guint i = 0; i < result->objects->len; i++)
     S_on_relay_object (task, now, index, g_ptr_array_index (result->objects, i));
--- a/src/listing.c
+++ b/src/listing.c
@@ -3,15 +3,14 @@
 /* Entries are back within about two seconds of the store's return. */
 static const MrTime GRACE = 2300 * MR_MS;
 /* This many removals at once look like a lapse even if no outage was seen: a
- * silent one may end before any call of ours failed.  Held back for a moment
- * only, which is still well inside the time in which a leaving target may be
- * given work. */
+ * silent one may end before any call of ours failed.  They are held back for
+ * GRACE too, which is still inside the time in which a leaving target may be
+ * given work (3 s). */
 enum
 {
   MANY = 4
 };
 static const MrTime MANY_WINDOW = 500 * MR_MS;
-static const MrTime MANY_GRACE = 1500 * MR_MS;
 
 typedef struct
 {
@@ -114,8 +113,8 @@
     }
   if (++listing->burst < MANY)
     return now;
-  S_delay_all (listing, listing->burst_at + MANY_GRACE);
-  return listing->burst_at + MANY_GRACE;
+  S_delay_all (listing, listing->burst_at + GRACE);
+  return listing->burst_at + GRACE;
 }
 
 void
--- a/src/message.h
+++ b/src/message.h
@@ -147,9 +147,10 @@
   MrPlatformRequest *request;
   int status; /* MrStatus */
   guint64 revision;
-  guint64 version;  /* of a write */
-  gboolean more;    /* of LIST: names follow the last one */
-  gboolean expired; /* of LIST: the changes since then are no longer known */
+  guint64 version;         /* of a write */
+  guint64 removed_version; /* of LIST: above that of all it names, below any later one */
+  gboolean more;           /* of LIST: names follow the last one */
+  gboolean expired;        /* of LIST: the changes since then are no longer known */
   GPtrArray *objects;
   GArray *vms; /* MrPlatformVm */
 } MrPlatformResult;
--- /dev/null
+++ b/test/platform/test_store.c
@@ -0,0 +1,192 @@
+/* The adapter of the users' store: what it asks and what it makes of answers. */
+
+#include "adapter.h"
+
+#include "configuration.h"
+#include "registry.h"
+#include "target_record.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+static MrPlatformResult *
+S_read (const char *kind, guint64 since, int status, const char *body)
+{
+  MrPlatformRequest *request = mr_platform_request_new (MR_PLATFORM_LIST, kind, "");
+  request->since = since;
+  MrPlatformResult *result = mr_platform_result_new (request, 0);
+  mr_adapter_store.read (result, status, mr_text (body));
+  return result;
+}
+
+static void
+S_offer_all (MrRegistry *registry, const MrPlatformResult *result)
+{
+  for (guint i = 0; i < result->objects->len; i++)
+    {
+      const MrPlatformObject *object = g_ptr_array_index (result->objects, i);
+      mr_registry_offer (registry, MR_OBJECT_TARGET, mr_text (object->name), object->version,
+                         mr_text_of (object->body));
+    }
+}
+
+#define SERVER(name, revision)                                                                     \
+  "{\"meta\":{\"name\":\"" name "\",\"revision\":" revision "},\"spec\":{\"service\":\"s\","       \
+  "\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":5,\"state\":\"ready\"}}"
+
+/* What callers see: a shard without a target for ten seconds.  A daemon that was
+ * cut off reads old changes after it has learned newer ones from its peers: the
+ * removal of an entry that lapsed, which has come back since.  Taken for newer
+ * than the return, the removal would stand, and spread to the whole fleet. */
+static void
+test_old_removal (void **state)
+{
+  (void) state;
+  MrRegistry *registry = mr_registry_new ();
+  MrPlatformResult *now = S_read ("targets", 300, 200,
+                                  "{\"store_revision\":336,\"events\":[{\"deleted\":false,"
+                                  "\"object\":" SERVER ("i-1", "336") "}]}");
+  MrPlatformResult *late = S_read ("targets", 200, 200,
+                                   "{\"store_revision\":386,\"events\":[{\"deleted\":true,"
+                                   "\"object\":" SERVER ("i-1", "250") "}]}");
+  S_offer_all (registry, now);
+  S_offer_all (registry, late);
+  assert_true (mr_registry_get (registry, MR_OBJECT_TARGET, "i-1")->body->len > 0);
+  mr_message_free (&now->base);
+  mr_message_free (&late->base);
+  mr_registry_free (registry);
+}
+
+static void
+test_removal_follows_change (void **state)
+{
+  (void) state;
+  MrPlatformResult *result =
+      S_read ("targets", 200, 200,
+              "{\"store_revision\":251,\"events\":["
+              "{\"deleted\":false,\"object\":" SERVER (
+                  "i-1", "250") "},"
+                                "{\"deleted\":true,\"object\":" SERVER (
+                                    "i-1", "250") "},"
+                                                  "{\"deleted\":false,\"object\":" SERVER (
+                                                      "i-1", "251") "}]}");
+  assert_int_equal (result->objects->len, 3);
+  guint64 before = 0;
+  for (guint i = 0; i < result->objects->len; i++)
+    {
+      const MrPlatformObject *object = g_ptr_array_index (result->objects, i);
+      assert_true (object->version > before);
+      before = object->version;
+    }
+  assert_true (result->removed_version >= before);
+  mr_message_free (&result->base);
+}
+
+typedef struct
+{
+  const char *name;
+  int http_status;
+  const char *body;
+  MrStatus status;
+  gboolean expired;
+} Case;
+
+/* Whatever is no whole answer must not be taken for an empty list, which would
+ * put every target out of use. */
+static void
+test_answers (void **state)
+{
+  static const Case cases[] = {
+    { "list", 200, "{\"items\":[],\"has_more\":false,\"store_revision\":3}", MR_OK, FALSE },
+    { "history gone", 410, "", MR_OK, TRUE },
+    { "over the rate", 429, "{}", MR_ERROR_UNAVAIL, FALSE },
+    { "unavailable", 503, "", MR_ERROR_UNAVAIL, FALSE },
+    { "cut", 200, "{\"items\":[", MR_ERROR_UNAVAIL, FALSE },
+    { "no revision", 200, "{}", MR_ERROR_UNAVAIL, FALSE },
+    { "not an object", 200, "[]", MR_ERROR_UNAVAIL, FALSE },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      MrPlatformResult *result = S_read ("targets", 1, cases[i].http_status, cases[i].body);
+      if (result->status != (int) cases[i].status || result->expired != cases[i].expired)
+        fail_msg ("%s: status %d, expired %d", cases[i].name, result->status, result->expired);
+      mr_message_free (&result->base);
+    }
+}
+
+static void
+test_configuration (void **state)
+{
+  (void) state;
+  MrPlatformResult *result = S_read (
+      "configurations", 0, 200,
+      "{\"store_revision\":9,\"has_more\":false,\"items\":[{\"meta\":{\"name\":\"main\","
+      "\"revision\":"
+      "8},\"spec\":{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"H.example\","
+      "\"path_prefix\":\"/a/\",\"kind\":\"safe\",\"timeout_ms\":800,\"latency_target_ms\":80,"
+      "\"priority\":2,\"gather\":[\"x\",\"y\"],\"max_attempts\":2,\"top_k\":5,"
+      "\"min_shard_share\":0.75},{\"name\":\"o\",\"host\":\"H.example\",\"path_prefix\":\"/a/b/\","
+      "\"kind\":\"unsafe\",\"timeout_ms\":800,\"latency_target_ms\":80,\"priority\":0,"
+      "\"service\":\"x\",\"max_attempts\":1}],\"services\":[{\"name\":\"x\",\"max_conns\":40}],"
+      "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
+      "\"idle_timeout_ms\":15000}}}]}");
+  assert_int_equal (result->objects->len, 1);
+  const MrPlatformObject *object = g_ptr_array_index (result->objects, 0);
+  MrConfiguration *c = mr_configuration_parse (mr_text_of (object->body));
+  assert_non_null (c);
+  assert_int_equal (mr_configuration_version (c), 7);
+  const MrRoute *shards = mr_configuration_match (c, MR_TEXT ("h.EXAMPLE:80"), MR_TEXT ("/a/q"));
+  assert_int_equal (shards->kind, MR_ROUTE_SHARDS);
+  assert_true (shards->repeatable);
+  assert_int_equal (shards->top_records, 5);
+  const MrRoute *single = mr_configuration_match (c, MR_TEXT ("h.example"), MR_TEXT ("/a/b/c"));
+  assert_int_equal (single->kind, MR_ROUTE_SERVICE);
+  assert_false (single->repeatable);
+  assert_null (mr_configuration_match (c, MR_TEXT ("h.example"), MR_TEXT ("/b/")));
+  assert_int_equal (mr_configuration_service (c, "x")->most_connections, 40);
+  mr_configuration_unref (c);
+  mr_message_free (&result->base);
+}
+
+static void
+test_questions (void **state)
+{
+  static const struct
+  {
+    guint64 since;
+    const char *after;
+    const char *path;
+  } cases[] = {
+    { 0, "", "/objects/servers" },
+    { 0, "i-9", "/objects/servers?after=i-9" },
+    { 530, "", "/objects/servers?watch=530&wait_ms=28000" },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      MrPlatformCall call = { 0 };
+      MrPlatformRequest *request = mr_platform_request_new (MR_PLATFORM_LIST, "targets", "");
+      request->since = cases[i].since;
+      request->wait_ms = cases[i].since ? 28000 : 0;
+      g_strlcpy (request->after, cases[i].after, sizeof request->after);
+      mr_adapter_store.write (request, &call);
+      assert_string_equal (call.path, cases[i].path);
+      g_free (call.path);
+      mr_message_free (&request->base);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_old_removal), cmocka_unit_test (test_removal_follows_change),
+    cmocka_unit_test (test_answers),     cmocka_unit_test (test_configuration),
+    cmocka_unit_test (test_questions),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
