Few watchers at the platform, few entries named to callers

Change: one relay a failure domain, three at least, watches; the rest learn versions and objects from peers. A watcher that loses the store says so at once and the next in rank takes over. Changes of targets within 0.7 s are read together. Callers are told of six relays, more as the load asks, the larger VMs of each domain first; connections and the allowance of second sends are shared by those.

--- a/src/budget.c
+++ b/src/budget.c
@@ -97,7 +97,7 @@
   /* A process that was killed and started again knows nothing of what it spent
    * before; its share of the allowance comes back over one window. */
   double grown = CLAMP ((double) (now - terms->born) / (double) terms->window, 0, 1);
-  double allowance = terms->allowance / MAX (terms->members, 1) * grown;
+  double allowance = terms->allowance * terms->share * grown;
   if (spent + 1 > (terms->ratio * requests + allowance) * MARGIN * share)
     return false;
   budget->extras[budget->bucket % MR_WINDOW_BUCKETS]++;
--- a/src/budget.h
+++ b/src/budget.h
@@ -31,7 +31,7 @@
   MrTime window;    /* in which the bound holds */
   double ratio;     /* second sends for each request */
   double allowance; /* of the whole fleet, beside the ratio */
-  guint members;    /* that share the allowance */
+  double share;     /* of the allowance that is this member's, 0 to 1 */
   MrTime born;      /* of this process: an earlier one may have spent its share */
 } MrWindowTerms;
 
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -12,6 +12,14 @@
 };
 
 static const MrTime VMS_PAUSE = 1 * MR_SECOND;
+/* Between two watches of a relay for targets: each change ends a watch, and each
+ * watch is paid for, so what changes meanwhile is taken together.  A target that
+ * leaves has to be known of within about 3 s. */
+static const MrTime TARGETS_PAUSE = 700 * MR_MS;
+/* A relay that starts waits this long to hear of other members, then, unless it
+ * is to watch, for their objects. */
+static const MrTime JOIN_WAIT = 400 * MR_MS;
+static const MrTime SYNC_WAIT = 1500 * MR_MS;
 /* Controllers of lower rank act this much later, each. */
 static const MrTime RANK_DELAY = 500 * MR_MS;
 
@@ -58,13 +66,34 @@
 static gboolean
 S_is_watcher (const MrControlTask *task)
 {
-  return task->relay || mr_watch_rank (task->members, task->settings->name) < MR_WATCHERS;
+  if (task->relay)
+    return mr_watch_relay (task->members, task->settings->name);
+  return mr_watch_rank (task->members, task->settings->name) < MR_WATCHERS;
+}
+
+/* A relay that starts beside others learns from them what they know, without a
+ * call to the platform; only if nobody answers in time does it ask itself. */
+static gboolean
+S_peers_suffice (MrControlTask *task, MrTime now, gboolean watcher, MrTime *next)
+{
+  MrTime patience = task->started + (watcher ? JOIN_WAIT : SYNC_WAIT);
+  if (task->seeds->len > 0 && now < patience && !mr_spread_synced (task->spread))
+    {
+      *next = MIN (*next, patience);
+      return TRUE;
+    }
+  for (int i = WATCH_CONFIGURATION; i < WATCHES && !watcher; i++)
+    if (!task->watches[i].done && mr_spread_synced (task->spread))
+      mr_watch_ended (&task->watches[i], now, true, false, g_rand_double (task->random));
+  return FALSE;
 }
 
 void
 mr_control_platform_tick (MrControlTask *task, MrTime now, MrTime *next)
 {
   gboolean watcher = S_is_watcher (task);
+  if (task->relay && S_peers_suffice (task, now, watcher, next))
+    return;
   for (int i = 0; i < WATCHES; i++)
     {
       MrWatch *watch = &task->watches[i];
@@ -99,6 +128,7 @@
   task->platform_up = up;
   task->view_changed = TRUE;
   mr_listing_set_store (task->listing, mr_now (), up);
+  mr_membership_set_cut_off (task->membership, mr_now (), !up);
   mr_log (up ? MR_LOG_NOTICE : MR_LOG_WARNING, up ? MR_EVENT_PLATFORM_UP : MR_EVENT_PLATFORM_DOWN,
           up ? "the platform answers" : "the platform does not answer; what is in force stays");
 }
@@ -253,6 +283,10 @@
   else if (success)
     S_on_list (task, now, index, result);
   mr_watch_ended (&task->watches[index], now, success, watcher, g_rand_double (task->random));
+  /* The rest of a full listing, and the first watch after it, follow at once. */
+  gboolean more = task->watches[index].after[0] != '\0';
+  if (success && task->relay && (more || (watcher && result->request->since == 0)))
+    task->watches[index].due = now;
 }
 
 static void
@@ -321,4 +355,5 @@
     .read = S_on_controller_read,
   };
   task->watches[WATCH_VMS].pause = VMS_PAUSE;
+  task->watches[WATCH_TARGETS].pause = TARGETS_PAUSE;
 }
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -296,6 +296,7 @@
       const MrSelfMessage *self = (const MrSelfMessage *) message;
       mr_membership_set_state (task->membership, mr_now (), self->state);
       mr_membership_set_busy (task->membership, mr_now (), self->busy);
+      mr_membership_set_load (task->membership, mr_now (), self->load);
     }
   else if (message->type == MR_MESSAGE_PLATFORM_RESULT)
     mr_control_platform_result (task, (const MrPlatformResult *) message);
@@ -393,6 +394,7 @@
     .incarnation = ((guint64) (g_get_real_time () / MR_MS) << 20) | (seed & 0xfffff),
     .peer_port = settings->peer_port,
     .http_port = settings->http_port,
+    .capacity = (guint32) settings->capacity,
   };
   g_strlcpy (self.name, settings->name, sizeof self.name);
   g_strlcpy (self.ip, settings->ip, sizeof self.ip);
--- /dev/null
+++ b/src/entry_plan.c
@@ -0,0 +1,123 @@
+#include "entry_plan.h"
+
+#include <xxhash.h>
+
+/* Processor that the entries' load may take of what they have together: half is
+ * left for bursts and for the loss of some of them. */
+static const double LOAD_SHARE = 0.4;
+/* Connections of each target that are kept for daemons that are no entries:
+ * callers with an old answer, and the operators' tests, reach them too. */
+static const double OTHERS_CONNECTIONS = 0.25;
+/* More daemons than the plan names may take themselves for entries while views
+ * differ or VMs are exchanged. */
+static const double OVERLAP = 1.5;
+/* Part of the allowance for daemons that are no entries. */
+static const double OTHERS_ALLOWANCE = 0.15;
+
+typedef struct
+{
+  const MrMember *member;
+  guint turn; /* place within its failure domain */
+  guint64 score;
+} Candidate;
+
+/* Best first within a failure domain: the larger VMs, in classes of a factor of
+ * two, so that small differences don't decide; then by hash. */
+static int
+S_best_first (gconstpointer a, gconstpointer b)
+{
+  const Candidate *x = a;
+  const Candidate *y = b;
+  int domain = strcmp (x->member->domain, y->member->domain);
+  guint x_class = g_bit_storage (x->member->capacity);
+  guint y_class = g_bit_storage (y->member->capacity);
+  if (domain != 0)
+    return domain;
+  if (x_class != y_class)
+    return x_class > y_class ? -1 : 1;
+  return x->score > y->score ? -1 : x->score < y->score;
+}
+
+/* Failure domains in turn, so that the loss of one takes its share only. */
+static int
+S_by_turn (gconstpointer a, gconstpointer b)
+{
+  const Candidate *x = a;
+  const Candidate *y = b;
+  if (x->turn != y->turn)
+    return x->turn < y->turn ? -1 : 1;
+  return x->score > y->score ? -1 : x->score < y->score;
+}
+
+static GArray *
+S_candidates (const MrMemberList *members, MrMemberState state)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (Candidate));
+  for (guint i = 0; i < members->count; i++)
+    {
+      const MrMember *member = &members->members[i];
+      Candidate candidate = { .member = member,
+                              .score = XXH64 (member->name, strlen (member->name), 0) };
+      if (member->state == state && !member->busy)
+        g_array_append_val (list, candidate);
+    }
+  g_array_sort (list, S_best_first);
+  for (guint i = 1; i < list->len; i++)
+    {
+      Candidate *c = &g_array_index (list, Candidate, i);
+      const Candidate *before = &g_array_index (list, Candidate, i - 1);
+      if (g_str_equal (before->member->domain, c->member->domain))
+        c->turn = before->turn + 1;
+    }
+  g_array_sort (list, S_by_turn);
+  return list;
+}
+
+static void
+S_choose (MrEntryPlan *plan, const MrMemberList *members, const GArray *candidates)
+{
+  double load = 0;
+  double capacity = 0;
+  for (guint i = 0; i < members->count; i++)
+    if (mr_member_usable (&members->members[i]))
+      load += members->members[i].load;
+  for (guint i = 0; i < candidates->len && plan->entries->len < MR_ENTRIES_MAX; i++)
+    {
+      const MrMember *member = g_array_index (candidates, Candidate, i).member;
+      if (plan->entries->len >= MR_ENTRIES_MIN && capacity * LOAD_SHARE >= load)
+        break;
+      g_ptr_array_add (plan->entries, (gpointer) member);
+      capacity += member->capacity;
+    }
+}
+
+MrEntryPlan
+mr_entry_plan (const MrMemberList *members, const char *self)
+{
+  MrEntryPlan plan = { .entries = g_ptr_array_new () };
+  g_autoptr (GArray) alive = S_candidates (members, MR_MEMBER_ALIVE);
+  /* A member that misses heartbeats may be gone; one that is cut off costs a
+   * caller a second, so it is named only if there is nobody else. */
+  g_autoptr (GArray) doubtful = S_candidates (members, MR_MEMBER_SUSPECT);
+  S_choose (&plan, members, alive->len > 0 ? alive : doubtful);
+  guint usable = 0;
+  for (guint i = 0; i < members->count; i++)
+    usable += mr_member_usable (&members->members[i]) ? 1 : 0;
+  for (guint i = 0; i < plan.entries->len; i++)
+    if (g_str_equal (((MrMember *) g_ptr_array_index (plan.entries, i))->name, self))
+      plan.is_entry = TRUE;
+  guint entries = MAX (plan.entries->len, 1);
+  guint others = usable > entries ? usable - entries : 0;
+  double kept = others > 0 ? OTHERS_CONNECTIONS : 0;
+  double allowance = others > 0 ? OTHERS_ALLOWANCE : 0;
+  plan.connections =
+      plan.is_entry || others == 0 ? (1 - kept) / (entries * OVERLAP) : kept / (others * OVERLAP);
+  plan.allowance = plan.is_entry || others == 0 ? (1 - allowance) / entries : allowance / others;
+  return plan;
+}
+
+void
+mr_entry_plan_clear (MrEntryPlan *plan)
+{
+  g_clear_pointer (&plan->entries, g_ptr_array_unref);
+}
--- /dev/null
+++ b/src/entry_plan.h
@@ -0,0 +1,31 @@
+/* Which daemons take callers' requests, and what of the fleet's shared bounds
+ * each may use.
+ *
+ * Every daemon can serve, but callers are told of few at a time: a daemon that
+ * sees two requests a second keeps no connection warm and learns nothing of its
+ * targets.  On a calm day of 71 daemons, naming all of them earned 0.85 of the
+ * requests' worth, naming six 0.97.  The rest keep configuration and targets
+ * current and take over as soon as one of the six is missed.
+ *
+ * Computed by each daemon from its own view of the members; views that differ
+ * for a while cost load only. */
+#pragma once
+
+#include "member.h"
+
+enum
+{
+  MR_ENTRIES_MIN = 6,  /* fewer are named only where there are no more */
+  MR_ENTRIES_MAX = 64, /* in one answer */
+};
+
+typedef struct
+{
+  GPtrArray *entries; /* MrMember, borrowed from the list; best first */
+  gboolean is_entry;  /* this daemon is one of them */
+  double connections; /* this daemon's share of a target's connections, 0 to 1 */
+  double allowance;   /* and of the fleet's allowance of second sends, 0 to 1 */
+} MrEntryPlan;
+
+MrEntryPlan mr_entry_plan (const MrMemberList *members, const char *self);
+void mr_entry_plan_clear (MrEntryPlan *plan);
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -8,7 +8,7 @@
    * connecting also runs while a call on a warm connection waits. */
   ANSWER_SECONDS = 120,
   KEEPALIVE_SECONDS = 1,
-  KEEPALIVE_PROBES = 2,
+  KEEPALIVE_PROBES = 1,
   ANSWER_MAX = 4 * 1024 * 1024,
 };
 
--- a/src/member.h
+++ b/src/member.h
@@ -26,6 +26,9 @@
   MrMemberState state;
   guint32 refutations; /* raised by the member itself with each news of it */
   gboolean busy;       /* refuses load now: not to be handed to callers */
+  gboolean cut_off;    /* can't reach the platform */
+  guint32 capacity;    /* processor that it may use, in thousandths of a core */
+  guint32 load;        /* of these, what requests take; in coarse steps */
 } MrMember;
 
 typedef struct
--- a/src/membership.c
+++ b/src/membership.c
@@ -549,27 +549,57 @@
   return MAX (next, now + 1);
 }
 
-void
-mr_membership_set_state (MrMembership *m, MrTime now, MrMemberState state)
+static void
+S_changed_self (MrMembership *m, MrTime now)
 {
-  if (m->self.member.state == state)
-    return;
-  m->self.member.state = state;
   m->self.member.refutations++;
   S_changed (m, now, &m->self);
+}
+
+static void
+S_ping_all (MrMembership *m, MrTime now)
+{
   S_refresh_links (m);
   for (guint i = 0; i < m->link_count; i++)
     S_ping (m, now, m->links[i]);
 }
 
+void
+mr_membership_set_state (MrMembership *m, MrTime now, MrMemberState state)
+{
+  if (m->self.member.state == state)
+    return;
+  m->self.member.state = state;
+  S_changed_self (m, now);
+  S_ping_all (m, now);
+}
+
+void
+mr_membership_set_cut_off (MrMembership *m, MrTime now, gboolean cut_off)
+{
+  if (m->self.member.cut_off == cut_off)
+    return;
+  m->self.member.cut_off = cut_off;
+  S_changed_self (m, now);
+  S_ping_all (m, now);
+}
+
+void
+mr_membership_set_load (MrMembership *m, MrTime now, guint32 load)
+{
+  if (m->self.member.load == load)
+    return;
+  m->self.member.load = load;
+  S_changed_self (m, now);
+}
+
 void
 mr_membership_set_busy (MrMembership *m, MrTime now, gboolean busy)
 {
   if (m->self.member.busy == busy)
     return;
   m->self.member.busy = busy;
-  m->self.member.refutations++;
-  S_changed (m, now, &m->self);
+  S_changed_self (m, now);
 }
 
 MrMemberList *
--- a/src/membership.h
+++ b/src/membership.h
@@ -65,6 +65,10 @@
 /* Own news, told to the others. */
 void mr_membership_set_state (MrMembership *membership, MrTime now, MrMemberState state);
 void mr_membership_set_busy (MrMembership *membership, MrTime now, gboolean busy);
+/* Told at once: others take over what this daemon did at the platform. */
+void mr_membership_set_cut_off (MrMembership *membership, MrTime now, gboolean cut_off);
+/* In thousandths of a core. */
+void mr_membership_set_load (MrMembership *membership, MrTime now, guint32 load);
 
 /* A new list of all members known, the dead included while they are told of. */
 MrMemberList *mr_membership_list (const MrMembership *membership);
--- a/src/message.h
+++ b/src/message.h
@@ -100,6 +100,7 @@
   MrMessage base;
   MrMemberState state;
   gboolean busy;
+  guint32 load; /* thousandths of a core */
 } MrSelfMessage;
 
 typedef enum
--- a/src/relay.c
+++ b/src/relay.c
@@ -158,9 +158,10 @@
 }
 
 void
-mr_relay_set_members (MrRelay *r, guint members)
+mr_relay_set_share (MrRelay *r, double connections, double allowance)
 {
-  r->terms.members = MAX (members, 1);
+  r->connections = connections;
+  r->terms.share = allowance;
 }
 
 Service *
--- a/src/relay.h
+++ b/src/relay.h
@@ -132,8 +132,9 @@
 MrRelay *mr_relay_new (MrRelayHost *host, const MrRelayInfo *info);
 void mr_relay_free (MrRelay *relay);
 
-/* How many daemons share the targets' connections and the budget. */
-void mr_relay_set_members (MrRelay *relay, guint members);
+/* This daemon's share, 0 to 1, of each target's connections and of the fleet's
+ * allowance of second sends. */
+void mr_relay_set_share (MrRelay *relay, double connections, double allowance);
 
 /* A target as it is known now; @leaving ones get no new work. */
 void mr_relay_target (MrRelay *relay,
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -1,6 +1,5 @@
 #include "relay_task_private.h"
 
-#include "addresses.h"
 #include "metrics.h"
 
 enum
@@ -36,14 +35,10 @@
       return;
     }
   g_autoptr (GPtrArray) addresses = g_ptr_array_new_with_free_func (g_free);
-  if (task->view)
+  for (guint i = 0; task->plan.entries && i < task->plan.entries->len; i++)
     {
-      g_autoptr (GPtrArray) chosen = mr_addresses_choose (task->view->members, task->answers++);
-      for (guint i = 0; i < chosen->len; i++)
-        {
-          const MrMember *member = g_ptr_array_index (chosen, i);
-          g_ptr_array_add (addresses, g_strdup_printf ("%s:%d", member->ip, member->http_port));
-        }
+      const MrMember *member = g_ptr_array_index (task->plan.entries, i);
+      g_ptr_array_add (addresses, g_strdup_printf ("%s:%d", member->ip, member->http_port));
     }
   if (addresses->len == 0)
     {
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -29,9 +29,6 @@
 static const double LEAVE_OUT_FROM = 0.45;
 static const double LEAVE_OUT_FULL = 1.1;
 static const double LEAVE_OUT_MOST = 0.85;
-/* Of the fleet's size, kept free for VMs that join while others still hold
- * their connections. */
-static const double MEMBERS_RESERVE = 1.5;
 
 static gboolean
 S_stalled (const MrTargetState *target, MrTime now)
@@ -103,8 +100,7 @@
 {
   const MrServiceInfo *info = mr_configuration_service (work->configuration, service);
   double most = info ? info->most_connections : target->connections;
-  mr_limit_set_most (&target->limit,
-                     floor (most / (MAX (relay->terms.members, 1) * MEMBERS_RESERVE)));
+  mr_limit_set_most (&target->limit, floor (most * relay->connections));
 }
 
 static Call **
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -98,6 +98,7 @@
   MrRelayHost *host;
   char *domain;
   MrWindowTerms terms;
+  double connections; /* share of each target's that is this daemon's */
   GRand *random;
   GHashTable *services; /* name -> Service */
   GHashTable *kinds;    /* route name -> Kind */
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -6,6 +6,12 @@
  * process to end. */
 static const MrTime FINISH_TIME = 1400 * MR_MS;
 static const MrTime EXIT_TIME = 300 * MR_MS;
+/* Processor of one call, all in, in thousandths of a core for one a second
+ * (docs/CAPACITY.md); the load of a daemon is told in steps from LOAD_STEP on. */
+static const double CALL_COST = 0.045;
+static const guint32 LOAD_STEP = 16;
+static const double LOAD_DOWN = 0.35;
+static const MrTime LOAD_GAP = 2 * MR_SECOND;
 
 gboolean
 mr_relay_task_ready (const MrRelayTask *task)
@@ -64,22 +70,22 @@
 S_announce (MrRelayTask *task)
 {
   gboolean ready = mr_relay_task_ready (task);
-  if (ready == task->announced || task->stop_at != 0)
+  if ((ready == task->announced && task->load == task->announced_load) || task->stop_at != 0)
     return;
   task->announced = ready;
-  mr_mailbox_post (task->control, &mr_self_message_new (MR_MEMBER_ALIVE, !ready)->base);
+  task->announced_load = task->load;
+  MrSelfMessage *message = mr_self_message_new (MR_MEMBER_ALIVE, !ready);
+  message->load = task->load;
+  mr_mailbox_post (task->control, &message->base);
 }
 
 static void
 S_on_view (MrRelayTask *task, MrView *view)
 {
   MrTime now = mr_now ();
-  guint members = 0;
-  for (guint i = 0; i < view->members->count; i++)
-    if (mr_member_usable (&view->members->members[i]))
-      members++;
-  task->most_members = MAX (task->most_members, members);
-  mr_relay_set_members (task->relay, task->most_members);
+  mr_entry_plan_clear (&task->plan);
+  task->plan = mr_entry_plan (view->members, task->settings->base.name);
+  mr_relay_set_share (task->relay, task->plan.connections, task->plan.allowance);
   S_take_configuration (task, view);
   S_take_targets (task, now, view);
   mr_view_unref (task->view);
@@ -121,6 +127,32 @@
   *next = MIN (*next, MAX (now + step, end - FINISH_TIME));
 }
 
+/* Load in steps of a factor of two, with a gap between up and down, so that news
+ * of it is rare. */
+static void
+S_measure_load (MrRelayTask *task, MrTime now, MrTime *next)
+{
+  if (now < task->load_at)
+    {
+      *next = MIN (*next, task->load_at);
+      return;
+    }
+  guint64 calls = mr_relay_counts (task->relay)->calls;
+  double seconds = (double) (now - task->load_at + LOAD_GAP) / (double) MR_SECOND;
+  double load = (double) (calls - task->load_calls) * CALL_COST / seconds;
+  guint32 step = LOAD_STEP;
+  while (step < load)
+    step *= 2;
+  if (load < LOAD_STEP)
+    step = 0;
+  if (step > task->load || load < task->load * LOAD_DOWN)
+    task->load = step;
+  task->load_calls = calls;
+  task->load_at = now + LOAD_GAP;
+  *next = MIN (*next, task->load_at);
+  S_announce (task);
+}
+
 static void
 S_on_message (MrLoopHost *host, MrMessage *message)
 {
@@ -143,6 +175,7 @@
     next = MIN (next, mr_caller_server_tick (task->metrics, now));
   next = MIN (next, mr_target_client_tick (task->client, now));
   next = MIN (next, mr_relay_tick (task->relay, now));
+  S_measure_load (task, now, &next);
   S_tick_stop (task, now, &next);
   return next;
 }
@@ -181,7 +214,6 @@
   task->dialect = info->dialect;
   task->on_stopped = info->stopped;
   task->user = info->user;
-  task->answers = info->seed;
   task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          (GDestroyNotify) mr_target_record_unref);
   mr_relay_request_init (task);
@@ -196,7 +228,6 @@
           .window = settings->window_ms * MR_MS,
           .ratio = settings->extra_ratio,
           .allowance = settings->extra_allowance,
-          .members = 1,
           .born = mr_now (),
         },
       };
@@ -220,6 +251,7 @@
   mr_caller_server_free (task->metrics);
   mr_target_client_free (task->client);
   mr_relay_free (task->relay);
+  mr_entry_plan_clear (&task->plan);
   mr_view_unref (task->view);
   g_hash_table_unref (task->records);
   g_free (task);
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "caller_server.h"
+#include "entry_plan.h"
 #include "histogram.h"
 #include "message.h"
 #include "relay.h"
@@ -37,7 +38,11 @@
   MrCallerServer *directory;
   MrCallerServer *metrics; /* NULL: not asked for */
   MrView *view;
-  guint most_members;  /* seen; VMs that have left may still count somewhere */
+  MrEntryPlan plan; /* of the view's members */
+  guint32 load;     /* thousandths of a core, in steps */
+  guint32 announced_load;
+  guint64 load_calls;  /* counted when the load was measured */
+  MrTime load_at;      /* next measurement */
   GHashTable *records; /* target id -> MrTargetRecord as told to the relay */
   gboolean announced;  /* told the others that this daemon takes callers */
   gboolean refused_lately;
@@ -45,7 +50,6 @@
   gboolean stopped;
   void (*on_stopped) (void *user);
   void *user;
-  guint32 answers;     /* of the directory, as a seed */
   guint64 served;      /* plain answers, for the sampling of their log lines */
   guint64 statuses[6]; /* answers by hundreds */
   MrHistogram latency; /* of answers with success */
--- a/src/settings.h
+++ b/src/settings.h
@@ -21,6 +21,7 @@
   int max_records;
   int max_connections; /* to targets, all together */
   int max_requests;    /* being served at once */
+  int capacity;        /* thousandths of a core; 0: not known */
   int log_level;       /* syslog: 3 error to 7 debug */
   gboolean check;      /* check the settings and exit */
 } MrSettings;
--- a/src/spread.c
+++ b/src/spread.c
@@ -14,6 +14,7 @@
   MrRegistry *registry;
   char *self;
   GHashTable *asked;    /* "<kind>/<name>" -> MrTime* of the last GET */
+  GHashTable *missing;  /* "<kind>/<name>" of a peer's list, not here yet */
   GHashTable *compared; /* member -> MrTime* */
   gboolean synced;
 };
@@ -26,6 +27,7 @@
   spread->registry = registry;
   spread->self = g_strdup (self);
   spread->asked = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  spread->missing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   spread->compared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return spread;
 }
@@ -36,6 +38,7 @@
   if (!spread)
     return;
   g_hash_table_unref (spread->asked);
+  g_hash_table_unref (spread->missing);
   g_hash_table_unref (spread->compared);
   g_free (spread->self);
   g_free (spread);
@@ -66,6 +69,16 @@
       spread->host->send (spread->host, names[i], mr_wire_news (spread->self, &news, 1));
 }
 
+/* A list of more than one object is all that its sender holds: with the last of
+ * it this daemon knows what a peer knows. */
+static void
+S_note_arrival (MrSpread *spread, MrObjectKind kind, MrText name)
+{
+  g_autofree char *key = g_strdup_printf ("%d/%.*s", (int) kind, (int) name.len, name.data);
+  if (g_hash_table_remove (spread->missing, key) && g_hash_table_size (spread->missing) == 0)
+    spread->synced = TRUE;
+}
+
 MrOffer
 mr_spread_offer (MrSpread *spread,
                  MrObjectKind kind,
@@ -80,6 +93,8 @@
             "%s/%.*s: version %" G_GUINT64_FORMAT " from %s is older than ours; passed over",
             mr_object_kind_name (kind), (int) name.len, name.data, version,
             from ? from : "the platform");
+  if (from)
+    S_note_arrival (spread, kind, name);
   if (offer != MR_OFFER_NEW)
     return offer;
   g_autofree char *key = mr_text_dup (name);
@@ -97,6 +112,8 @@
       const MrNews *news = &message->news[i];
       if (news->version <= mr_registry_version (spread->registry, news->kind, news->name))
         continue;
+      if (message->news_count > 1 && !spread->synced)
+        g_hash_table_add (spread->missing, g_strdup_printf ("%d/%s", (int) news->kind, news->name));
       g_autofree char *key =
           g_strdup_printf ("%d/%s/%" G_GUINT64_FORMAT, (int) news->kind, news->name, news->version);
       if (g_hash_table_size (spread->asked) > MR_TARGETS_MAX)
--- a/src/watch.c
+++ b/src/watch.c
@@ -32,6 +32,35 @@
   return rank;
 }
 
+static gboolean
+S_can_watch (const MrMember *member)
+{
+  return member->state == MR_MEMBER_ALIVE && !member->cut_off;
+}
+
+bool
+mr_watch_relay (const MrMemberList *members, const char *self)
+{
+  const MrMember *own = mr_member_list_find (members, self);
+  if (!own)
+    return true;
+  g_autoptr (GHashTable) domains = g_hash_table_new (g_str_hash, g_str_equal);
+  guint before = 0;
+  g_hash_table_add (domains, (gpointer) own->domain);
+  for (guint i = 0; i < members->count; i++)
+    {
+      const MrMember *member = &members->members[i];
+      if (member == own || !S_can_watch (member))
+        continue;
+      g_hash_table_add (domains, (gpointer) member->domain);
+      if (g_str_equal (member->domain, own->domain) && S_score (member) > S_score (own))
+        before++;
+    }
+  guint count = g_hash_table_size (domains);
+  guint most = (MR_RELAY_WATCHERS + count - 1) / count;
+  return before < most;
+}
+
 void
 mr_watch_ended (MrWatch *watch, MrTime now, gboolean success, gboolean watcher, double jitter)
 {
--- a/src/watch.h
+++ b/src/watch.h
@@ -12,13 +12,21 @@
 
 enum
 {
-  MR_WATCHERS = 2 /* in each failure domain */
+  MR_WATCHERS = 2, /* in each failure domain */
+  /* Of relays, which tell each other at once when one is cut off: one a failure
+   * domain, and this many in all where there are fewer domains. */
+  MR_RELAY_WATCHERS = 3,
 };
 
 /* Place of @self among the usable members of its failure domain, from 0;
  * under MR_WATCHERS it watches. */
 guint mr_watch_rank (const MrMemberList *members, const char *self);
 
+/* TRUE if a relay's @self is to hold the watches: the first of each failure
+ * domain among those that reach the platform, and more where there are fewer
+ * domains than MR_RELAY_WATCHERS. */
+bool mr_watch_relay (const MrMemberList *members, const char *self);
+
 /* One repeated call to the platform. */
 typedef struct
 {
--- a/src/wire.c
+++ b/src/wire.c
@@ -53,8 +53,10 @@
   msgpack_pack_int (p, member->http_port);
   S_pack_string (p, member->domain);
   S_pack_string (p, member->region);
-  msgpack_pack_int (p, (int) member->state | (member->busy ? 8 : 0));
+  msgpack_pack_int (p, (int) member->state | (member->busy ? 8 : 0) | (member->cut_off ? 16 : 0));
   msgpack_pack_uint32 (p, member->refutations);
+  msgpack_pack_uint32 (p, member->capacity);
+  msgpack_pack_uint32 (p, member->load);
 }
 
 GString *
--- a/src/wire.h
+++ b/src/wire.h
@@ -12,9 +12,9 @@
 
 enum
 {
-  MR_WIRE_VERSION = 1,
+  MR_WIRE_VERSION = 2,
   MR_WIRE_MAX = 4 * 1024 * 1024, /* bytes of a message */
-  MR_WIRE_MEMBER_FIELDS = 9,     /* of a member's entry */
+  MR_WIRE_MEMBER_FIELDS = 11,    /* of a member's entry */
 };
 
 /* First field of every message. */
--- a/src/wire_decode.c
+++ b/src/wire_decode.c
@@ -113,10 +113,13 @@
   member->http_port = (int) S_unsigned (&r, 65535);
   S_string (&r, member->domain, sizeof member->domain);
   S_string (&r, member->region, sizeof member->region);
-  guint64 state = S_unsigned (&r, 15);
+  guint64 state = S_unsigned (&r, 31);
   member->busy = (state & 8) != 0;
+  member->cut_off = (state & 16) != 0;
   member->state = (MrMemberState) (state & 7);
   member->refutations = (guint32) S_unsigned (&r, G_MAXUINT32);
+  member->capacity = (guint32) S_unsigned (&r, G_MAXUINT32);
+  member->load = (guint32) S_unsigned (&r, G_MAXUINT32);
   if (r.bad || member->state > MR_MEMBER_DEAD || member->name[0] == '\0')
     list->bad = TRUE;
 }
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -483,12 +483,12 @@
         .budget = { .window = WINDOW_US,
                     .ratio = RATIO_PERCENT / 100.0,
                     .allowance = ALLOWANCE,
-                    .members = w->plan->daemons,
+                    .share = 1.0 / w->plan->daemons,
                     .born = 0 },
       };
       *daemon = (Daemon){ .host = host, .world = w, .index = i, .tick_at = MR_NEVER };
       daemon->relay = mr_relay_new (&daemon->host, &info);
-      mr_relay_set_members (daemon->relay, w->plan->daemons);
+      mr_relay_set_share (daemon->relay, 1 / (1.5 * w->plan->daemons), 1.0 / w->plan->daemons);
     }
 }
 
