--- a/src/relay.c
+++ b/src/relay.c
@@ -1,6 +1,7 @@
 #include "relay_private.h"
 
 #include "log.h"
+#include "safeguard.h"
 
 enum
 {
@@ -489,7 +490,7 @@
 mr_relay_finish (MrRelay *r, MrTime now, MrRelayWork *work, MrVerdict verdict)
 {
   /* "Not run" is a promise: a call that is still out may yet run. */
-  gboolean may_run = work->ran || S_has_open_call (work);
+  gboolean may_run = (work->ran || S_has_open_call (work)) && MR_SAFEGUARD (MR_GUARD_NOT_RUN);
   if (verdict == MR_VERDICT_REFUSED && may_run)
     verdict = MR_VERDICT_FAILED;
   if (verdict == MR_VERDICT_TIMEOUT && !may_run)
@@ -650,7 +651,9 @@
     r->host->free_answer (answer);
   if (mr_relay_job_calls (job) > 0)
     return;
-  if (!work->route->repeatable && !S_not_run (outcome))
+  /* A connection that broke says nothing: the target may have run the request
+   * and lost only the answer. */
+  if (!work->route->repeatable && !S_not_run (outcome) && MR_SAFEGUARD (MR_GUARD_NOT_RUN))
     {
       mr_relay_end_job (r, now, job, MR_CAUSE_BROKEN);
       return;
--- /dev/null
+++ b/test/prop_relay.cpp
@@ -0,0 +1,186 @@
+// Promises of the relay under generated troubles, on a virtual clock.
+//
+// What callers and targets would see: an order that runs twice, "not run" said
+// of a request that ran, targets asked more often than the fleet may, a target
+// that leaves and still gets work, answers that count their shards wrongly.
+
+#include "core.hpp"
+
+extern "C"
+{
+#include "relay_world.h"
+}
+
+#include <cstdio>
+
+namespace
+{
+
+guint32
+pick (GRand *random, guint32 below)
+{
+  return (guint32) g_rand_int_range (random, 0, (gint32) below);
+}
+
+WorldEvent
+trouble (GRand *random, guint targets)
+{
+  static const WorldTrouble kinds[] = { WORLD_GONE,   WORLD_DARK,  WORLD_REFUSES, WORLD_SLOW,
+                                        WORLD_ERRORS, WORLD_SHEDS, WORLD_BREAKS,  WORLD_LEAVES };
+  WorldEvent event = {};
+  event.trouble = kinds[pick (random, G_N_ELEMENTS (kinds))];
+  event.first = pick (random, targets);
+  event.last = event.first + pick (random, targets - event.first);
+  event.every = 1 + pick (random, 3);
+  event.from_ms = 1000 + pick (random, 2000);
+  event.to_ms = event.trouble == WORLD_GONE || event.trouble == WORLD_LEAVES
+                    ? 0
+                    : event.from_ms + pick (random, 2500);
+  event.factor = event.trouble == WORLD_SLOW ? 2 + pick (random, 20) : g_rand_double (random);
+  return event;
+}
+
+// A small fleet with one to four troubles that overlap.
+WorldPlan
+schedule (guint32 seed)
+{
+  GRand *random = g_rand_new_with_seed (seed);
+  WorldPlan p = {};
+  p.seed = seed;
+  p.daemons = 1 + pick (random, 3);
+  p.shards = 2 + pick (random, 4);
+  p.replicas = 1 + pick (random, 3);
+  p.slots = 1 + pick (random, 4);
+  p.queue = pick (random, 6);
+  p.connections = 12;
+  p.pause_ms = pick (random, 2) * 250;
+  p.pause_gap_ms = 2000;
+  p.seconds = 2.5;
+  p.give_up = pick (random, 2) * 0.2;
+  p.attempts = 1 + pick (random, 3);
+  p.routes[0] = WorldRoute{ 25, 10, 100, 700, 0.6, 1, false };
+  p.routes[1] = WorldRoute{ 15, 30, 300, 1500, 0, 0, true };
+  p.routes[2] = WorldRoute{ 10, 30, 300, 1500, 0, 2, false };
+  guint troubles = 1 + pick (random, 4);
+  for (guint i = 0; i < troubles; i++)
+    p.events[i] = trouble (random, p.shards * p.replicas);
+  g_rand_free (random);
+  return p;
+}
+
+// Half of the targets break off half of their calls, for long enough to show
+// in a window, with more asking than the budget repairs.
+WorldPlan
+outage (guint32 seed)
+{
+  WorldPlan p = schedule (seed);
+  p.daemons = 3;
+  p.shards = 1;
+  p.replicas = 3;
+  p.slots = 20;
+  p.queue = 20;
+  p.connections = 60;
+  p.attempts = 3;
+  p.seconds = 6;
+  p.routes[0] = WorldRoute{ 0, 0, 0, 0, 0, 0, false };
+  p.routes[0] = WorldRoute{ 120, 5, 100, 700, 0.6, 1, false };
+  p.routes[1].per_second = 0;
+  for (auto &event : p.events)
+    event = WorldEvent{};
+  p.events[0] = WorldEvent{ WORLD_BREAKS, 0, 2, 1, 1000, 0, 0.7 };
+  return p;
+}
+
+// A target is listed as leaving while it could still work, and stays.
+WorldPlan
+leaving (guint32 seed)
+{
+  WorldPlan p = schedule (seed);
+  p.seconds = 5;
+  p.replicas = 3;
+  for (auto &event : p.events)
+    event = WorldEvent{};
+  p.events[0] = WorldEvent{ WORLD_LEAVES, 0, 0, 1, 1100, 0, 0 };
+  return p;
+}
+
+guint
+broken_rules (const WorldResult &r)
+{
+  return r.worst_window_extra + r.ran_twice + r.false_not_run + r.over_attempts + r.after_leaving +
+         r.longer_than_left + r.unanswered + r.late_verdicts + r.after_gone + r.shards_wrong;
+}
+
+WorldResult
+run (const WorldPlan &plan)
+{
+  WorldResult r;
+  world_run (&plan, &r);
+  return r;
+}
+
+template <typename Count>
+bool
+fails_without (const char *what, MrGuard guard, WorldPlan (*make) (guint32), Count count)
+{
+  GuardOff off (guard);
+  int seed = 1;
+  while (seed <= 400 && count (run (make ((guint32) seed))) == 0)
+    seed++;
+  std::printf ("without the safeguard '%s': %s at schedule %d\n", what,
+               seed <= 400 ? "broken" : "NOT BROKEN", seed);
+  return seed <= 400;
+}
+
+} // namespace
+
+int
+main ()
+{
+  mr_log_set_level ((MrLogLevel) 0);
+  guint64 asked = 0;
+  guint64 extra = 0;
+  bool ok = rc::check ("the relay's promises hold under generated troubles", [&] {
+    // Ten schedules a case: 10,000 a run at RapidCheck's 1,000 cases.
+    auto base = *rc::gen::inRange<guint32> (0, 1U << 30);
+    for (guint32 i = 0; i < 10; i++)
+      {
+        WorldResult r = run (schedule (base + i));
+        for (const auto &kind : r.kinds)
+          asked += kind.asked;
+        extra += r.extra_calls;
+        RC_ASSERT (r.ran_twice == 0U);
+        RC_ASSERT (r.false_not_run == 0U);
+        RC_ASSERT (r.worst_window_extra == 0U);
+        RC_ASSERT (r.over_attempts == 0U);
+        RC_ASSERT (r.after_leaving == 0U);
+        RC_ASSERT (r.longer_than_left == 0U);
+        RC_ASSERT (r.unanswered == 0U);
+        RC_ASSERT (r.late_verdicts == 0U);
+        RC_ASSERT (r.after_gone == 0U);
+        RC_ASSERT (r.shards_wrong == 0U);
+      }
+  });
+  for (guint32 seed = 1; seed <= 50; seed++)
+    {
+      guint count = broken_rules (run (outage (seed))) + broken_rules (run (leaving (seed)));
+      if (count > 0)
+        std::printf ("outage or leaving %u: %u broken\n", seed, count);
+      ok = ok && count == 0;
+    }
+  std::printf ("%" G_GUINT64_FORMAT " requests, %" G_GUINT64_FORMAT " second sends\n", asked,
+               extra);
+  ok = fails_without ("not run", MR_GUARD_NOT_RUN, schedule,
+                      [] (const WorldResult &r) { return r.false_not_run; }) &&
+       ok;
+  ok = fails_without ("not run, orders", MR_GUARD_NOT_RUN, schedule,
+                      [] (const WorldResult &r) { return r.ran_twice; }) &&
+       ok;
+  ok = fails_without ("retry budget", MR_GUARD_RETRY_BUDGET, outage,
+                      [] (const WorldResult &r) { return r.worst_window_extra; }) &&
+       ok;
+  ok = fails_without ("leaving", MR_GUARD_LEAVING, leaving,
+                      [] (const WorldResult &r) { return r.after_leaving; }) &&
+       ok;
+  return ok ? 0 : 1;
+}
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -180,18 +180,37 @@
     target->pause_at += S_ms (w->plan->pause_gap_ms);
 }
 
+/* What a target sees: the first call of a request, or one more. */
+static void
+S_note_arrival (World *w, const Call *call)
+{
+  Ask *ask = call->ask;
+  guint shard = call->target->shard;
+  if (ask->sends[shard]++ > 0)
+    {
+      w->result->extra_calls++;
+      g_array_append_val (w->ledgers[shard].extras, w->now);
+    }
+  else
+    w->result->first_calls++;
+  if (ask->sends[shard] > w->plan->attempts)
+    w->result->over_attempts++;
+}
+
 static void
 S_on_reach (World *w, Call *call)
 {
   Target *target = call->target;
   S_note_pause (w, target);
-  if (call->dropped)
-    return;
-  if (target->trouble == WORLD_DARK)
+  if (call->dropped || target->trouble == WORLD_DARK)
     return;
   if (target->trouble == WORLD_REFUSES || target->trouble == WORLD_GONE)
-    S_reply (w, call, MR_CALL_NOT_CONNECTED);
-  else if (target->trouble == WORLD_SHEDS && g_rand_double (w->random) < target->factor)
+    {
+      S_reply (w, call, MR_CALL_NOT_CONNECTED);
+      return;
+    }
+  S_note_arrival (w, call);
+  if (target->trouble == WORLD_SHEDS && g_rand_double (w->random) < target->factor)
     S_reply (w, call, MR_CALL_SHED);
   else if (target->busy < w->plan->slots)
     S_start_work (w, target, call);
@@ -253,15 +272,6 @@
     w->result->longer_than_left++;
   if (target->leaving_at && w->now > target->leaving_at + LEAVING_US)
     w->result->after_leaving++;
-  if (ask->sends[target->shard]++ > 0)
-    {
-      w->result->extra_calls++;
-      g_array_append_val (w->ledgers[target->shard].extras, w->now);
-    }
-  else
-    w->result->first_calls++;
-  if (ask->sends[target->shard] > w->plan->attempts)
-    w->result->over_attempts++;
   S_at (w, w->now + ONE_WAY_US, EVENT_REACH, call, 0);
 }
 
--- /dev/null
+++ b/test/test_fleet_shares.c
@@ -0,0 +1,273 @@
+/* What each daemon may use of what the fleet shares: second sends, connections,
+ * callers, calls to the platform. */
+
+#include "budget.h"
+#include "entry_plan.h"
+#include "merge_records.h"
+#include "timers.h"
+#include "watch.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+enum
+{
+  WINDOW = 10, /* seconds */
+};
+
+static const MrWindowTerms terms = {
+  .window = WINDOW * MR_SECOND, .ratio = 0.2, .allowance = 60, .share = 1.0 / 6, .born = MR_SECOND
+};
+
+/* Callers see nothing of it, targets do: an outage turns every call into a
+ * second send.  Six daemons spend as fast as they may; in no window may the sum
+ * go over the ratio of the requests and the allowance. */
+static void
+test_window (void **state)
+{
+  enum
+  {
+    DAEMONS = 6,
+    STEPS = 6000, /* of 10 ms */
+  };
+  (void) state;
+  MrWindowBudget budgets[DAEMONS] = { 0 };
+  guint spent[STEPS] = { 0 };
+  guint requests[STEPS] = { 0 };
+  for (guint step = 0; step < STEPS; step++)
+    for (guint i = 0; i < DAEMONS; i++)
+      {
+        MrTime now = MR_SECOND + step * 10 * MR_MS;
+        if ((step / 500 + i) % 3 != 0) /* callers come and go */
+          {
+            mr_window_budget_request (&budgets[i], &terms, now);
+            requests[step]++;
+          }
+        while (mr_window_budget_spend (&budgets[i], &terms, now, 1))
+          spent[step]++;
+      }
+  const guint steps = WINDOW * 100;
+  guint most = 0;
+  for (guint end = steps; end <= STEPS; end++)
+    {
+      guint extra = 0;
+      guint asked = 0;
+      for (guint step = end - steps; step < end; step++)
+        {
+          extra += spent[step];
+          asked += requests[step];
+        }
+      if (extra > terms.ratio * asked + terms.allowance)
+        fail_msg ("window that ends at step %u: %u second sends for %u requests", end, extra,
+                  asked);
+      most = MAX (most, extra);
+    }
+  assert_true (most > 400); /* of 800 and the allowance: it is a bound, not a ban */
+}
+
+/* A process that is killed every second and starts anew has no memory of what
+ * it spent; its share of the allowance grows over a window. */
+static void
+test_restarts (void **state)
+{
+  (void) state;
+  guint extra = 0;
+  for (guint life = 0; life < WINDOW; life++)
+    {
+      MrWindowBudget budget = { 0 };
+      MrWindowTerms reborn = terms;
+      reborn.born = (life + 1) * MR_SECOND;
+      for (guint step = 0; step < 100; step++)
+        while (mr_window_budget_spend (&budget, &reborn, reborn.born + step * 10 * MR_MS, 1))
+          extra++;
+    }
+  assert_true (extra <= terms.allowance * terms.share);
+}
+
+static MrMember
+S_member (guint index, guint domains, guint32 capacity)
+{
+  MrMember member = { .http_port = 80, .capacity = capacity };
+  g_snprintf (member.name, sizeof member.name, "m%u", index);
+  g_snprintf (member.domain, sizeof member.domain, "d%u", index % domains);
+  g_snprintf (member.ip, sizeof member.ip, "10.0.0.%u", index);
+  return member;
+}
+
+typedef struct
+{
+  const char *name;
+  guint members;
+  guint domains;
+  guint32 load; /* of each */
+  guint dead;   /* the first ones */
+  guint entries;
+} PlanCase;
+
+static void
+test_entries (void **state)
+{
+  static const PlanCase cases[] = {
+    { "a small site: all", 6, 3, 0, 0, 6 },  { "one more waits", 7, 3, 0, 0, 6 },
+    { "a large site: few", 71, 3, 0, 0, 6 }, { "a large site with load", 71, 3, 32, 0, 23 },
+    { "two of six dead", 6, 3, 0, 2, 4 },    { "all dead but one", 6, 3, 0, 5, 1 },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const PlanCase *c = &cases[i];
+      g_autofree MrMember *members = g_new0 (MrMember, c->members);
+      for (guint m = 0; m < c->members; m++)
+        {
+          members[m] = S_member (m, c->domains, 250);
+          members[m].load = c->load;
+          members[m].state = m < c->dead ? MR_MEMBER_DEAD : MR_MEMBER_ALIVE;
+        }
+      MrMemberList *list = mr_member_list_new (members, c->members);
+      double connections = 0;
+      double allowance = 0;
+      for (guint m = c->dead; m < c->members; m++)
+        {
+          MrEntryPlan plan = mr_entry_plan (list, members[m].name);
+          if (plan.entries->len != c->entries)
+            fail_msg ("%s: %u entries, expected %u", c->name, plan.entries->len, c->entries);
+          connections += plan.connections;
+          allowance += plan.allowance;
+          mr_entry_plan_clear (&plan);
+        }
+      if (connections > 1 || allowance > 1.0001 || allowance < 0.99)
+        fail_msg ("%s: shares add up to %.3f and %.3f", c->name, connections, allowance);
+      mr_member_list_unref (list);
+    }
+}
+
+/* The loss of a failure domain must not take most of the entries, and large VMs
+ * come first. */
+static void
+test_entries_spread (void **state)
+{
+  enum
+  {
+    MEMBERS = 60
+  };
+  (void) state;
+  MrMember members[MEMBERS];
+  for (guint m = 0; m < MEMBERS; m++)
+    members[m] = S_member (m, 3, m < 6 ? 500 : 120);
+  MrMemberList *list = mr_member_list_new (members, MEMBERS);
+  MrEntryPlan plan = mr_entry_plan (list, "m0");
+  guint domains[3] = { 0 };
+  for (guint i = 0; i < plan.entries->len; i++)
+    {
+      const MrMember *member = g_ptr_array_index (plan.entries, i);
+      domains[member->domain[1] - '0']++;
+      assert_int_equal (member->capacity, 500);
+    }
+  for (guint i = 0; i < 3; i++)
+    assert_int_equal (domains[i], 2);
+  assert_true (plan.is_entry);
+  mr_entry_plan_clear (&plan);
+  mr_member_list_unref (list);
+}
+
+/* The operators' change is not in force for seconds: all who watch are cut off
+ * from the store at once, and nobody else asks it.  Each who loses it says so,
+ * and the next in rank watches. */
+static void
+test_relay_watchers (void **state)
+{
+  enum
+  {
+    MEMBERS = 9
+  };
+  (void) state;
+  MrMember members[MEMBERS];
+  for (guint m = 0; m < MEMBERS; m++)
+    members[m] = S_member (m, 3, 250);
+  for (guint cut = 0; cut < MEMBERS; cut++)
+    {
+      MrMemberList *list = mr_member_list_new (members, MEMBERS);
+      guint healthy = 0;
+      for (guint m = 0; m < MEMBERS; m++)
+        if (mr_watch_relay (list, members[m].name) && !members[m].cut_off)
+          healthy++;
+      assert_true (healthy >= 1);
+      assert_true (healthy <= MR_RELAY_WATCHERS + 1); /* rounded up in each domain */
+      if (cut == 0)
+        assert_int_equal (healthy, MR_RELAY_WATCHERS);
+      /* The next to be cut off is one that watches now. */
+      for (guint m = 0; m < MEMBERS; m++)
+        if (mr_watch_relay (list, members[m].name) && !members[m].cut_off)
+          {
+            members[m].cut_off = TRUE;
+            break;
+          }
+      mr_member_list_unref (list);
+    }
+}
+
+static void
+test_merge (void **state)
+{
+  (void) state;
+  const MrText parts[] = {
+    MR_TEXT ("b000000000000000a000000000000000"),
+    MR_TEXT ("c000000000000000b000000000000000short"),
+    { 0 },
+  };
+  g_autoptr (GString) most = mr_merge_records (parts, 3, 3);
+  assert_string_equal (most->str, "c000000000000000b000000000000000b000000000000000");
+  g_autoptr (GString) all = mr_merge_records (parts, 3, 50);
+  assert_int_equal (all->len, 4 * MR_RECORD_BYTES);
+  g_autoptr (GString) none = mr_merge_records (parts, 3, 0);
+  assert_int_equal (none->len, 0);
+}
+
+/* A heap against sorting: 2,000 timers set, moved and removed at random. */
+static void
+test_timers (void **state)
+{
+  enum
+  {
+    TIMERS = 200
+  };
+  (void) state;
+  MrTimers *timers = mr_timers_new ();
+  MrTimer items[TIMERS] = { 0 };
+  GRand *random = g_rand_new_with_seed (7);
+  for (guint i = 0; i < 2000; i++)
+    {
+      MrTimer *timer = &items[g_rand_int_range (random, 0, TIMERS)];
+      gboolean remove = g_rand_int_range (random, 0, 4) == 0;
+      mr_timers_set (timers, timer, remove ? MR_NEVER : g_rand_int_range (random, 0, 1000));
+    }
+  guint left = 0;
+  for (guint i = 0; i < TIMERS; i++)
+    left += items[i].place > 0;
+  MrTime before = 0;
+  for (MrTimer *timer = mr_timers_pop (timers, 1000); timer; timer = mr_timers_pop (timers, 1000))
+    {
+      assert_true (timer->due >= before);
+      before = timer->due;
+      left--;
+    }
+  assert_int_equal (left, 0);
+  assert_true (mr_timers_next (timers) == MR_NEVER);
+  g_rand_free (random);
+  mr_timers_free (timers);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_window),         cmocka_unit_test (test_restarts),
+    cmocka_unit_test (test_entries),        cmocka_unit_test (test_entries_spread),
+    cmocka_unit_test (test_relay_watchers), cmocka_unit_test (test_merge),
+    cmocka_unit_test (test_timers),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/test/test_http_message.c
@@ -0,0 +1,180 @@
+/* Framing of HTTP messages: what is read as one message, and what is refused
+ * because two readers could take it for different ones. */
+
+#include "http_message.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+typedef struct
+{
+  const char *name;
+  MrHttpKind kind;
+  const char *bytes;
+  MrHttpState state;
+  const char *body;
+  const char *rest; /* bytes that belong to no message */
+} Case;
+
+#define GET "GET /a HTTP/1.1\r\nHost: h\r\n"
+#define POST "POST /a HTTP/1.1\r\nHost: h\r\n"
+#define OK "HTTP/1.1 200 OK\r\n"
+
+static const Case cases[] = {
+  { "plain", MR_HTTP_REQUEST, GET "\r\n", MR_HTTP_DONE, "", "" },
+  { "body with a length", MR_HTTP_REQUEST, POST "Content-Length: 3\r\n\r\nabc", MR_HTTP_DONE, "abc",
+    "" },
+  { "chunks", MR_HTTP_REQUEST,
+    POST "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", MR_HTTP_DONE, "abc",
+    "" },
+  { "a second request behind the first", MR_HTTP_REQUEST, GET "\r\n" GET "\r\n", MR_HTTP_DONE, "",
+    GET "\r\n" },
+  { "behind chunks", MR_HTTP_REQUEST, POST "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET",
+    MR_HTTP_DONE, "", "GET" },
+  { "an empty line before it", MR_HTTP_REQUEST, "\r\n" GET "\r\n", MR_HTTP_DONE, "", "" },
+  { "half a head", MR_HTTP_REQUEST, GET, MR_HTTP_HEAD, "", "" },
+  { "half a body", MR_HTTP_REQUEST, POST "Content-Length: 3\r\n\r\nab", MR_HTTP_BODY, "ab", "" },
+  { "length and chunks", MR_HTTP_REQUEST,
+    POST "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", MR_HTTP_BAD, "",
+    NULL },
+  { "two lengths", MR_HTTP_REQUEST, POST "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    MR_HTTP_BAD, "", NULL },
+  { "the same length twice", MR_HTTP_REQUEST,
+    POST "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc", MR_HTTP_BAD, "", NULL },
+  { "signed length", MR_HTTP_REQUEST, POST "Content-Length: +3\r\n\r\nabc", MR_HTTP_BAD, "", NULL },
+  { "list of lengths", MR_HTTP_REQUEST, POST "Content-Length: 3, 3\r\n\r\nabc", MR_HTTP_BAD, "",
+    NULL },
+  { "space before the colon", MR_HTTP_REQUEST, POST "Content-Length : 3\r\n\r\nabc", MR_HTTP_BAD,
+    "", NULL },
+  { "unknown coding", MR_HTTP_REQUEST, POST "Transfer-Encoding: gzip\r\n\r\nabc", MR_HTTP_BAD, "",
+    NULL },
+  { "chunked is not last", MR_HTTP_REQUEST,
+    POST "Transfer-Encoding: chunked, identity\r\n\r\n0\r\n\r\n", MR_HTTP_BAD, "", NULL },
+  { "odd chunk size", MR_HTTP_REQUEST, POST "Transfer-Encoding: chunked\r\n\r\n0x2\r\nab\r\n",
+    MR_HTTP_BAD, "", NULL },
+  { "chunk longer than its size", MR_HTTP_REQUEST,
+    POST "Transfer-Encoding: chunked\r\n\r\n1\r\nab\r\n", MR_HTTP_BAD, "", NULL },
+  { "bare line feed ends a line", MR_HTTP_REQUEST, "GET /a HTTP/1.1\nHost: h\r\n\r\n", MR_HTTP_BAD,
+    "", NULL },
+  { "bare line feed hides a field", MR_HTTP_REQUEST, GET "A: b\nContent-Length: 3\r\n\r\n",
+    MR_HTTP_BAD, "", NULL },
+  { "bare carriage return", MR_HTTP_REQUEST, GET "A: b\rC: d\r\n\r\n", MR_HTTP_BAD, "", NULL },
+  { "folded line", MR_HTTP_REQUEST, GET "A: b\r\n c\r\n\r\n", MR_HTTP_BAD, "", NULL },
+  { "no host", MR_HTTP_REQUEST, "GET /a HTTP/1.1\r\n\r\n", MR_HTTP_BAD, "", NULL },
+  { "two hosts", MR_HTTP_REQUEST, GET "Host: i\r\n\r\n", MR_HTTP_BAD, "", NULL },
+  { "no path", MR_HTTP_REQUEST, "GET a HTTP/1.1\r\nHost: h\r\n\r\n", MR_HTTP_BAD, "", NULL },
+  { "tunnel", MR_HTTP_REQUEST, "CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n", MR_HTTP_BAD, "", NULL },
+  { "no HTTP", MR_HTTP_REQUEST, "\x16\x03\x01\x02\r\n\r\n", MR_HTTP_BAD, "", NULL },
+  { "head over the limit", MR_HTTP_REQUEST,
+    GET "A: 0123456789012345678901234567890123456789012345678901234567890123456789\r\n\r\n",
+    MR_HTTP_HEAD_BIG, "", NULL },
+  { "body over the limit", MR_HTTP_REQUEST, POST "Content-Length: 17\r\n\r\n", MR_HTTP_BODY_BIG, "",
+    NULL },
+  { "chunks over the limit", MR_HTTP_REQUEST,
+    POST "Transfer-Encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n1\r\nx\r\n", MR_HTTP_BODY_BIG,
+    NULL, NULL },
+
+  { "answer", MR_HTTP_RESPONSE, OK "Content-Length: 2\r\n\r\nab", MR_HTTP_DONE, "ab", "" },
+  { "bytes behind an answer", MR_HTTP_RESPONSE, OK "Content-Length: 2\r\n\r\nabX", MR_HTTP_DONE,
+    "ab", "X" },
+  { "answer cut short", MR_HTTP_RESPONSE, OK "Content-Length: 3\r\n\r\nab", MR_HTTP_BODY, "ab",
+    "" },
+  { "answer without a length", MR_HTTP_RESPONSE, OK "\r\nab", MR_HTTP_BODY, "ab", "" },
+  { "answer without content", MR_HTTP_RESPONSE, "HTTP/1.1 204 No Content\r\n\r\n", MR_HTTP_DONE, "",
+    "" },
+  { "interim answer first", MR_HTTP_RESPONSE,
+    "HTTP/1.1 100 Continue\r\n\r\n" OK "Content-Length: 1\r\n\r\na", MR_HTTP_DONE, "a", "" },
+  { "answer that is none", MR_HTTP_RESPONSE, "garbage\r\n\r\n", MR_HTTP_BAD, "", NULL },
+};
+
+static const MrHttpLimits limits = { .head = 100, .body = 16 };
+
+static void
+S_check (const Case *c, const MrHttpParser *p, gsize used, const char *how)
+{
+  if (mr_http_parser_state (p) != c->state)
+    fail_msg ("%s, %s: state %d, expected %d", c->name, how, mr_http_parser_state (p), c->state);
+  if (c->rest && !g_str_equal (c->bytes + used, c->rest))
+    fail_msg ("%s, %s: '%s' is left, expected '%s'", c->name, how, c->bytes + used, c->rest);
+  if (c->body && c->state <= MR_HTTP_DONE &&
+      !mr_text_equal (mr_http_parser_body (p), mr_text (c->body)))
+    fail_msg ("%s, %s: wrong body", c->name, how);
+}
+
+/* In one piece and byte by byte: where a read ends must change nothing. */
+static void
+test_messages (void **state)
+{
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const Case *c = &cases[i];
+      MrHttpParser *p = mr_http_parser_new (c->kind);
+      mr_http_parser_set_limits (p, limits);
+      S_check (c, p, mr_http_parser_feed (p, mr_text (c->bytes)), "in one piece");
+      mr_http_parser_reset (p);
+      gsize used = 0;
+      while (c->bytes[used] && mr_http_parser_state (p) < MR_HTTP_DONE)
+        used += mr_http_parser_feed (p, (MrText){ .data = c->bytes + used, .len = 1 });
+      S_check (c, p, used, "byte by byte");
+      mr_http_parser_free (p);
+    }
+}
+
+/* A body that runs to the end of its connection is whole only if the connection
+ * ended in order; every other message is cut short by any end. */
+static void
+test_end (void **state)
+{
+  static const struct
+  {
+    const char *bytes;
+    MrHttpState state;
+  } ends[] = {
+    { OK "\r\nab", MR_HTTP_DONE },
+    { OK "Content-Length: 3\r\n\r\nab", MR_HTTP_BAD },
+    { OK "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", MR_HTTP_BAD },
+    { OK, MR_HTTP_HEAD },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      MrHttpParser *p = mr_http_parser_new (MR_HTTP_RESPONSE);
+      mr_http_parser_feed (p, mr_text (ends[i].bytes));
+      mr_http_parser_finish (p);
+      gboolean done = mr_http_parser_state (p) == MR_HTTP_DONE;
+      assert_int_equal (done, ends[i].state == MR_HTTP_DONE);
+      mr_http_parser_free (p);
+    }
+}
+
+static void
+test_fields (void **state)
+{
+  (void) state;
+  MrHttpParser *p = mr_http_parser_new (MR_HTTP_REQUEST);
+  guint count = 0;
+  mr_http_parser_feed (p, MR_TEXT (GET "X-A:  one \r\nx-a: two\r\nConnection: close, X-Hop\r\n"
+                                       "X-Hop: 1\r\nTE: trailers\r\n\r\n"));
+  assert_true (mr_text_equal (mr_http_parser_find (p, "X-A", &count), MR_TEXT ("one")));
+  assert_int_equal (count, 2);
+  assert_false (mr_http_parser_keep_alive (p));
+  assert_true (mr_http_parser_is_hop_field (p, MR_TEXT ("x-hop")));
+  assert_true (mr_http_parser_is_hop_field (p, MR_TEXT ("te")));
+  assert_false (mr_http_parser_is_hop_field (p, MR_TEXT ("X-A")));
+  mr_http_parser_free (p);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_messages),
+    cmocka_unit_test (test_end),
+    cmocka_unit_test (test_fields),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
