Process tests of the adapter's path with stand-ins written here

A store and searchers of the users' dialect (test/platform/standin.c); what callers see of merged, cut, doubled and refused answers, orders under reset, addresses that changed hands, hostile requests; configuration and targets under lost history, silence and outage of the store, a start in an outage, a planned stop under load.

Finding: on a kept connection a refusal without the caller's id was taken for an answer to somebody else and its request waited for its time limit. Now it ends the call; an answer with content and without an id breaks its connection.

--- a/src/target_client.c
+++ b/src/target_client.c
@@ -205,16 +205,29 @@
   return c->part || status >= SERVER_ERRORS ? MR_CALL_ERROR : MR_CALL_ANSWER;
 }
 
-/* Whether the answer is to the call that is out.  On a connection that carried
- * calls before, a late second answer to one of them can come first. */
-static gboolean
-S_is_ours (const Connection *c, const MrHttpParser *answer)
+typedef enum
+{
+  OWNER_THIS_CALL,
+  OWNER_ANOTHER, /* a late second answer to an earlier call: passed over */
+  OWNER_UNKNOWN, /* the connection is out of step */
+} Owner;
+
+/* Whose answer it is.  On a connection that carried calls before, a late second
+ * answer to one of them can come first; the id it echoes tells. */
+static Owner
+S_owner (const Connection *c, const MrHttpParser *answer)
 {
   guint count = 0;
   MrText echo = mr_http_parser_find (answer, c->client->dialect->request_id, &count);
-  if (count == 0)
-    return !c->used;
-  return count == 1 && mr_text_equal (echo, mr_text (c->request_id));
+  if (count == 1)
+    return mr_text_equal (echo, mr_text (c->request_id)) ? OWNER_THIS_CALL : OWNER_ANOTHER;
+  if (count > 1)
+    return OWNER_UNKNOWN;
+  /* Without an id: the first on its connection can only be ours, and a refusal
+   * has no content that could reach the wrong caller. */
+  gboolean refusal =
+      S_outcome (c, answer) == MR_CALL_SHED || S_outcome (c, answer) == MR_CALL_MISDIRECTED;
+  return !c->used || refusal ? OWNER_THIS_CALL : OWNER_UNKNOWN;
 }
 
 static void
@@ -288,11 +301,17 @@
         }
       if (state != MR_HTTP_DONE)
         return;
-      if (S_is_ours (c, c->parser))
+      Owner owner = S_owner (c, c->parser);
+      if (owner == OWNER_THIS_CALL)
         {
           S_on_answer (c, bytes.len);
           return;
         }
+      if (owner == OWNER_UNKNOWN)
+        {
+          S_break (c, MR_CALL_BROKEN);
+          return;
+        }
       c->client->counts.skipped++;
       mr_http_parser_reset (c->parser);
       mr_http_parser_set_bodiless (c->parser, c->bodiless);
@@ -343,7 +362,7 @@
     }
   if (end == MR_STREAM_FINISHED)
     mr_http_parser_finish (c->parser);
-  if (mr_http_parser_state (c->parser) == MR_HTTP_DONE && S_is_ours (c, c->parser))
+  if (mr_http_parser_state (c->parser) == MR_HTTP_DONE && S_owner (c, c->parser) == OWNER_THIS_CALL)
     {
       S_on_answer (c, 0);
       return;
--- /dev/null
+++ b/test/platform/lib.sh
@@ -0,0 +1,138 @@
+# Helpers of the adapter's process tests: a store, searchers and relays as
+# separate processes on loopback.  Needs: BUILD, the build folder.
+
+STORE=127.0.0.1:18000
+SEARCHER_BASE=18100
+RELAY_BASE=18200 # ten ports each: front, ready, directory, control
+LOGS=$(mktemp -d)
+declare -A PIDS
+
+say() { printf '%s\n' "$*"; }
+
+fail() {
+  printf 'FAILED: %s\n' "$*" >&2
+  tail -n 5 "$LOGS"/r*.log >&2
+  exit 1
+}
+
+start() { # NAME COMMAND...
+  local name=$1
+  shift
+  "$@" >"$LOGS/$name.log" 2>&1 &
+  PIDS[$name]=$!
+}
+
+stop() { # NAME SIGNAL; its exit code
+  kill "-$2" "${PIDS[$1]}" 2>/dev/null
+  wait "${PIDS[$1]}" 2>/dev/null
+  local code=$?
+  unset "PIDS[$1]"
+  return $code
+}
+
+stop_all() {
+  local name
+  for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null; done
+  wait 2>/dev/null
+  rm -rf "$LOGS"
+}
+
+until_true() { # SECONDS COMMAND...
+  local end=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ "$SECONDS" -lt "$end" ] || return 1
+    sleep 0.05
+  done
+}
+
+http() { curl -sS --max-time 5 "$@"; }
+mode() { http -X PUT "http://$1/mode/$2" >/dev/null; } # ADDRESS MODE
+
+searcher_at() { printf '127.0.0.1:%d' $((SEARCHER_BASE + $1)); }
+
+# Announces searcher NUMBER as ID of SERVICE in STATE.
+announce() {
+  http -X PUT "http://$STORE/objects/servers/$2" --data-binary \
+    "{\"service\":\"$3\",\"address\":\"$(searcher_at "$1")\",\"zone\":\"z1\",\"version\":\"v1\",
+      \"slots\":5,\"state\":\"$4\",\"warmup_left_ms\":0,\"seq\":1}" >/dev/null
+}
+
+withdraw() { http -X DELETE "http://$STORE/objects/servers/$1" >/dev/null; } # ID
+
+start_searcher() { # NUMBER ID SERVICE
+  start "s$1" "$BUILD/test/standin" searcher $((SEARCHER_BASE + $1)) "$2"
+  until_true 5 http "http://$(searcher_at "$1")/runs/x" || fail "searcher $1 does not start"
+  announce "$1" "$2" "$3" ready
+}
+
+# configure VERSION SHARDS: routes /all/ over the shards, /one/ (idempotent) and
+# /order/ (not) to the service "a".
+configure() {
+  http -X PUT "http://$STORE/objects/config/main" --data-binary \
+    "{\"version\":$1,\"routes\":[
+      {\"name\":\"all\",\"host\":\"h.test\",\"path_prefix\":\"/all/\",\"kind\":\"safe\",
+       \"timeout_ms\":2000,\"latency_target_ms\":400,\"priority\":1,\"gather\":[$2],
+       \"max_attempts\":2,\"top_k\":4,\"min_shard_share\":0.5},
+      {\"name\":\"one\",\"host\":\"h.test\",\"path_prefix\":\"/one/\",\"kind\":\"safe\",
+       \"timeout_ms\":2000,\"latency_target_ms\":400,\"priority\":0,\"service\":\"a\",
+       \"max_attempts\":2},
+      {\"name\":\"order\",\"host\":\"h.test\",\"path_prefix\":\"/order/\",\"kind\":\"unsafe\",
+       \"timeout_ms\":1000,\"latency_target_ms\":400,\"priority\":0,\"service\":\"a\",
+       \"max_attempts\":2}],
+     \"services\":[{\"name\":\"a\",\"max_conns\":40},{\"name\":\"b\",\"max_conns\":40},
+       {\"name\":\"c\",\"max_conns\":40}],
+     \"limits\":{\"max_header_bytes\":4096,\"max_body_bytes\":1000,\"header_timeout_ms\":500,
+       \"idle_timeout_ms\":15000}}" >/dev/null
+}
+
+relay_port() { printf '%d' $((RELAY_BASE + 10 * $1 + $2)); } # NUMBER ROLE (0..3)
+
+start_relay() { # NUMBER ZONE
+  local r=$1
+  cat >"$LOGS/r$r.json" <<JSON
+{"node_name":"r$r","ip":"127.0.0.1","zone":"$2","region":"reg",
+ "seeds":["127.0.0.1:$(relay_port 1 3)","127.0.0.1:$(relay_port 2 3)"],
+ "listen":{"front":"127.0.0.1:$(relay_port "$r" 0)","ready":"127.0.0.1:$(relay_port "$r" 1)",
+  "directory":"127.0.0.1:$(relay_port "$r" 2)","control":"127.0.0.1:$(relay_port "$r" 3)"},
+ "limits":{"cpu_share":0.25,"cores":1,"max_fds":1000,"link_mbps":1000},
+ "bounds":{"grace_s":4,"budget_window_s":10,"retry_budget_ratio":0.2,"retry_budget_slack":600},
+ "platform":{"address":"$STORE"}}
+JSON
+  MERLINRING_CONFIG="$LOGS/r$r.json" start "r$r" "$BUILD/merlinring-relay"
+}
+
+relay_ready() { http -f "http://127.0.0.1:$(relay_port "$1" 1)/ready"; } # NUMBER
+
+# ask RELAY PATH ID [CURL ARGUMENTS]: prints "STATUS\n" and writes head and body.
+ask() {
+  local relay=$1 path=$2 id=$3
+  shift 3
+  http -o "$LOGS/body" -D "$LOGS/head" -w '%{http_code}' -H "Host: h.test" -H "X-Request-Id: $id" \
+    -H "X-Deadline-Ms: 3000" "$@" "http://127.0.0.1:$(relay_port "$relay" 0)$path"
+}
+
+field() { sed -n "s/^$1: \(.*\)\r$/\1/ip" "$LOGS/head"; } # NAME, of the last answer
+
+runs() { # ID: on all searchers together
+  local i sum=0
+  for i in 1 2 3 4; do
+    [ -n "${PIDS[s$i]:-}" ] || continue
+    sum=$((sum + $(http "http://$(searcher_at $i)/runs/$1")))
+  done
+  printf '%d' $sum
+}
+
+# A store, four searchers (two of service a, one each of b and c), relays.
+start_platform() { # RELAYS
+  local i
+  start store "$BUILD/test/standin" store 18000
+  until_true 5 http "http://$STORE/objects/config" || fail "the store does not start"
+  configure 1 '"a","b","c"'
+  start_searcher 1 i-1 a
+  start_searcher 2 i-2 a
+  start_searcher 3 i-3 b
+  start_searcher 4 i-4 c
+  for ((i = 1; i <= $1; i++)); do start_relay $i "z$i"; done
+  for ((i = 1; i <= $1; i++)); do until_true 10 relay_ready $i || fail "relay $i is not ready"; done
+}
--- /dev/null
+++ b/test/platform/standin.c
@@ -0,0 +1,450 @@
+/* Stand-ins of the users' platform for tests: `standin store PORT` and
+ * `standin searcher PORT ID`.
+ *
+ * The store keeps objects by kind and name in memory, lists them in pages and
+ * answers watches.  A searcher answers every request with its signature and the
+ * caller's id.  Both take faults: PUT /mode/NAME. */
+
+#include "http_message.h"
+#include "log.h"
+#include "stream.h"
+#include "timers.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+enum
+{
+  PAGE = 50,
+  RECORD_BYTES = 16,
+  RECORDS = 8,
+  EXIT_USAGE = 2,
+};
+
+typedef enum
+{
+  MODE_OK,
+  MODE_DOWN,   /* 503 */
+  MODE_SILENT, /* reads and never answers */
+  MODE_GONE,   /* the store has lost its history: 410 */
+  MODE_SHED,   /* not run */
+  MODE_CUT,    /* half of the answer, then the connection ends */
+  MODE_RESET,  /* runs, and the connection is reset */
+  MODE_EXTRA,  /* the answer to the request before follows each answer */
+  MODE_SLOW,   /* 300 ms */
+  MODE_ERROR,  /* 500, with a signature */
+  MODE_COUNT,
+} Mode;
+
+static const char *const mode_names[MODE_COUNT] = { "ok",  "down",  "silent", "gone", "shed",
+                                                    "cut", "reset", "extra",  "slow", "error" };
+
+typedef struct Server Server;
+
+typedef struct
+{
+  MrStreamHost host;
+  Server *server;
+  MrStream *stream;
+  MrHttpParser *parser;
+  char *last_id; /* of the request answered before */
+  MrTimer timer; /* of an answer that waits */
+  char *kind;    /* of a watch that waits */
+  gint64 since;
+} Peer;
+
+struct Server
+{
+  MrLoopHost host;
+  MrLoop *loop;
+  MrTimers *timers;
+  const char *id; /* of a searcher; NULL: the store */
+  Mode mode;
+  gint64 revision;
+  json_t *kinds;      /* kind -> name -> object */
+  json_t *changes;    /* [{kind, revision, deleted, object}] */
+  GHashTable *runs;   /* request id -> count */
+  GPtrArray *watches; /* Peer that waits for a change */
+};
+
+static void
+S_send (Peer *peer, int status, const char *fields, MrText body)
+{
+  g_autoptr (GString) out = g_string_new (NULL);
+  g_string_append_printf (out, "HTTP/1.1 %d X\r\n%sContent-Length: %zu\r\n\r\n", status, fields,
+                          body.len);
+  g_string_append_len (out, body.data, (gssize) body.len);
+  mr_stream_write (peer->stream, mr_text_of (out));
+}
+
+static void
+S_send_json (Peer *peer, int status, json_t *body)
+{
+  char *text = json_dumps (body, JSON_COMPACT);
+  S_send (peer, status, "Content-Type: application/json\r\n", mr_text (text));
+  free (text);
+  json_decref (body);
+}
+
+/* The store. */
+
+static json_t *
+S_kind (Server *server, const char *kind)
+{
+  json_t *objects = json_object_get (server->kinds, kind);
+  if (objects)
+    return objects;
+  objects = json_object ();
+  json_object_set_new (server->kinds, kind, objects);
+  return objects;
+}
+
+static json_t *
+S_events (const Server *server, const char *kind, gint64 since)
+{
+  json_t *events = json_array ();
+  size_t i = 0;
+  json_t *change = NULL;
+  json_array_foreach (server->changes, i, change)
+  {
+    if (json_integer_value (json_object_get (change, "revision")) > since &&
+        g_str_equal (json_string_value (json_object_get (change, "kind")), kind))
+      json_array_append_new (events,
+                             json_pack ("{s:O,s:O}", "deleted", json_object_get (change, "deleted"),
+                                        "object", json_object_get (change, "object")));
+  }
+  return events;
+}
+
+static gboolean
+S_answer_watch (Peer *peer, gboolean even_if_empty)
+{
+  json_t *events = S_events (peer->server, peer->kind, peer->since);
+  if (json_array_size (events) == 0 && !even_if_empty)
+    {
+      json_decref (events);
+      return FALSE;
+    }
+  mr_timers_set (peer->server->timers, &peer->timer, MR_NEVER);
+  g_ptr_array_remove (peer->server->watches, peer);
+  S_send_json (peer, 200,
+               json_pack ("{s:o,s:I}", "events", events, "store_revision",
+                          (json_int_t) peer->server->revision));
+  return TRUE;
+}
+
+static void
+S_change (Server *server, const char *kind, const char *name, json_t *spec)
+{
+  json_t *objects = S_kind (server, kind);
+  json_t *before = json_object_get (objects, name);
+  gint64 revision = ++server->revision;
+  gint64 last = json_integer_value (json_object_get (json_object_get (before, "meta"), "revision"));
+  json_t *object =
+      json_pack ("{s:{s:s,s:I},s:o}", "meta", "name", name, "revision",
+                 (json_int_t) (spec ? revision : last), "spec", spec ? spec : json_null ());
+  json_array_append_new (server->changes, json_pack ("{s:s,s:I,s:b,s:O}", "kind", kind, "revision",
+                                                     (json_int_t) revision, "deleted", spec == NULL,
+                                                     "object", object));
+  if (spec)
+    json_object_set (objects, name, object);
+  else
+    json_object_del (objects, name);
+  json_decref (object);
+  for (guint i = server->watches->len; i > 0; i--)
+    S_answer_watch (g_ptr_array_index (server->watches, i - 1), FALSE);
+}
+
+static int
+S_by_name (const void *a, const void *b)
+{
+  return strcmp (*(const char *const *) a, *(const char *const *) b);
+}
+
+static void
+S_list (Peer *peer, const char *kind, const char *after)
+{
+  json_t *objects = S_kind (peer->server, kind);
+  g_autoptr (GPtrArray) names = g_ptr_array_new ();
+  const char *name = NULL;
+  json_t *object = NULL;
+  json_object_foreach (objects, name, object)
+  {
+    if (strcmp (name, after) > 0)
+      g_ptr_array_add (names, (gpointer) name);
+  }
+  qsort (names->pdata, names->len, sizeof (gpointer), S_by_name);
+  json_t *items = json_array ();
+  for (guint i = 0; i < names->len && i < PAGE; i++)
+    json_array_append (items, json_object_get (objects, g_ptr_array_index (names, i)));
+  S_send_json (peer, 200,
+               json_pack ("{s:o,s:b,s:I}", "items", items, "has_more", names->len > PAGE,
+                          "store_revision", (json_int_t) peer->server->revision));
+}
+
+/* The value of @key in a query; empty if it is not there. */
+static char *
+S_query (const char *target, const char *key)
+{
+  g_autofree char *start = g_strdup_printf ("%s=", key);
+  const char *at = strchr (target, '?');
+  while (at && !g_str_has_prefix (at + 1, start))
+    at = strchr (at + 1, '&');
+  if (!at)
+    return g_strdup ("");
+  at += 1 + strlen (start);
+  return g_strndup (at, strcspn (at, "&"));
+}
+
+static void
+S_on_store_request (Peer *peer, const char *method, const char *target)
+{
+  Server *server = peer->server;
+  g_autofree char *path = g_strndup (target, strcspn (target, "?"));
+  g_auto (GStrv) parts = g_strsplit (path, "/", -1); /* "", objects, kind, name */
+  guint count = g_strv_length (parts);
+  if (count < 3 || server->mode == MODE_SILENT)
+    return;
+  if (server->mode == MODE_DOWN && g_str_equal (method, "GET"))
+    {
+      S_send (peer, 503, "", (MrText){ 0 });
+      return;
+    }
+  if (!g_str_equal (method, "GET"))
+    {
+      MrText body = mr_http_parser_body (peer->parser);
+      S_change (server, parts[2], parts[3],
+                g_str_equal (method, "PUT") ? json_loadb (body.data, body.len, 0, NULL) : NULL);
+      S_send (peer, 200, "", MR_TEXT ("{}"));
+      return;
+    }
+  g_autofree char *watch = S_query (target, "watch");
+  g_autofree char *wait = S_query (target, "wait_ms");
+  g_autofree char *after = S_query (target, "after");
+  if (*watch == '\0')
+    {
+      S_list (peer, parts[2], after);
+      return;
+    }
+  if (server->mode == MODE_GONE)
+    {
+      server->mode = MODE_OK;
+      S_send (peer, 410, "", (MrText){ 0 });
+      return;
+    }
+  g_free (peer->kind);
+  peer->kind = g_strdup (parts[2]);
+  peer->since = atoll (watch);
+  g_ptr_array_add (server->watches, peer);
+  if (!S_answer_watch (peer, FALSE))
+    mr_timers_set (server->timers, &peer->timer, mr_now () + atoll (wait) * MR_MS);
+}
+
+/* A searcher. */
+
+static guint
+S_note_run (Server *server, const char *id)
+{
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (server->runs, id)) + 1;
+  g_hash_table_insert (server->runs, g_strdup (id), GUINT_TO_POINTER (count));
+  return count;
+}
+
+/* Records that tell this searcher's from others, greatest last. */
+static GString *
+S_records (const Server *server)
+{
+  GString *body = g_string_new (NULL);
+  for (guint i = 0; i < RECORDS; i++)
+    {
+      g_autofree char *record = g_strdup_printf ("%02u-%-13.13s", i, server->id);
+      g_string_append_len (body, record, RECORD_BYTES);
+    }
+  return body;
+}
+
+static void
+S_answer_run (Peer *peer, const char *id)
+{
+  Server *server = peer->server;
+  g_autofree char *fields = g_strdup_printf (
+      "X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\nKeep-Alive: timeout=5\r\n", id, server->id, id);
+  g_autoptr (GString) body = S_records (server);
+  if (server->mode == MODE_CUT)
+    {
+      g_autofree char *half =
+          g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Length: 1000\r\n\r\nx", fields);
+      mr_stream_write (peer->stream, mr_text (half));
+      mr_stream_close (peer->stream);
+      return;
+    }
+  S_send (peer, server->mode == MODE_ERROR ? 500 : 200, fields, mr_text_of (body));
+  if (server->mode != MODE_EXTRA || !peer->last_id)
+    return;
+  g_autofree char *extra = g_strdup_printf ("X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n",
+                                            peer->last_id, server->id, peer->last_id);
+  S_send (peer, 200, extra, MR_TEXT ("not yours"));
+}
+
+static void
+S_on_searcher_request (Peer *peer, const char *target)
+{
+  Server *server = peer->server;
+  MrText expected = mr_http_parser_find (peer->parser, "X-Expect-Instance", NULL);
+  g_autofree char *id = mr_text_dup (mr_http_parser_find (peer->parser, "X-Request-Id", NULL));
+  if (g_str_has_prefix (target, "/runs/"))
+    {
+      g_autofree char *count = g_strdup_printf (
+          "%u\n", GPOINTER_TO_UINT (g_hash_table_lookup (server->runs, target + 6)));
+      S_send (peer, 200, "", mr_text (count));
+      return;
+    }
+  if (server->mode == MODE_SILENT)
+    return;
+  if (expected.len > 0 && !mr_text_equal (expected, mr_text (server->id)))
+    {
+      S_send (peer, 421, "", (MrText){ 0 });
+      return;
+    }
+  if (server->mode == MODE_SHED)
+    {
+      S_send (peer, 503, "X-Not-Executed: 1\r\n", (MrText){ 0 });
+      return;
+    }
+  S_note_run (server, id);
+  if (server->mode == MODE_RESET)
+    {
+      mr_stream_close (peer->stream);
+      return;
+    }
+  if (server->mode == MODE_SLOW)
+    {
+      g_free (peer->last_id);
+      peer->last_id = g_steal_pointer (&id);
+      mr_timers_set (server->timers, &peer->timer, mr_now () + 300 * MR_MS);
+      return;
+    }
+  S_answer_run (peer, id);
+  g_free (peer->last_id);
+  peer->last_id = g_steal_pointer (&id);
+}
+
+/* Both. */
+
+static void
+S_on_request (Peer *peer)
+{
+  g_autofree char *method = mr_text_dup (mr_http_parser_method (peer->parser));
+  g_autofree char *target = mr_text_dup (mr_http_parser_target (peer->parser));
+  if (g_str_has_prefix (target, "/mode/"))
+    {
+      for (guint i = 0; i < MODE_COUNT; i++)
+        if (g_str_equal (target + strlen ("/mode/"), mode_names[i]))
+          peer->server->mode = (Mode) i;
+      S_send (peer, 200, "", MR_TEXT ("{}"));
+    }
+  else if (peer->server->id)
+    S_on_searcher_request (peer, target);
+  else
+    S_on_store_request (peer, method, target);
+}
+
+static void
+S_received (MrStreamHost *host, MrStream *stream, MrText bytes)
+{
+  Peer *peer = (Peer *) host;
+  (void) stream;
+  while (bytes.len > 0)
+    {
+      gsize used = mr_http_parser_feed (peer->parser, bytes);
+      bytes.data += used;
+      bytes.len -= used;
+      if (mr_http_parser_state (peer->parser) != MR_HTTP_DONE)
+        return;
+      S_on_request (peer);
+      mr_http_parser_reset (peer->parser);
+    }
+}
+
+static void
+S_ended (MrStreamHost *host, MrStream *stream, MrStreamEnd end)
+{
+  Peer *peer = (Peer *) host;
+  (void) stream;
+  (void) end;
+  mr_timers_set (peer->server->timers, &peer->timer, MR_NEVER);
+  g_ptr_array_remove (peer->server->watches, peer);
+  mr_http_parser_free (peer->parser);
+  g_free (peer->last_id);
+  g_free (peer->kind);
+  g_free (peer);
+}
+
+static void
+S_accepted (void *user, MrStream *stream)
+{
+  Peer *peer = g_new0 (Peer, 1);
+  *peer = (Peer){
+    .host = { .received = S_received, .ended = S_ended },
+    .server = user,
+    .stream = stream,
+    .parser = mr_http_parser_new (MR_HTTP_REQUEST),
+  };
+  peer->timer.owner = peer;
+  mr_stream_set_host (stream, &peer->host);
+}
+
+static void
+S_on_message (MrLoopHost *host, MrMessage *message)
+{
+  (void) host;
+  mr_message_free (message);
+}
+
+static MrTime
+S_on_tick (MrLoopHost *host, MrTime now)
+{
+  Server *server = (Server *) host;
+  for (MrTimer *timer = mr_timers_pop (server->timers, now); timer;
+       timer = mr_timers_pop (server->timers, now))
+    {
+      Peer *peer = timer->owner;
+      if (server->id)
+        S_answer_run (peer, peer->last_id);
+      else
+        S_answer_watch (peer, TRUE);
+    }
+  return mr_timers_next (server->timers);
+}
+
+int
+main (int argc, char **argv)
+{
+  gboolean searcher = argc == 4 && g_str_equal (argv[1], "searcher");
+  if (!searcher && !(argc == 3 && g_str_equal (argv[1], "store")))
+    {
+      fprintf (stderr, "usage: standin store PORT | standin searcher PORT ID\n");
+      return EXIT_USAGE;
+    }
+  Server server = {
+    .host = { .on_message = S_on_message, .on_tick = S_on_tick },
+    .timers = mr_timers_new (),
+    .id = searcher ? argv[3] : NULL,
+    .kinds = json_object (),
+    .changes = json_array (),
+    .runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+    .watches = g_ptr_array_new (),
+  };
+  signal (SIGPIPE, SIG_IGN);
+  server.loop = mr_loop_new (&server.host, 500);
+  if (!server.loop ||
+      !mr_listener_new (server.loop, "127.0.0.1", atoi (argv[2]), S_accepted, &server))
+    {
+      fprintf (stderr, "standin: %s\n", mr_status_message ());
+      return EXIT_FAILURE;
+    }
+  mr_loop_run (server.loop);
+  return EXIT_SUCCESS;
+}
