Removals of targets are held back once, not anew by each burst

Four or more removals at once are held back in case they are a lapse; each further burst held all pending ones anew.

Ruled out: the watchers (all knew of the removal at once), the spread to peers.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -15,8 +15,8 @@
 
 /* Until operators' limits are known. */
 static const MrCallerLimits default_limits = {
-  .head_bytes = 16 * 1024,
-  .body_bytes = 256 * 1024,
+  .head_bytes = 16384,
+  .body_bytes = 262144,
   .head_time = 3 * MR_SECOND,
   .idle_time = 15 * MR_SECOND,
 };
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -15,7 +15,7 @@
 /* Between two watches of a relay for targets: each change ends a watch, and each
  * watch is paid for, so what changes meanwhile is taken together.  A target that
  * leaves has to be known of within about 3 s. */
-static const MrTime TARGETS_PAUSE = 700 * MR_MS;
+static const MrTime TARGETS_PAUSE = 400 * MR_MS;
 /* A relay that starts waits this long to hear of other members, then, unless it
  * is to watch, for their objects. */
 static const MrTime JOIN_WAIT = 400 * MR_MS;
--- a/src/listing.c
+++ b/src/listing.c
@@ -3,19 +3,21 @@
 /* Entries are back within about two seconds of the store's return. */
 static const MrTime GRACE = 2300 * MR_MS;
 /* This many removals at once look like a lapse even if no outage was seen: a
- * silent one may end before any call of ours failed.  They are held back for
- * GRACE too, which is still inside the time in which a leaving target may be
- * given work (3 s). */
+ * silent one may end before any call of ours failed.  They are held back too,
+ * for less: with the pause between two reads (0.4 s) it has to stay inside the
+ * time in which a leaving target may be given work (3 s). */
 enum
 {
   MANY = 4
 };
+static const MrTime MANY_GRACE = 2100 * MR_MS;
 static const MrTime MANY_WINDOW = 500 * MR_MS;
 
 typedef struct
 {
   guint64 version;
-  MrTime due;
+  MrTime learned;
+  MrTime due; /* MR_NEVER: learned in an outage that lasts */
 } Removal;
 
 struct _MrListing
@@ -49,16 +51,34 @@
   g_free (listing);
 }
 
-/* While the store is down no entry can come back, so the wait starts anew at
- * its return. */
+/* While the store is down no entry can come back, so removals that were learned
+ * then wait for GRACE from its return. */
 static void
-S_delay_all (MrListing *listing, MrTime due)
+S_begin_wait (MrListing *listing, MrTime now)
 {
   GHashTableIter iter;
   gpointer item = NULL;
   g_hash_table_iter_init (&iter, listing->removals);
   while (g_hash_table_iter_next (&iter, NULL, &item))
-    ((Removal *) item)->due = MAX (((Removal *) item)->due, due);
+    if (((Removal *) item)->due == MR_NEVER)
+      ((Removal *) item)->due = now + GRACE;
+}
+
+/* Holds back the removals of the burst under way, and only those: held anew by
+ * each burst, a target that left would be given work for as long as others
+ * leave. */
+static void
+S_hold_burst (MrListing *listing)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, listing->removals);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    {
+      Removal *removal = item;
+      if (removal->learned >= listing->burst_at && removal->due != MR_NEVER)
+        removal->due = MAX (removal->due, removal->learned + MANY_GRACE);
+    }
 }
 
 void
@@ -68,7 +88,8 @@
     return;
   listing->up = up;
   listing->changed_at = now;
-  S_delay_all (listing, up ? now + GRACE : MR_NEVER);
+  if (up)
+    S_begin_wait (listing, now);
 }
 
 void
@@ -113,8 +134,8 @@
     }
   if (++listing->burst < MANY)
     return now;
-  S_delay_all (listing, listing->burst_at + GRACE);
-  return listing->burst_at + GRACE;
+  S_hold_burst (listing);
+  return now + MANY_GRACE;
 }
 
 void
@@ -124,7 +145,7 @@
   if (known && known->version >= version)
     return;
   Removal *removal = g_new (Removal, 1);
-  *removal = (Removal){ .version = version, .due = S_due (listing, now) };
+  *removal = (Removal){ .version = version, .learned = now, .due = S_due (listing, now) };
   g_hash_table_replace (listing->removals, g_strdup (name), removal);
   g_hash_table_remove (listing->seen, name);
 }
