--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -232,6 +232,7 @@
 {
   MrWatch *watch = &task->watches[index];
   gboolean full = result->request->since == 0;
+  mr_listing_set_known (task->listing, g_hash_table_size (task->records));
   if (result->expired)
     {
       watch->since = 0;
--- a/src/listing.c
+++ b/src/listing.c
@@ -2,13 +2,16 @@
 
 /* Entries are back within about two seconds of the store's return. */
 static const MrTime GRACE = 2300 * MR_MS;
-/* This many removals at once look like a lapse even if no outage was seen: a
- * silent one may end before any call of ours failed.  They are held back too,
+/* This many removals at once, and this part of all that is known, look like a
+ * lapse even if no outage was seen: a silent one may end before any call of ours
+ * failed, and lets the entries of all targets lapse.  Ordinary exchanges take
+ * fewer, and their targets have left. They are held back too,
  * for less: with the pause between two reads (0.4 s) it has to stay inside the
  * time in which a leaving target may be given work (3 s). */
 enum
 {
-  MANY = 4
+  MANY = 4,
+  MANY_PART = 5, /* one in so many */
 };
 static const MrTime MANY_GRACE = 2100 * MR_MS;
 static const MrTime MANY_WINDOW = 500 * MR_MS;
@@ -26,6 +29,7 @@
   GHashTable *removals; /* name -> Removal */
   guint64 version;
   bool up;
+  unsigned known;
   MrTime changed_at; /* of the store's state; 0: it has always answered */
   MrTime burst_at;   /* first of the latest removals */
   guint burst;
@@ -92,6 +96,12 @@
     S_begin_wait (listing, now);
 }
 
+void
+mr_listing_set_known (MrListing *listing, unsigned known)
+{
+  listing->known = known;
+}
+
 void
 mr_listing_begin (MrListing *listing, guint64 version)
 {
@@ -132,7 +142,7 @@
       listing->burst_at = now;
       listing->burst = 0;
     }
-  if (++listing->burst < MANY)
+  if (++listing->burst < MAX (MANY, listing->known / MANY_PART))
     return now;
   S_hold_burst (listing);
   return now + MANY_GRACE;
--- a/src/listing.h
+++ b/src/listing.h
@@ -21,6 +21,9 @@
 /* The store does not answer, or answers again. */
 void mr_listing_set_store (MrListing *listing, MrTime now, bool up);
 
+/* How many objects are known: a lapse takes a good part of them. */
+void mr_listing_set_known (MrListing *listing, unsigned known);
+
 /* A full listing begins; what it does not name was gone at @version. */
 void mr_listing_begin (MrListing *listing, guint64 version);
 guint64 mr_listing_version (const MrListing *listing);
--- a/test/test_listing.c
+++ b/test/test_listing.c
@@ -31,6 +31,7 @@
 {
   const char *name;
   Step steps[14];
+  unsigned known;
 } Case;
 
 static const Case cases[] = {
@@ -69,6 +70,16 @@
       { STEP_REMOVED, 3003, "h", 25 },
       { STEP_GONE, 3350, NULL, 0 },
       { STEP_GONE, 3350, NULL, 0 } } },
+  { "a few of very many have left",
+    { { STEP_REMOVED, 1000, "a", 11 },
+      { STEP_REMOVED, 1001, "b", 13 },
+      { STEP_REMOVED, 1002, "c", 15 },
+      { STEP_REMOVED, 1003, "d", 17 },
+      { STEP_GONE, 1003, NULL, 0 },
+      { STEP_GONE, 1003, NULL, 0 },
+      { STEP_GONE, 1003, NULL, 0 },
+      { STEP_GONE, 1003, NULL, 0 } },
+    200 },
   { "a removal that is older than what is known changes nothing",
     { { STEP_DOWN, 1000, NULL, 0 },
       { STEP_REMOVED, 1100, "a", 11 },
@@ -120,6 +131,7 @@
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       MrListing *listing = mr_listing_new ();
+      mr_listing_set_known (listing, cases[i].known);
       for (const Step *step = cases[i].steps; step->action != STEP_END; step++)
         S_play (listing, step, cases[i].name);
       mr_listing_free (listing);
