--- a/Makefile
+++ b/Makefile
@@ -10,10 +10,12 @@
 
 .PHONY: all deps packages test demo up bench slopes soak format check-format lint sanitize clean
 
-all: $(BUILD)/CMakeCache.txt
+all: $(BUILD)/Makefile
 	cmake --build $(BUILD) -j
 
-$(BUILD)/CMakeCache.txt:
+# Not the cache: a configure that failed leaves one behind, and the next run
+# would take it for done.
+$(BUILD)/Makefile:
 	cmake -S . -B $(BUILD) $(CMAKE_FLAGS)
 
 # Installs what is missing; quiet and quick when everything is there.
--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -254,6 +254,27 @@
   return watchers;
 }
 
+/* Calls of relays to the platform on a calm day of DAY_SECONDS: each watcher lists
+ * twice and holds two watches of 28 s, the rest read now and then. */
+static double
+S_relay_calls (const Fleet *fleet, guint *watchers)
+{
+  enum
+  {
+    DAY_SECONDS = 45,
+    WATCH_SECONDS = 28,
+    KINDS = 2,
+  };
+  MrMemberList *list = mr_membership_list (fleet->nodes[0].membership);
+  *watchers = 0;
+  for (guint i = 0; i < list->count; i++)
+    *watchers += mr_watch_relay (list, list->members[i].name) ? 1 : 0;
+  mr_member_list_unref (list);
+  double read_gap = (double) mr_watch_read_gap (fleet->count) / (double) MR_SECOND;
+  double watch = KINDS * (1 + (double) DAY_SECONDS / WATCH_SECONDS);
+  return *watchers * watch + (fleet->count - *watchers) * KINDS * DAY_SECONDS / read_gap;
+}
+
 static void
 S_measure (guint count)
 {
@@ -281,12 +302,14 @@
   double change = S_measure_change (&fleet, 1000);
   double death = S_measure_death (&fleet);
   guint watchers = S_watchers (&fleet);
-  printf ("%7u %7u %9.0f %9.0f %9.1f %9.3f %10.2f %10.2f %9u %10.1f\n", count, alive,
+  guint relay_watchers = 0;
+  double relay_calls = S_relay_calls (&fleet, &relay_watchers);
+  printf ("%7u %7u %9.0f %9.0f %9.1f %9.3f %10.2f %10.2f %9u %10.1f %8u %10.0f\n", count, alive,
           (double) bytes / count / span, (double) most / span, (double) messages / count / span,
           cpu / count / span * 100, change, death, watchers,
           /* A watcher: 3 watches of 10 s and the list of VMs each second; the rest
            * read 3 objects lists every 3 minutes. */
-          watchers * (3 / 10.0 + 1) + (count - watchers) * 3 / 180.0);
+          watchers * (3 / 10.0 + 1) + (count - watchers) * 3 / 180.0, relay_watchers, relay_calls);
   for (guint i = 0; i < count; i++)
     {
       mr_membership_free (fleet.nodes[i].membership);
@@ -306,8 +329,9 @@
   mr_log_set_level (MR_LOG_ERROR);
   setvbuf (stdout, NULL, _IOLBF, 0);
   printf ("control, by size of the fleet (virtual clock, %d services in force)\n", DOCUMENTS);
-  printf ("%7s %7s %9s %9s %9s %9s %10s %10s %9s %10s\n", "daemons", "seen", "B/s each", "B/s most",
-          "msg/s", "core %", "change s", "death s", "watchers", "platform/s");
+  printf ("%7s %7s %9s %9s %9s %9s %10s %10s %9s %10s %8s %10s\n", "daemons", "seen", "B/s each",
+          "B/s most", "msg/s", "core %", "change s", "death s", "watchers", "platform/s",
+          "relay w.", "calls/day");
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
     S_measure (sizes[i]);
   return EXIT_SUCCESS;
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -18,7 +18,7 @@
 static const MrTime TARGETS_PAUSE = 400 * MR_MS;
 /* A relay that starts waits this long to hear of other members, then, unless it
  * is to watch, for their objects. */
-static const MrTime JOIN_WAIT = 400 * MR_MS;
+static const MrTime JOIN_WAIT = 150 * MR_MS;
 static const MrTime SYNC_WAIT = 1500 * MR_MS;
 /* Controllers of lower rank act this much later, each. */
 static const MrTime RANK_DELAY = 500 * MR_MS;
@@ -82,6 +82,8 @@
       *next = MIN (*next, patience);
       return TRUE;
     }
+  for (int i = WATCH_CONFIGURATION; i < WATCHES; i++)
+    task->watches[i].readers = task->members->count;
   for (int i = WATCH_CONFIGURATION; i < WATCHES && !watcher; i++)
     if (!task->watches[i].done && mr_spread_synced (task->spread))
       mr_watch_ended (&task->watches[i], now, true, false, g_rand_double (task->random));
--- a/src/watch.c
+++ b/src/watch.c
@@ -8,6 +8,10 @@
 static const MrTime GAP_MAX = 1 * MR_SECOND;
 /* Reads of those that do not watch. */
 static const MrTime READ_GAP = 180 * MR_SECOND;
+enum
+{
+  READERS_AT_ONCE = 8 /* that many read once in READ_GAP, however many there are */
+};
 
 static guint64
 S_score (const MrMember *member)
@@ -61,6 +65,12 @@
   return before < most;
 }
 
+MrTime
+mr_watch_read_gap (guint readers)
+{
+  return READ_GAP * MAX (1, readers / READERS_AT_ONCE);
+}
+
 void
 mr_watch_ended (MrWatch *watch, MrTime now, gboolean success, gboolean watcher, double jitter)
 {
@@ -70,7 +80,8 @@
     {
       /* Also after a failure: a whole fleet that asks a store which is down
        * again and again would keep it down. */
-      watch->due = now + READ_GAP / 2 + (MrTime) (jitter * (double) READ_GAP);
+      MrTime gap = mr_watch_read_gap (watch->readers);
+      watch->due = now + gap / 2 + (MrTime) (jitter * (double) gap);
       return;
     }
   if (success)
--- a/src/watch.h
+++ b/src/watch.h
@@ -36,9 +36,14 @@
   gboolean busy;               /* the call is out */
   gboolean done;               /* it has succeeded at least once */
   MrTime due;
-  MrTime gap;   /* after a failure; doubles */
-  MrTime pause; /* a watcher's, between two calls */
+  MrTime gap;    /* after a failure; doubles */
+  MrTime pause;  /* a watcher's, between two calls */
+  guint readers; /* daemons that read now and then; 0 and 1: this one alone */
 } MrWatch;
 
+/* Time between two reads of a daemon that does not watch, one of @readers: the
+ * sum of their calls stays the same in a large fleet. */
+MrTime mr_watch_read_gap (guint readers);
+
 /* The call has ended; sets when the next is due.  @jitter: 0 to 1, random. */
 void mr_watch_ended (MrWatch *watch, MrTime now, gboolean success, gboolean watcher, double jitter);
