--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,9 @@
 	libcmocka-dev librapidcheck-dev libxxhash-dev libglib2.0-dev \
 	libhttp-parser-dev curl
 
-C_FILES = $(wildcard src/*.[ch] platform/*.[ch] demo/*.[ch] bench/*.[ch] test/*.[ch] test/platform/*.[ch] test/*.cpp test/*.hpp)
+C_FILES = $(wildcard src/*.[ch] platform/*.[ch] demo/*.[ch] bench/*.[ch] test/*.[ch] test/platform/*.[ch] test/soak/*.[ch] test/*.cpp test/*.hpp)
 
-.PHONY: all deps packages test demo up bench slopes soak format check-format lint sanitize clean
+.PHONY: all deps packages test demo up bench slopes soak soak-documents format check-format lint sanitize clean
 
 all: $(BUILD)/Makefile
 	cmake --build $(BUILD) -j
@@ -43,7 +43,13 @@
 slopes: deps all
 	bench/slopes.sh $(BUILD)
 
+# Fault soak of the relay; SEEDS as many, from FIRST or from the clock.
+SEEDS ?= 50
 soak: deps all
+	test/soak/soak.sh $(BUILD) $(SEEDS) $(FIRST)
+
+# The same for documents, searches and orders of the product's own interface.
+soak-documents: deps all
 	demo/soak.sh $(BUILD)
 
 format:
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -205,7 +205,7 @@
   g_autofree char *path = g_strndup (target, strcspn (target, "?"));
   g_auto (GStrv) parts = g_strsplit (path, "/", -1); /* "", objects, kind, name */
   guint count = g_strv_length (parts);
-  if (count < 3 || server->mode == MODE_SILENT)
+  if (count < 3 || (server->mode == MODE_SILENT && g_str_equal (method, "GET")))
     return;
   if (server->mode == MODE_DOWN && g_str_equal (method, "GET"))
     {
@@ -249,6 +249,7 @@
 {
   guint count = GPOINTER_TO_UINT (g_hash_table_lookup (server->runs, id)) + 1;
   g_hash_table_insert (server->runs, g_strdup (id), GUINT_TO_POINTER (count));
+  printf ("run %s\n", id);
   return count;
 }
 
@@ -438,6 +439,7 @@
     .watches = g_ptr_array_new (),
   };
   signal (SIGPIPE, SIG_IGN);
+  setvbuf (stdout, NULL, _IOLBF, 0);
   server.loop = mr_loop_new (&server.host, 500);
   if (!server.loop ||
       !mr_listener_new (server.loop, "127.0.0.1", atoi (argv[2]), S_accepted, &server))
--- /dev/null
+++ b/test/soak/proxy.c
@@ -0,0 +1,172 @@
+#include "proxy.h"
+
+#include "stream.h"
+#include <stdio.h>
+#include <stdlib.h>
+
+static const MrTime DELAY = 150 * MR_MS;
+
+typedef struct Link Link;
+
+/* One end of a proxied connection. */
+typedef struct
+{
+  MrStreamHost host;
+  Link *link;
+  MrStream *stream; /* NULL once it has ended */
+  GString *waiting; /* to be written to this end */
+  MrTimer timer;
+} End;
+
+struct Link
+{
+  SoakProxy *proxy;
+  GList node;
+  End caller;
+  End server;
+  gboolean lost;
+};
+
+struct _SoakProxy
+{
+  MrLoop *loop;
+  MrTimers *timers;
+  int server_port;
+  SoakProxyMode mode;
+  GQueue links;
+};
+
+static void
+S_link_free (Link *link)
+{
+  SoakProxy *proxy = link->proxy;
+  End *ends[] = { &link->caller, &link->server };
+  for (guint i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      mr_timers_set (proxy->timers, &ends[i]->timer, MR_NEVER);
+      if (ends[i]->stream)
+        mr_stream_close (ends[i]->stream);
+      g_string_free (ends[i]->waiting, TRUE);
+    }
+  g_queue_unlink (&proxy->links, &link->node);
+  g_free (link);
+}
+
+static gboolean
+S_silent (const End *from)
+{
+  const Link *link = from->link;
+  SoakProxyMode mode = link->proxy->mode;
+  gboolean up = from == &link->caller;
+  return link->lost || mode == PROXY_SILENT || (up && mode == PROXY_SILENT_UP) ||
+         (!up && mode == PROXY_SILENT_DOWN);
+}
+
+static void
+S_received (MrStreamHost *host, MrStream *stream, MrText bytes)
+{
+  End *from = (End *) host;
+  Link *link = from->link;
+  End *to = from == &link->caller ? &link->server : &link->caller;
+  (void) stream;
+  if (S_silent (from))
+    return; /* swallowed: the connection is out of step for good */
+  if (link->proxy->mode != PROXY_DELAY && to->waiting->len == 0)
+    {
+      mr_stream_write (to->stream, bytes);
+      return;
+    }
+  g_string_append_len (to->waiting, bytes.data, (gssize) bytes.len);
+  if (to->timer.place == 0)
+    mr_timers_set (link->proxy->timers, &to->timer, mr_now () + DELAY);
+}
+
+/* The end of one side is passed on, unless the path is silent. */
+static void
+S_ended (MrStreamHost *host, MrStream *stream, MrStreamEnd end)
+{
+  End *from = (End *) host;
+  (void) stream;
+  (void) end;
+  from->stream = NULL;
+  S_link_free (from->link);
+}
+
+static void
+S_opened (MrStreamHost *host, MrStream *stream)
+{
+  (void) host;
+  (void) stream;
+}
+
+static const MrStreamHost end_host = { .opened = S_opened,
+                                       .received = S_received,
+                                       .ended = S_ended };
+
+static void
+S_init_end (Link *link, End *end)
+{
+  end->host = end_host;
+  end->link = link;
+  end->waiting = g_string_new (NULL);
+  end->timer.owner = end;
+}
+
+static void
+S_accepted (void *user, MrStream *stream)
+{
+  SoakProxy *proxy = user;
+  Link *link = g_new0 (Link, 1);
+  link->proxy = proxy;
+  link->node.data = link;
+  S_init_end (link, &link->caller);
+  S_init_end (link, &link->server);
+  g_queue_push_tail_link (&proxy->links, &link->node);
+  link->caller.stream = stream;
+  mr_stream_set_host (stream, &link->caller.host);
+  link->server.stream =
+      mr_stream_connect (proxy->loop, &link->server.host, "127.0.0.1", proxy->server_port);
+  if (!link->server.stream)
+    S_link_free (link);
+}
+
+SoakProxy *
+soak_proxy_new (MrLoop *loop, MrTimers *timers, int port, int server_port)
+{
+  SoakProxy *proxy = g_new0 (SoakProxy, 1);
+  *proxy = (SoakProxy){ .loop = loop, .timers = timers, .server_port = server_port };
+  g_queue_init (&proxy->links);
+  if (mr_listener_new (loop, "127.0.0.1", port, S_accepted, proxy))
+    return proxy;
+  fprintf (stderr, "soak: %s\n", mr_status_message ());
+  exit (EXIT_FAILURE);
+}
+
+void
+soak_proxy_set_mode (SoakProxy *proxy, SoakProxyMode mode)
+{
+  proxy->mode = mode;
+}
+
+void
+soak_proxy_lose (SoakProxy *proxy)
+{
+  for (GList *node = proxy->links.head; node; node = node->next)
+    ((Link *) node->data)->lost = TRUE;
+}
+
+void
+soak_proxy_reset (SoakProxy *proxy)
+{
+  while (proxy->links.head)
+    S_link_free (proxy->links.head->data);
+}
+
+void
+soak_proxy_on_timer (MrTimer *timer)
+{
+  End *end = timer->owner;
+  if (end->stream)
+    mr_stream_write (end->stream, mr_text_of (end->waiting));
+  g_string_truncate (end->waiting, 0);
+}
