--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -9,52 +9,11 @@
 RECORDS=5000
 SHARDS=12
 LOGS=$(mktemp -d)
-declare -A PIDS
 
-say() { printf '%s\n' "$*"; }
-
-fail() {
-  printf 'FAILED: %s\n' "$*" >&2
-  tail -n 3 "$LOGS"/d*.log >&2
-  exit 1
-}
-
-# start NAME COMMAND...: runs it in the background, its log in LOGS.
-start() {
-  local name=$1
-  shift
-  "$@" >"$LOGS/$name.log" 2>&1 &
-  PIDS[$name]=$!
-}
-
-# stop NAME SIGNAL: and waits for its end; its exit code is returned.
-stop() {
-  kill "-$2" "${PIDS[$1]}" 2>/dev/null
-  wait "${PIDS[$1]}" 2>/dev/null
-  local code=$?
-  unset "PIDS[$1]"
-  return $code
-}
-
-stop_all() {
-  local name
-  for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null; done
-  wait 2>/dev/null
-  rm -rf "$LOGS"
-}
-
-# until_true SECONDS COMMAND...: polls; fails after the time.
-until_true() {
-  local end=$((SECONDS + $1))
-  shift
-  until "$@" >/dev/null 2>&1; do
-    [ "$SECONDS" -lt "$end" ] || return 1
-    sleep 0.05
-  done
-}
+LOG_GLOB='d*.log'
+. "$(dirname "${BASH_SOURCE[0]}")/helpers.sh"
 
 ctl() { "$BUILD/merlinringctl" --platform $PLATFORM --entry "127.0.0.1:$((HTTP_BASE + 1))" "$@"; }
-http() { curl -sS --max-time 5 "$@"; }
 
 # put KIND NAME VERSION JSON
 put() { http -X PUT "http://$PLATFORM/v1/objects/$1/$2?version=$3" --data-binary "$4" >/dev/null; }
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -467,16 +467,12 @@
 mr_dispatch_probe_end (MrDispatch *d, MrTime now, const char *key, bool answered)
 {
   MrTargetState *target = g_hash_table_lookup (d->targets, key);
+  gboolean down = FALSE;
   if (!target)
     return;
-  MrHealthState before = target->health.state;
-  MrHealthAction action = mr_health_on_probe (&target->health, answered, now);
-  if (target->health.state == MR_HEALTH_DOWN && before != MR_HEALTH_DOWN)
-    {
-      mr_log (MR_LOG_WARNING, MR_EVENT_TARGET_DOWN, "target %s (%s) is down", target->id,
-              target->key);
-      mr_dispatch_evict_waiting (d, now, target);
-    }
+  MrHealthAction action = mr_target_state_probed (target, now, answered, &down);
+  if (down)
+    mr_dispatch_evict_waiting (d, now, target);
   mr_dispatch_act (d, now, target, action);
 }
 
@@ -519,9 +515,5 @@
                             void (*visit) (const MrTargetState *target, void *user),
                             void *user)
 {
-  GHashTableIter iter;
-  gpointer target = NULL;
-  g_hash_table_iter_init (&iter, d->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &target))
-    visit (target, user);
+  mr_target_state_foreach (d->targets, visit, user);
 }
--- a/src/dispatch_jobs.c
+++ b/src/dispatch_jobs.c
@@ -49,26 +49,26 @@
 
 /* Health. */
 
+static void
+S_probe (gpointer owner, const MrTargetState *target)
+{
+  MrDispatchHost *host = ((MrDispatch *) owner)->host;
+  host->probe (host, target);
+}
+
+static void
+S_renew (gpointer owner, const MrTargetState *target)
+{
+  MrDispatchHost *host = ((MrDispatch *) owner)->host;
+  host->renew (host, target);
+}
+
+static const MrTargetOps target_ops = { .probe = S_probe, .renew = S_renew };
+
 void
 mr_dispatch_act (MrDispatch *d, MrTime now, MrTargetState *target, MrHealthAction action)
 {
-  switch (action)
-    {
-    case MR_HEALTH_PROBE:
-      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_SUSPECT, "target %s (%s) is probed, state %s",
-              target->id, target->key, mr_health_name (target->health.state));
-      d->host->probe (d->host, target);
-      break;
-    case MR_HEALTH_RENEW:
-      d->host->renew (d->host, target);
-      break;
-    case MR_HEALTH_COLD:
-      mr_limit_on_cold (&target->limit);
-      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_UP, "target %s (%s) is back", target->id, target->key);
-      break;
-    case MR_HEALTH_NOTHING:
-      break;
-    }
+  mr_target_state_act (target, now, action, &target_ops, d);
   if (mr_health_usable (&target->health))
     mr_dispatch_pump (d, now, target);
 }
--- a/src/relay.c
+++ b/src/relay.c
@@ -181,29 +181,27 @@
 
 /* Targets. */
 
+static void
+S_probe (gpointer owner, const MrTargetState *target)
+{
+  MrRelayHost *host = ((MrRelay *) owner)->host;
+  host->probe (host, target);
+}
+
+static void
+S_renew (gpointer owner, const MrTargetState *target)
+{
+  MrRelayHost *host = ((MrRelay *) owner)->host;
+  host->renew (host, target);
+}
+
+static const MrTargetOps target_ops = { .probe = S_probe, .renew = S_renew };
+
 void
 mr_relay_act (MrRelay *r, MrTime now, MrTargetState *target, MrHealthAction action)
 {
   Service *service = g_hash_table_lookup (r->homes, target->id);
-  switch (action)
-    {
-    case MR_HEALTH_PROBE:
-      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_SUSPECT,
-              "target %s (%s) is probed, state %s, last answer %" G_GINT64_FORMAT " ms ago",
-              target->id, target->key, mr_health_name (target->health.state),
-              (now - target->health.answered_at) / MR_MS);
-      r->host->probe (r->host, target);
-      break;
-    case MR_HEALTH_RENEW:
-      r->host->renew (r->host, target);
-      break;
-    case MR_HEALTH_COLD:
-      mr_limit_on_cold (&target->limit);
-      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_UP, "target %s (%s) is back", target->id, target->key);
-      break;
-    case MR_HEALTH_NOTHING:
-      break;
-    }
+  mr_target_state_act (target, now, action, &target_ops, r);
   if (service && !g_queue_is_empty (&service->waiting))
     mr_relay_pump (r, now, service);
 }
@@ -268,14 +266,9 @@
 mr_relay_probe_end (MrRelay *r, MrTime now, const char *id, gboolean answered)
 {
   MrTargetState *target = g_hash_table_lookup (r->targets, id);
-  if (!target)
-    return;
-  MrHealthState before = target->health.state;
-  MrHealthAction action = mr_health_on_probe (&target->health, answered, now);
-  if (target->health.state == MR_HEALTH_DOWN && before != MR_HEALTH_DOWN)
-    mr_log (MR_LOG_WARNING, MR_EVENT_TARGET_DOWN, "target %s (%s) is down", target->id,
-            target->key);
-  mr_relay_act (r, now, target, action);
+  gboolean down = FALSE;
+  if (target)
+    mr_relay_act (r, now, target, mr_target_state_probed (target, now, answered, &down));
 }
 
 /* Admission. */
@@ -746,9 +739,5 @@
                          void (*visit) (const MrTargetState *target, void *user),
                          void *user)
 {
-  GHashTableIter iter;
-  gpointer item = NULL;
-  g_hash_table_iter_init (&iter, r->targets);
-  while (g_hash_table_iter_next (&iter, NULL, &item))
-    visit (item, user);
+  mr_target_state_foreach (r->targets, visit, user);
 }
--- a/src/target.c
+++ b/src/target.c
@@ -1,5 +1,7 @@
 #include "target.h"
 
+#include "log.h"
+
 /* Weight of the newest answer in the running mean. */
 static const double LATENCY_WEIGHT = 0.1;
 static const double LATENCY_FIRST = 1000;
@@ -84,3 +86,55 @@
 {
   target->failing += FAILING_WEIGHT * ((failed ? 1.0 : 0.0) - target->failing);
 }
+
+void
+mr_target_state_act (MrTargetState *target,
+                     MrTime now,
+                     MrHealthAction action,
+                     const MrTargetOps *ops,
+                     gpointer owner)
+{
+  switch (action)
+    {
+    case MR_HEALTH_PROBE:
+      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_SUSPECT,
+              "target %s (%s) is probed, state %s, last answer %" G_GINT64_FORMAT " ms ago",
+              target->id, target->key, mr_health_name (target->health.state),
+              (now - target->health.answered_at) / MR_MS);
+      ops->probe (owner, target);
+      break;
+    case MR_HEALTH_RENEW:
+      ops->renew (owner, target);
+      break;
+    case MR_HEALTH_COLD:
+      mr_limit_on_cold (&target->limit);
+      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_UP, "target %s (%s) is back", target->id, target->key);
+      break;
+    case MR_HEALTH_NOTHING:
+      break;
+    }
+}
+
+MrHealthAction
+mr_target_state_probed (MrTargetState *target, MrTime now, gboolean answered, gboolean *down)
+{
+  MrHealthState before = target->health.state;
+  MrHealthAction action = mr_health_on_probe (&target->health, answered, now);
+  *down = target->health.state == MR_HEALTH_DOWN && before != MR_HEALTH_DOWN;
+  if (*down)
+    mr_log (MR_LOG_WARNING, MR_EVENT_TARGET_DOWN, "target %s (%s) is down", target->id,
+            target->key);
+  return action;
+}
+
+void
+mr_target_state_foreach (GHashTable *targets,
+                         void (*visit) (const MrTargetState *target, void *user),
+                         void *user)
+{
+  GHashTableIter iter;
+  gpointer target = NULL;
+  g_hash_table_iter_init (&iter, targets);
+  while (g_hash_table_iter_next (&iter, NULL, &target))
+    visit (target, user);
+}
--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -5,48 +5,10 @@
 SEARCHER_BASE=18100
 RELAY_BASE=18200 # ten ports each: front, ready, directory, control
 LOGS=$(mktemp -d)
-declare -A PIDS
 
-say() { printf '%s\n' "$*"; }
+LOG_GLOB='r*.log'
+. "$(dirname "${BASH_SOURCE[0]}")/../../demo/helpers.sh"
 
-fail() {
-  printf 'FAILED: %s\n' "$*" >&2
-  tail -n 5 "$LOGS"/r*.log >&2
-  exit 1
-}
-
-start() { # NAME COMMAND...
-  local name=$1
-  shift
-  "$@" >"$LOGS/$name.log" 2>&1 &
-  PIDS[$name]=$!
-}
-
-stop() { # NAME SIGNAL; its exit code
-  kill "-$2" "${PIDS[$1]}" 2>/dev/null
-  wait "${PIDS[$1]}" 2>/dev/null
-  local code=$?
-  unset "PIDS[$1]"
-  return $code
-}
-
-stop_all() {
-  local name
-  for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null; done
-  wait 2>/dev/null
-  rm -rf "$LOGS"
-}
-
-until_true() { # SECONDS COMMAND...
-  local end=$((SECONDS + $1))
-  shift
-  until "$@" >/dev/null 2>&1; do
-    [ "$SECONDS" -lt "$end" ] || return 1
-    sleep 0.05
-  done
-}
-
-http() { curl -sS --max-time 5 "$@"; }
 mode() { http -X PUT "http://$1/mode/$2" >/dev/null; } # ADDRESS MODE
 
 searcher_at() { printf '127.0.0.1:%d' $((SEARCHER_BASE + $1)); }
