Some callers are turned away where a needed shard is crowded

Ruled out: refusing wherever a shard is slow; without a crowd fewer calls make nothing faster, and a late answer is better than none. One long sample counts for up to eight times the usual instead of four: capped lower, a full queue did not show.

--- a/src/relay.c
+++ b/src/relay.c
@@ -20,6 +20,15 @@
 /* A request is refused if it would wait for longer than this share of its aim:
  * it would come late, and take room from those that can still be in time. */
 static const double WAIT_SHARE = 0.6;
+/* Expected time of the deciding shard over the time that an answer in time has,
+ * from which some requests are refused, and at which most of those that are.
+ * Where a shard that every answer needs is asked for 110 % of its slots, all
+ * answers come late (worth a tenth); the few that are refused at once and told
+ * when to come back bring the others in time.  Never all: without requests nobody
+ * would see that the load has gone. */
+static const double TURN_AWAY_FROM = 0.5;
+static const double TURN_AWAY_FULL = 0.9;
+static const double TURN_AWAY_MOST = 0.9;
 /* When to come back where no target is known to work: a target is probed again
  * within this time. */
 static const MrTime RETRY_NO_TARGET = 400 * MR_MS;
@@ -367,6 +376,47 @@
   return work;
 }
 
+/* Load of the shard that decides when the answer is ready: the worst one that may
+ * not be left out.  A shard that is slow without being crowded counts for
+ * nothing: refusing callers would not make it faster, and a late answer is better
+ * than none. */
+static double
+S_deciding_load (const MrRelayWork *work, MrTime now)
+{
+  enum
+  {
+    SPARE_MAX = 8
+  };
+  double worst[SPARE_MAX + 1] = { 0 };
+  guint spare = MIN (work->spare, (guint) SPARE_MAX);
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      double load = 0;
+      if (mr_relay_job_crowded (&work->jobs[i]))
+        load = mr_relay_job_load (&work->jobs[i], now);
+      for (guint place = 0; place <= spare; place++)
+        if (load > worst[place])
+          {
+            double held = worst[place];
+            worst[place] = load;
+            load = held;
+          }
+    }
+  return worst[spare];
+}
+
+/* TRUE if the request is to be refused so that others are in time. */
+static gboolean
+S_turn_away (MrRelay *r, const MrRelayWork *work, MrTime now)
+{
+  if (work->route->kind != MR_ROUTE_SHARDS)
+    return FALSE;
+  double load = S_deciding_load (work, now);
+  double share =
+      CLAMP ((load - TURN_AWAY_FROM) / (TURN_AWAY_FULL - TURN_AWAY_FROM), 0, TURN_AWAY_MOST);
+  return share > 0 && g_rand_double (r->random) < share;
+}
+
 /* Cause for which the request can't be served; MR_CAUSE_NONE if it can. */
 static MrCause
 S_admit (MrRelayWork *work, MrTime now, MrTime *wait)
@@ -419,6 +469,8 @@
   g_hash_table_add (r->works, work);
   r->counts.requests++;
   work->cause = S_admit (work, now, &wait);
+  if (work->cause == MR_CAUSE_NONE && S_turn_away (r, work, now))
+    work->cause = MR_CAUSE_OVERLOAD;
   if (work->cause != MR_CAUSE_NONE)
     {
       mr_relay_finish (r, now, work, MR_VERDICT_REFUSED);
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -252,13 +252,13 @@
   return ahead > 0 && room > 0 ? (MrTime) (ahead * job->work->kind->mean / room) : 0;
 }
 
-gboolean
-mr_relay_leave_out (MrRelay *relay, MrTime now, Job *job)
+/* Expected time of the job over the time that an answer in time has; 0 if
+ * nothing is known to go by. */
+double
+mr_relay_job_load (const Job *job, MrTime now)
 {
-  MrRelayWork *work = job->work;
+  const MrRelayWork *work = job->work;
   double best = G_MAXDOUBLE;
-  if (work->spare == 0)
-    return FALSE;
   for (guint i = 0; i < job->service->targets->len; i++)
     {
       const MrTargetState *target = g_ptr_array_index (job->service->targets, i);
@@ -266,9 +266,31 @@
         best = MIN (best, S_expected_time (target, now, work->kind));
     }
   if (best == G_MAXDOUBLE)
-    return FALSE;
+    return 0;
   double expected = best + (double) mr_relay_expected_wait (job);
-  double load = expected / (double) MAX (work->soft_end - now, 1);
+  return expected / (double) MAX (work->soft_end - now, 1);
+}
+
+gboolean
+mr_relay_job_crowded (const Job *job)
+{
+  for (guint i = 0; i < job->service->targets->len; i++)
+    {
+      const MrTargetState *target = g_ptr_array_index (job->service->targets, i);
+      guint most = MAX (mr_limit_calls (&target->limit), 2);
+      if (mr_health_usable (&target->health) && target->in_flight * 2 < most)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+gboolean
+mr_relay_leave_out (MrRelay *relay, MrTime now, Job *job)
+{
+  MrRelayWork *work = job->work;
+  if (work->spare == 0)
+    return FALSE;
+  double load = mr_relay_job_load (job, now);
   double share =
       CLAMP ((load - LEAVE_OUT_FROM) / (LEAVE_OUT_FULL - LEAVE_OUT_FROM), 0, LEAVE_OUT_MOST);
   if (g_rand_double (relay->random) >= share)
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -127,6 +127,12 @@
  * come too late, and the answer is good enough without it. */
 gboolean mr_relay_leave_out (MrRelay *relay, MrTime now, Job *job);
 
+double mr_relay_job_load (const Job *job, MrTime now);
+
+/* TRUE if every usable target of the job's service has half of what it may have
+ * from here in flight: it is slow for its load, and fewer calls would help. */
+gboolean mr_relay_job_crowded (const Job *job);
+
 /* Time until a job that is queued now gets room, from the queue before it. */
 MrTime mr_relay_expected_wait (const Job *job);
 
--- a/src/target.c
+++ b/src/target.c
@@ -71,7 +71,7 @@
 
 /* One sample counts for at most this many times the usual: a single long pause
  * must not keep a target out of use for the next hundred calls. */
-static const double RELATIVE_MAX = 4;
+static const double RELATIVE_MAX = 8;
 static const double FAILING_WEIGHT = 0.1;
 
 void
--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -16,7 +16,9 @@
 #include <cmocka.h>
 
 #define SITE SITE_AT (149, 48)
-#define SITE_AT(wide, short_)                                                                      \
+#define SITE_AT(wide, short_) SITE_SHARES (wide, short_, 0.89, 0.75)
+#define NEEDY_SITE_AT(wide, short_) SITE_SHARES (wide, short_, 0.95, 0.95)
+#define SITE_SHARES(wide, short_, wide_share, short_share)                                         \
   .seed = 7, .daemons = 6, .shards = 10, .replicas = 3, .slots = 5, .queue = 30,                   \
   .connections = 40, .pause_ms = 250, .pause_gap_ms = 6000, .seconds = 20, .attempts = 2,          \
   .routes = {                                                                                      \
@@ -24,13 +26,13 @@
       .work_ms = 28,                                                                               \
       .aim_ms = 200,                                                                               \
       .deadline_ms = 2000,                                                                         \
-      .least_share = 0.89,                                                                         \
+      .least_share = (wide_share),                                                                 \
       .rank = 1 },                                                                                 \
     { .per_second = (short_),                                                                      \
       .work_ms = 9.2,                                                                              \
       .aim_ms = 80,                                                                                \
       .deadline_ms = 800,                                                                          \
-      .least_share = 0.75,                                                                         \
+      .least_share = (short_share),                                                                \
       .rank = 2 },                                                                                 \
   }
 
@@ -53,6 +55,11 @@
     { SITE_AT (177, 59),
       .events = { { WORLD_GONE, 0, 1, 1, 1000, 0, 0 }, { WORLD_GONE, 3, 4, 1, 1000, 0, 0 } } },
     { 0.75, 0.70 } },
+  /* One shard has one target left, which the peak asks for 110 % of its slots, and
+   * every answer needs it: some are refused at once, the rest are in time. */
+  { "a needed shard over full",
+    { NEEDY_SITE_AT (177, 59), .events = { { WORLD_GONE, 0, 1, 1, 1000, 0, 0 } } },
+    { 0.75, 0.30 } },
   /* A shard is dark for good: calls to it hang, then its targets are down and
    * searches go out without it. */
   { "a dark shard", { SITE, .events = { { WORLD_DARK, 0, 2, 1, 3000, 0, 0 } } }, { 0.80, 0.80 } },
