--- a/src/ctl.c
+++ b/src/ctl.c
@@ -42,6 +42,9 @@
     "A relayed request's story and the cause of its outcome, from log lines (standard input "
     "without files)",
     "merlinringctl explain 9c41d07be2a35f68 /var/log/relay-*.log", ctl_explain },
+  { "report", "[FILE...]",
+    "Latency, second sends, refusals by cause and spread of configurations, from log lines",
+    "merlinringctl report /var/log/relay-*.log", ctl_report },
 };
 
 CtlExit
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -4,6 +4,7 @@
 #include "status.h"
 #include "text.h"
 #include <jansson.h>
+#include <stdio.h>
 
 typedef enum
 {
@@ -79,3 +80,15 @@
 CtlExit ctl_order (const CtlOptions *options);
 CtlExit ctl_burn (const CtlOptions *options);
 CtlExit ctl_explain (const CtlOptions *options);
+CtlExit ctl_report (const CtlOptions *options);
+
+/* Calls @add with each line of @file that holds a JSON object; other lines are
+ * passed over, since collected logs hold others too.  @line is borrowed. */
+void ctl_read_lines (FILE *file, void (*add) (json_t *line, void *user), void *user);
+
+/* The text at @key of a log line; empty if it is not there. */
+const char *ctl_line_text (const json_t *line, const char *key);
+
+/* Reads standard input if @files is empty. */
+CtlExit
+ctl_read_files (int count, char **files, void (*add) (json_t *line, void *user), void *user);
--- a/src/ctl_explain.c
+++ b/src/ctl_explain.c
@@ -28,51 +28,17 @@
   { "no-route", "no route of the version in force there matches" },
 };
 
-static const char *
-S_text (const json_t *line, const char *key)
-{
-  const char *text = json_string_value (json_object_get (line, key));
-  return text ? text : "";
-}
-
 static json_int_t
 S_number (const json_t *line, const char *key)
 {
   return json_integer_value (json_object_get (line, key));
 }
 
-/* Lines that are not JSON are passed over: collected logs hold others too. */
 static void
-S_read (FILE *file, GArray *entries)
-{
-  char *text = NULL;
-  size_t size = 0;
-  while (getline (&text, &size, file) > 0)
-    {
-      const char *start = strchr (text, '{');
-      json_t *line = start ? json_loads (start, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
-      if (!line)
-        continue;
-      Entry entry = { .time = S_number (line, "time"), .line = line };
-      g_array_append_val (entries, entry);
-    }
-  free (text);
-}
-
-static CtlExit
-S_read_all (const CtlOptions *options, GArray *entries)
+S_add (json_t *line, void *user)
 {
-  if (options->argc < 2)
-    S_read (stdin, entries);
-  for (int i = 1; i < options->argc; i++)
-    {
-      FILE *file = fopen (options->argv[i], "r");
-      if (!file)
-        return ctl_fail (CTL_FAILED, "%s: can't be read", options->argv[i]);
-      S_read (file, entries);
-      fclose (file);
-    }
-  return CTL_OK;
+  Entry entry = { .time = S_number (line, "time"), .line = json_incref (line) };
+  g_array_append_val ((GArray *) user, entry);
 }
 
 static int
@@ -90,11 +56,11 @@
   json_t *call = NULL;
   json_array_foreach (json_object_get (line, "calls"), i, call)
   {
-    const char *target = S_text (call, "target");
+    const char *target = ctl_line_text (call, "target");
     g_hash_table_add (targets, g_strdup (target));
     printf ("    part %d at %s, %s after %.1f ms: %s after %.1f ms", (int) S_number (call, "part"),
-            target, S_text (call, "why"), (double) S_number (call, "at_us") / 1000,
-            S_text (call, "end"), (double) S_number (call, "took_us") / 1000);
+            target, ctl_line_text (call, "why"), (double) S_number (call, "at_us") / 1000,
+            ctl_line_text (call, "end"), (double) S_number (call, "took_us") / 1000);
     if (S_number (call, "heard_us") >= 0)
       printf ("; it had answered %.1f ms before", (double) S_number (call, "heard_us") / 1000);
     putchar ('\n');
@@ -115,13 +81,14 @@
 {
   printf ("%" JSON_INTEGER_FORMAT " %s route %s%s, configuration %" JSON_INTEGER_FORMAT
           ": status %" JSON_INTEGER_FORMAT " after %.1f ms",
-          S_number (line, "time"), S_text (line, "event"), S_text (line, "route"),
-          S_text (line, "target"), S_number (line, "version"), S_number (line, "status"),
+          S_number (line, "time"), ctl_line_text (line, "event"), ctl_line_text (line, "route"),
+          ctl_line_text (line, "target"), S_number (line, "version"), S_number (line, "status"),
           (double) S_number (line, "took_us") / 1000);
   if (S_number (line, "missing") > 0)
     printf (", %" JSON_INTEGER_FORMAT " of %" JSON_INTEGER_FORMAT " parts missing",
             S_number (line, "missing"), S_number (line, "parts"));
-  printf ("\n    cause %s: %s\n", S_text (line, "cause"), S_meaning (S_text (line, "cause")));
+  printf ("\n    cause %s: %s\n", ctl_line_text (line, "cause"),
+          S_meaning (ctl_line_text (line, "cause")));
   S_print_calls (line, targets);
 }
 
@@ -138,10 +105,10 @@
       for (guint i = 0; i < entries->len; i++)
         {
           const Entry *entry = &g_array_index (entries, Entry, i);
-          const char *message = S_text (entry->line, "message");
+          const char *message = ctl_line_text (entry->line, "message");
           if (strstr (message, needle))
-            printf ("%" JSON_INTEGER_FORMAT " %s %s\n", entry->time, S_text (entry->line, "event"),
-                    message);
+            printf ("%" JSON_INTEGER_FORMAT " %s %s\n", entry->time,
+                    ctl_line_text (entry->line, "event"), message);
         }
     }
 }
@@ -153,13 +120,13 @@
     return ctl_fail (CTL_USAGE, "explain: expected REQUEST-ID [FILE...]");
   g_autoptr (GArray) entries = g_array_new (FALSE, FALSE, sizeof (Entry));
   g_autoptr (GHashTable) targets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  CtlExit result = S_read_all (options, entries);
+  CtlExit result = ctl_read_files (options->argc - 1, options->argv + 1, S_add, entries);
   gboolean found = FALSE;
   g_array_sort (entries, S_by_time);
   for (guint i = 0; result == CTL_OK && i < entries->len; i++)
     {
       const json_t *line = g_array_index (entries, Entry, i).line;
-      if (!g_str_equal (S_text (line, "request"), options->argv[0]))
+      if (!g_str_equal (ctl_line_text (line, "request"), options->argv[0]))
         continue;
       found = TRUE;
       S_print_request (line, targets);
--- /dev/null
+++ b/src/ctl_log.c
@@ -0,0 +1,42 @@
+/* Log lines of relays, as explain and report read them. */
+
+#include "ctl.h"
+
+void
+ctl_read_lines (FILE *file, void (*add) (json_t *line, void *user), void *user)
+{
+  char *text = NULL;
+  size_t size = 0;
+  while (getline (&text, &size, file) > 0)
+    {
+      const char *start = strchr (text, '{');
+      json_t *line = start ? json_loads (start, JSON_DISABLE_EOF_CHECK, NULL) : NULL;
+      if (line && json_object_get (line, "event"))
+        add (line, user);
+      json_decref (line);
+    }
+  free (text);
+}
+
+CtlExit
+ctl_read_files (int count, char **files, void (*add) (json_t *line, void *user), void *user)
+{
+  if (count == 0)
+    ctl_read_lines (stdin, add, user);
+  for (int i = 0; i < count; i++)
+    {
+      FILE *file = fopen (files[i], "r");
+      if (!file)
+        return ctl_fail (CTL_FAILED, "%s: can't be read", files[i]);
+      ctl_read_lines (file, add, user);
+      fclose (file);
+    }
+  return CTL_OK;
+}
+
+const char *
+ctl_line_text (const json_t *line, const char *key)
+{
+  const char *text = json_string_value (json_object_get (line, key));
+  return text ? text : "";
+}
--- /dev/null
+++ b/src/ctl_report.c
@@ -0,0 +1,204 @@
+#include "ctl.h"
+
+#include "histogram.h"
+#include <stdio.h>
+
+enum
+{
+  LINE_WIDTH_MAX = 30,
+};
+
+/* Lines of one route. */
+typedef struct
+{
+  char *name;
+  guint lines;
+  guint partial;
+  guint hedges;
+  guint retries;
+  MrHistogram latency; /* of answers with success, us */
+} Route;
+
+typedef struct
+{
+  GHashTable *routes;  /* name -> Route */
+  GHashTable *causes;  /* "event cause" -> count, of what was not served */
+  GHashTable *events;  /* event -> count */
+  GHashTable *version; /* relay's time of a version in force: version -> times */
+  guint64 left_out;
+  guint64 dropped;
+  guint lines;
+} Report;
+
+static void
+S_route_free (gpointer data)
+{
+  Route *route = data;
+  g_free (route->name);
+  g_free (route);
+}
+
+static void
+S_count (GHashTable *table, const char *key, guint count)
+{
+  guint sum = GPOINTER_TO_UINT (g_hash_table_lookup (table, key)) + count;
+  g_hash_table_replace (table, g_strdup (key), GUINT_TO_POINTER (sum));
+}
+
+static Route *
+S_route (Report *report, const char *name)
+{
+  Route *route = g_hash_table_lookup (report->routes, name);
+  if (route)
+    return route;
+  route = g_new0 (Route, 1);
+  route->name = g_strdup (name);
+  g_hash_table_insert (report->routes, route->name, route);
+  return route;
+}
+
+static void
+S_add_request (Report *report, const json_t *line)
+{
+  Route *route = S_route (report, ctl_line_text (line, "route"));
+  size_t i = 0;
+  json_t *call = NULL;
+  route->lines++;
+  json_array_foreach (json_object_get (line, "calls"), i, call)
+  {
+    route->hedges += g_str_equal (ctl_line_text (call, "why"), "hedge");
+    route->retries += g_str_equal (ctl_line_text (call, "why"), "retry");
+  }
+  if (json_integer_value (json_object_get (line, "status")) >= 300)
+    {
+      g_autofree char *key =
+          g_strdup_printf ("%s %s", ctl_line_text (line, "verdict"), ctl_line_text (line, "cause"));
+      S_count (report->causes, key, 1);
+      return;
+    }
+  route->partial += json_integer_value (json_object_get (line, "missing")) > 0;
+  mr_histogram_add (&route->latency, json_integer_value (json_object_get (line, "took_us")));
+}
+
+/* "configuration 16 is in force here, after 12": when the first and the last relay
+ * had it. */
+static void
+S_add_version (Report *report, const json_t *line)
+{
+  g_auto (GStrv) words = g_strsplit (ctl_line_text (line, "message"), " ", 3);
+  gint64 time = json_integer_value (json_object_get (line, "time"));
+  if (g_strv_length (words) < 3 || !g_str_has_suffix (words[2], " 0"))
+    {
+      GArray *times = g_hash_table_lookup (report->version, words[1]);
+      if (!times)
+        {
+          times = g_array_new (FALSE, FALSE, sizeof (gint64));
+          g_hash_table_insert (report->version, g_strdup (words[1]), times);
+        }
+      g_array_append_val (times, time);
+    }
+}
+
+static void
+S_add (json_t *line, void *user)
+{
+  Report *report = user;
+  const char *event = ctl_line_text (line, "event");
+  report->lines++;
+  report->left_out += (guint64) json_integer_value (json_object_get (line, "left_out"));
+  report->dropped += (guint64) json_integer_value (json_object_get (line, "dropped"));
+  S_count (report->events, event, 1);
+  if (json_object_get (line, "route"))
+    S_add_request (report, line);
+  else if (g_str_equal (event, "E1206"))
+    S_add_version (report, line);
+}
+
+static int
+S_by_text (gconstpointer a, gconstpointer b)
+{
+  return strcmp (a, b);
+}
+
+static GList *
+S_sorted_keys (GHashTable *table)
+{
+  return g_list_sort (g_hash_table_get_keys (table), S_by_text);
+}
+
+static void
+S_print_routes (const Report *report)
+{
+  g_autoptr (GList) names = S_sorted_keys (report->routes);
+  printf ("%-16s %8s %8s %8s %8s %10s %10s %10s\n", "route", "lines", "partial", "hedges",
+          "retries", "p50 ms", "p90 ms", "p99 ms");
+  for (const GList *name = names; name; name = name->next)
+    {
+      const Route *route = g_hash_table_lookup (report->routes, name->data);
+      printf ("%-16.*s %8u %8u %8u %8u %10.1f %10.1f %10.1f\n", LINE_WIDTH_MAX, route->name,
+              route->lines, route->partial, route->hedges, route->retries,
+              (double) mr_histogram_quantile (&route->latency, 0.5) / 1000,
+              (double) mr_histogram_quantile (&route->latency, 0.9) / 1000,
+              (double) mr_histogram_quantile (&route->latency, 0.99) / 1000);
+    }
+}
+
+static void
+S_print_counts (const char *title, GHashTable *table)
+{
+  g_autoptr (GList) keys = S_sorted_keys (table);
+  printf ("\n%s\n", title);
+  for (const GList *key = keys; key; key = key->next)
+    printf ("  %-28s %8u\n", (const char *) key->data,
+            GPOINTER_TO_UINT (g_hash_table_lookup (table, key->data)));
+}
+
+static void
+S_print_versions (const Report *report)
+{
+  g_autoptr (GList) versions = S_sorted_keys (report->version);
+  printf ("\nconfigurations: relays, ms from the first to the last that had it\n");
+  for (const GList *version = versions; version; version = version->next)
+    {
+      const GArray *times = g_hash_table_lookup (report->version, version->data);
+      gint64 first = G_MAXINT64;
+      gint64 last = 0;
+      for (guint i = 0; i < times->len; i++)
+        {
+          first = MIN (first, g_array_index (times, gint64, i));
+          last = MAX (last, g_array_index (times, gint64, i));
+        }
+      printf ("  %-12s %4u %8" G_GINT64_FORMAT "\n", (const char *) version->data, times->len,
+              last - first);
+    }
+}
+
+CtlExit
+ctl_report (const CtlOptions *options)
+{
+  Report report = {
+    .routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_route_free),
+    .causes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+    .events = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+    .version =
+        g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_array_unref),
+  };
+  CtlExit result = ctl_read_files (options->argc, options->argv, S_add, &report);
+  if (result == CTL_OK && report.lines == 0)
+    result = ctl_fail (CTL_FAILED, "no log lines");
+  if (result == CTL_OK)
+    {
+      printf ("%u lines, %" G_GUINT64_FORMAT " left out for volume, %" G_GUINT64_FORMAT
+              " dropped; plain answers have one line in 50\n\n",
+              report.lines, report.left_out, report.dropped);
+      S_print_routes (&report);
+      S_print_counts ("not served, by verdict and cause", report.causes);
+      S_print_counts ("events", report.events);
+      S_print_versions (&report);
+    }
+  g_hash_table_unref (report.routes);
+  g_hash_table_unref (report.causes);
+  g_hash_table_unref (report.events);
+  g_hash_table_unref (report.version);
+  return result;
+}
--- a/test/platform/process_explain.sh
+++ b/test/platform/process_explain.sh
@@ -31,6 +31,9 @@
 explain p3 >"$LOGS/p3.txt" || fail "no explanation of an unknown outcome"
 grep -q "cause broken" "$LOGS/p3.txt" || fail "unknown: $(cat "$LOGS/p3.txt")"
 grep -q "at i-[12], first.*broken after" "$LOGS/p3.txt" || fail "unknown: $(cat "$LOGS/p3.txt")"
+"$BUILD/merlinringctl" report "$LOGS"/r*.log >"$LOGS/report.txt" || fail "no report"
+grep -q "refused attempts" "$LOGS/report.txt" || fail "report: $(cat "$LOGS/report.txt")"
+grep -q "failed broken" "$LOGS/report.txt" || fail "report: $(cat "$LOGS/report.txt")"
 explain nobody >/dev/null 2>&1 && fail "an unknown id is explained"
 mode "$(searcher_at 1)" ok
 mode "$(searcher_at 2)" ok
