--- a/src/budget.c
+++ b/src/budget.c
@@ -2,59 +2,12 @@
 
 #include "safeguard.h"
 
-/* Most extra calls that may be saved up. */
-static const double SAVINGS_MAX = 20;
-/* Extra calls a second that need no first calls. */
-static const double ALLOWANCE_PER_SECOND = 2;
-
-void
-mr_budget_init (MrBudget *budget)
-{
-  *budget = (MrBudget){ .tokens = SAVINGS_MAX };
-}
-
-void
-mr_budget_earn (MrBudget *budget, double ratio, guint first_calls)
-{
-  budget->tokens = MIN (budget->tokens + ratio * first_calls, MAX (SAVINGS_MAX, budget->tokens));
-}
-
-static void
-S_refill (MrBudget *budget, MrTime now)
-{
-  if (budget->refilled == 0)
-    budget->refilled = now;
-  double seconds = (double) (now - budget->refilled) / (double) MR_SECOND;
-  /* The allowance fills an empty budget only; it never adds to savings. */
-  if (budget->tokens < 1)
-    budget->tokens = MIN (1, budget->tokens + seconds * ALLOWANCE_PER_SECOND);
-  budget->refilled = now;
-}
-
-bool
-mr_budget_spend (MrBudget *budget, MrTime now)
-{
-  /* Without a bound, slow targets make every caller ask twice, which makes them
-   * slower still; a share of first calls caps the load that failure can add. */
-  if (!MR_SAFEGUARD (MR_GUARD_RETRY_BUDGET))
-    return true;
-  S_refill (budget, now);
-  if (budget->tokens < 1)
-    return false;
-  budget->tokens -= 1;
-  return true;
-}
-
 /* Buckets that make up one window; the rest of the ring is spare. */
 enum
 {
   BUCKETS_IN_WINDOW = 20,
 };
 
-/* Spent of what the fleet is allowed.  The rest covers requests that a member
- * counted and its callers gave up before sending. */
-static const double MARGIN = 0.85;
-
 static void
 S_advance (MrWindowBudget *budget, const MrWindowTerms *terms, MrTime now)
 {
@@ -104,7 +57,7 @@
    * before; its share of the allowance comes back over one window. */
   double grown = CLAMP ((double) (now - terms->born) / (double) terms->window, 0, 1);
   double allowance = terms->allowance * terms->share * grown;
-  if (spent + 1 > (terms->ratio * requests + allowance) * MARGIN * share)
+  if (spent + 1 > (terms->ratio * requests + allowance) * terms->margin * share)
     return false;
   budget->extras[budget->bucket % MR_WINDOW_BUCKETS]++;
   return true;
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -24,6 +24,7 @@
   MR_ROUTE_SERVICE, /* any target of one service */
   MR_ROUTE_SPLIT,   /* one of several services, by weight */
   MR_ROUTE_SHARDS,  /* one target of each shard, answers merged */
+  MR_ROUTE_BATCH,   /* one target of each shard, whatever has come by the end counts */
 } MrRouteKind;
 
 typedef struct
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -1,12 +1,10 @@
-#include "dispatch_private.h"
+#include "dispatch.h"
 
 #include "log.h"
+#include "merge.h"
+#include "relay.h"
 #include "safeguard.h"
-
-enum
-{
-  SAMPLES_DECAY = 2000,
-};
+#include "timers.h"
 
 /* Share of the remaining time that the queue may take at admission.  Less for
  * lower classes, so that they are refused before a higher class suffers. */
@@ -15,105 +13,285 @@
   [MR_CLASS_INTERACTIVE] = 0.4,
   [MR_CLASS_BROWSING] = 0.2,
 };
-static const double SERVICE_TIME_WEIGHT = 0.05;
-static const double SERVICE_TIME_FIRST = 2000; /* us */
+/* A class waits as if it had come this much later: urgent calls overtake, but a
+ * lower class that has waited longer than the lag goes first (aging). */
+static const MrTime class_lag[MR_CLASS_COUNT] = {
+  [MR_CLASS_URGENT] = 0,
+  [MR_CLASS_INTERACTIVE] = 100 * MR_MS,
+  [MR_CLASS_BROWSING] = 400 * MR_MS,
+};
+
+static const MrRelayPolicy batch_policy = {
+  .hedge_quantile = 0.95, /* until a batch brings its document's */
+  .hedge_first_share = 0.25,
+  .hedge_min = 2 * MR_MS,
+  /* The document's bound is for second sends of both kinds. */
+  .hedge_share = 1,
+  .mean_first_share = 0.01,
+  /* Six times the 95 % quantile of a call whose time falls off exponentially. */
+  .silent_factor = 18,
+  .silent_min = 50 * MR_MS,
+  .silent_max = 2 * MR_SECOND,
+  .linger = MR_NEVER,
+  .rank_lag = class_lag,
+  .by_address = TRUE,
+};
+
+/* Second sends beside the document's share, in each window: single failures of a
+ * quiet service stay repairable, and a daemon that has just started can repair
+ * the connections that it loses first (a lost target of 12 shards needs 12).  The
+ * bound is for one daemon, so there is nothing to wait for after a start. */
+static const MrWindowTerms batch_budget = {
+  .window = 10 * MR_SECOND,
+  .allowance = 20,
+  .share = 1,
+  .margin = 1,
+  .born = -10 * MR_SECOND,
+};
+
+/* One map's targets as sets of the engine: one a shard, one of all. */
+typedef struct
+{
+  MrShardMap *map;
+  char *all; /* name of the set of all targets */
+  MrSplitPart everything;
+  MrSplitPart *shards; /* names of the shards' sets */
+  MrTargetState **states;
+  MrPolicy policy; /* that the targets' limits were set by */
+  guint open;      /* batches that use it */
+  gboolean old;    /* a newer map of the service is in use */
+} Layout;
+
+typedef struct
+{
+  MrDispatch *dispatch;
+  MrBatch *batch;
+  Layout *layout;
+  MrRoute route;
+  MrSplitPart *parts;
+  MrRelayWork *work;
+  MrMerge *merge;
+  MrTimer tell; /* next word to the root that this is worked on */
+  gboolean order_done;
+  GString *reply;
+  const MrTargetState *last; /* whose call ended last */
+} Work;
+
+struct _MrDispatch
+{
+  MrRelayHost relay_host;
+  MrDispatchHost *host;
+  MrRelay *relay;
+  GHashTable *layouts; /* set of all -> Layout */
+  guint old_layouts;
+  GHashTable *works;   /* batch id -> Work */
+  GHashTable *leaving; /* keys listed as leaving, seen in use or not */
+  MrTimers *timers;
+  MrDispatchCounts counts;
+};
+
+/* Maps. */
 
 static void
-S_work_free (gpointer data)
+S_layout_free (gpointer data)
 {
-  Work *work = data;
-  mr_batch_free (work->batch);
-  mr_merge_free (work->merge);
-  if (work->reply)
-    g_string_free (work->reply, TRUE);
-  g_free (work->jobs);
-  g_free (work);
+  Layout *layout = data;
+  for (guint i = 0; i < layout->map->shard_count; i++)
+    g_free (layout->shards[i].service);
+  g_free (layout->shards);
+  g_free (layout->states);
+  g_free (layout->all);
+  mr_shard_map_unref (layout->map);
+  g_free (layout);
 }
 
-MrDispatch *
-mr_dispatch_new (MrDispatchHost *host, guint32 seed)
+/* Adds target @index of the map to @set. */
+static void
+S_add_to_set (MrDispatch *d, MrTime now, Layout *layout, const char *set, guint index)
 {
-  MrDispatch *d = g_new0 (MrDispatch, 1);
-  d->host = host;
-  d->targets =
-      g_hash_table_new_full (g_str_hash, g_str_equal, NULL, (GDestroyNotify) mr_target_state_free);
-  d->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  d->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  d->works = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, S_work_free);
-  d->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  d->random = g_rand_new_with_seed (seed);
-  return d;
+  const MrTarget *target = &layout->map->targets[index];
+  char key[64];
+  g_snprintf (key, sizeof key, "%s:%d", target->ip, target->port);
+  gboolean leaving = g_hash_table_contains (d->leaving, key);
+  layout->states[index] = mr_relay_target (d->relay, now, set, target, leaving, 0);
 }
 
-void
-mr_dispatch_free (MrDispatch *d)
+static Layout *
+S_layout_new (MrDispatch *d, MrTime now, MrShardMap *map, char *all)
 {
-  if (!d)
+  Layout *layout = g_new0 (Layout, 1);
+  layout->map = mr_shard_map_ref (map);
+  layout->all = all;
+  layout->everything = (MrSplitPart){ .service = all };
+  layout->shards = g_new0 (MrSplitPart, map->shard_count + 1);
+  layout->states = g_new0 (MrTargetState *, map->target_count + 1);
+  mr_relay_add_set (d->relay, all, map->service);
+  for (guint i = 0; i < map->target_count; i++)
+    S_add_to_set (d, now, layout, all, i);
+  for (guint i = 0; i < map->shard_count; i++)
+    {
+      const MrShard *shard = &map->shards[i];
+      layout->shards[i].service = g_strdup_printf ("%s/%s", all, shard->name);
+      mr_relay_add_set (d->relay, layout->shards[i].service, map->service);
+      for (guint r = 0; r < shard->replica_count; r++)
+        S_add_to_set (d, now, layout, layout->shards[i].service, shard->replicas[r]);
+    }
+  return layout;
+}
+
+static void
+S_retire_older (MrDispatch *d, const MrShardMap *map)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, d->layouts);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    {
+      Layout *layout = item;
+      if (layout->map->generation >= map->generation || layout->old ||
+          !g_str_equal (layout->map->service, map->service))
+        continue;
+      layout->old = TRUE;
+      d->old_layouts++;
+    }
+}
+
+/* Takes down the sets of old maps that no batch uses any more.  Not as the last
+ * batch ends: the engine may be in the middle of one of them then. */
+static void
+S_release_old (MrDispatch *d)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  if (d->old_layouts == 0)
     return;
-  g_hash_table_unref (d->works);
-  g_hash_table_unref (d->leaving);
-  g_hash_table_unref (d->calls);
-  g_hash_table_unref (d->services);
-  g_hash_table_unref (d->targets);
-  g_rand_free (d->random);
-  g_free (d);
+  g_hash_table_iter_init (&iter, d->layouts);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    {
+      const Layout *layout = item;
+      if (!layout->old || layout->open > 0)
+        continue;
+      for (guint i = 0; i < layout->map->shard_count; i++)
+        mr_relay_remove_set (d->relay, layout->shards[i].service);
+      mr_relay_remove_set (d->relay, layout->all);
+      g_hash_table_iter_remove (&iter);
+      d->old_layouts--;
+    }
 }
 
-static Service *
-S_service (MrDispatch *d, const char *name)
+static Layout *
+S_layout (MrDispatch *d, MrTime now, MrShardMap *map)
 {
-  Service *service = g_hash_table_lookup (d->services, name);
-  if (service)
-    return service;
-  service = g_new0 (Service, 1);
-  service->mean = SERVICE_TIME_FIRST;
-  mr_budget_init (&service->budget);
-  g_hash_table_insert (d->services, g_strdup (name), service);
-  return service;
+  g_autofree char *all = g_strdup_printf ("%s#%" G_GUINT64_FORMAT, map->service, map->generation);
+  Layout *layout = g_hash_table_lookup (d->layouts, all);
+  if (layout)
+    return layout;
+  layout = S_layout_new (d, now, map, g_steal_pointer (&all));
+  g_hash_table_insert (d->layouts, layout->all, layout);
+  S_retire_older (d, map);
+  return layout;
 }
 
-/* The target's state, made on first sight, with our share of its slots. */
-static MrTargetState *
-S_target (MrDispatch *d, MrTime now, const MrTarget *target, const MrPolicy *policy)
+/* Our share of each target's slots. */
+static void
+S_set_limits (Layout *layout, const MrPolicy *policy)
 {
-  char key[64];
-  g_snprintf (key, sizeof key, "%s:%d", target->ip, target->port);
-  MrTargetState *state = g_hash_table_lookup (d->targets, key);
-  if (!state)
+  if (layout->policy.owners == policy->owners &&
+      layout->policy.target_limit == policy->target_limit && layout->policy.owners > 0)
+    return;
+  layout->policy = *policy;
+  for (guint i = 0; i < layout->map->target_count; i++)
     {
-      state = mr_target_state_new (target, key);
-      g_hash_table_insert (d->targets, state->key, state);
-      if (g_hash_table_contains (d->leaving, key))
-        mr_health_on_leaving (&state->health, now);
+      guint slots = layout->map->targets[i].slots;
+      if (policy->target_limit > 0)
+        slots = MIN (slots, policy->target_limit);
+      mr_limit_set_most (&layout->states[i]->limit, (double) slots / MAX (policy->owners, 1));
     }
-  guint slots = target->slots;
-  if (policy->target_limit > 0)
-    slots = MIN (slots, policy->target_limit);
-  mr_limit_set_most (&state->limit, (double) slots / MAX (policy->owners, 1));
-  return state;
+}
+
+/* Works. */
+
+static Work *
+S_work_new (MrDispatch *d, MrTime now, MrBatch *batch)
+{
+  Work *work = g_new0 (Work, 1);
+  Layout *layout = S_layout (d, now, batch->map);
+  work->dispatch = d;
+  work->batch = batch;
+  work->layout = layout;
+  work->merge = mr_merge_new (batch->map, MAX (batch->top_k, 1));
+  work->tell.owner = work;
+  work->parts = g_new0 (MrSplitPart, MAX (batch->shard_count, 1));
+  for (guint i = 0; i < batch->shard_count; i++)
+    work->parts[i] = batch->order ? layout->everything : layout->shards[batch->shards[i]];
+  work->route = (MrRoute){
+    .name = batch->map->service,
+    .kind = MR_ROUTE_BATCH,
+    .repeatable = !batch->order,
+    .attempts = MR_REPLICAS_MAX,
+    .rank = batch->traffic_class,
+    .time_limit = batch->deadline - now,
+    .aim = batch->deadline - now,
+    .part_count = batch->shard_count,
+    .parts = work->parts,
+  };
+  layout->open++;
+  S_set_limits (layout, &batch->policy);
+  mr_relay_set_pool (d->relay, batch->map->service, batch->policy.extra_calls,
+                     batch->policy.hedge_quantile);
+  return work;
+}
+
+static void
+S_work_free (gpointer data)
+{
+  Work *work = data;
+  MrDispatch *d = work->dispatch;
+  mr_timers_set (d->timers, &work->tell, MR_NEVER);
+  work->layout->open--;
+  mr_batch_free (work->batch);
+  mr_merge_free (work->merge);
+  if (work->reply)
+    g_string_free (work->reply, TRUE);
+  g_free (work->parts);
+  g_free (work);
 }
 
 /* Admission. */
 
-/* Microseconds that a batch of @cls would wait for slots. */
+/* Calls that the batch's targets take at once. */
 static double
-S_expected_wait (const Work *work)
+S_capacity (const Work *work)
 {
-  const Service *service = work->service;
-  double ahead = work->batch->shard_count;
-  for (guint i = 0; i <= (guint) work->batch->traffic_class; i++)
-    ahead += service->waiting[i];
+  const MrBatch *batch = work->batch;
+  const MrShardMap *map = batch->map;
+  g_autoptr (GHashTable) seen = g_hash_table_new (NULL, NULL);
   double capacity = 0;
-  GHashTable *seen = g_hash_table_new (NULL, NULL);
-  for (guint i = 0; i < work->open; i++)
-    for (guint r = 0; r < work->jobs[i].replica_count; r++)
-      {
-        MrTargetState *target = work->jobs[i].replicas[r];
-        if (mr_health_usable (&target->health) && g_hash_table_add (seen, target))
-          capacity += mr_limit_calls (&target->limit);
-      }
-  g_hash_table_unref (seen);
-  return capacity > 0 ? ahead * service->mean / capacity : 0;
+  for (guint i = 0; i < batch->shard_count; i++)
+    {
+      const MrShard *shard = &map->shards[batch->shards[i]];
+      guint count = batch->order ? map->target_count : shard->replica_count;
+      for (guint r = 0; r < count; r++)
+        {
+          MrTargetState *target = work->layout->states[batch->order ? r : shard->replicas[r]];
+          if (mr_health_usable (&target->health) && g_hash_table_add (seen, target))
+            capacity += mr_limit_calls (&target->limit);
+        }
+    }
+  return capacity;
+}
+
+/* Microseconds that the batch would wait for slots. */
+static double
+S_expected_wait (const Work *work)
+{
+  const MrBatch *batch = work->batch;
+  const MrRelay *relay = work->dispatch->relay;
+  const char *service = batch->map->service;
+  double capacity = S_capacity (work);
+  double ahead =
+      batch->shard_count + (double) mr_relay_waiting (relay, service, batch->traffic_class);
+  return capacity > 0 ? ahead * mr_relay_mean (relay, service) / capacity : 0;
 }
 
 /* Refusing early is the only refusal that costs the targets nothing; a batch
@@ -121,360 +299,216 @@
 static gboolean
 S_admit (const Work *work, MrTime now)
 {
-  if (mr_dispatch_service_waiting (work->service) == 0)
+  if (mr_relay_waiting (work->dispatch->relay, work->batch->map->service, MR_CLASS_COUNT) == 0)
     return TRUE; /* nobody waits: the estimate has nothing to go on */
   double left = (double) (work->batch->deadline - now);
   return S_expected_wait (work) <= left * class_share[work->batch->traffic_class];
 }
 
-/* Any target of the service can take an order; the job's "shard" is the index
- * of the first one to try. */
+/* Ends. */
+
+/* Index in the map of the target that held the batch up: the first replica of a
+ * shard that is missing, else whoever answered last. */
+static guint
+S_blame (const Work *work)
+{
+  const MrBatch *batch = work->batch;
+  for (guint i = 0; i < batch->shard_count && !batch->order; i++)
+    if (!mr_merge_covers (work->merge, batch->shards[i]))
+      return batch->map->shards[batch->shards[i]].replicas[0];
+  for (guint i = 0; work->last && i < batch->map->target_count; i++)
+    if (work->layout->states[i] == work->last)
+      return i;
+  return MR_NO_TARGET_INDEX;
+}
+
+/* Gives the batch's partial to the host, and frees @work.  @result is NULL if
+ * nothing was begun. */
 static void
-S_fill_order (MrDispatch *d, MrTime now, Job *job)
+S_finish (Work *work, MrPartialKind kind, const MrRelayResult *result)
 {
-  const MrBatch *batch = job->work->batch;
-  const MrShardMap *map = batch->map;
-  job->replica_count = MIN (map->target_count, (guint) MR_REPLICAS_MAX);
-  for (guint r = 0; r < job->replica_count; r++)
+  MrDispatch *d = work->dispatch;
+  MrPartial *partial = mr_partial_new (work->batch->id, kind);
+  partial->blame = S_blame (work);
+  partial->outcome = MR_ORDER_NOT_RUN;
+  if (work->order_done)
+    partial->outcome = MR_ORDER_DONE;
+  else if (result && result->may_have_run)
+    partial->outcome = MR_ORDER_UNKNOWN;
+  if (kind == MR_PARTIAL_REFUSED)
     {
-      const MrTarget *target = &map->targets[(job->shard + r) % map->target_count];
-      job->replicas[r] = S_target (d, now, target, &batch->policy);
+      d->counts.refused++;
+      partial->retry_after_ms = MAX ((gint64) (S_expected_wait (work) / (double) MR_MS), 1);
     }
+  for (guint i = 0; result && i < result->sends->len; i++)
+    {
+      partial->calls++;
+      if (g_array_index (result->sends, MrSendNote, i).reason != MR_SEND_FIRST)
+        partial->extra++;
+    }
+  partial->reply = g_steal_pointer (&work->reply);
+  mr_merge_take (work->merge, partial);
+  g_hash_table_remove (d->works, &partial->batch_id);
+  d->host->done (d->host, partial);
 }
 
 static void
-S_fill_jobs (MrDispatch *d, MrTime now, Work *work)
+S_on_done (MrRelayHost *host, gpointer request, const MrRelayResult *result)
 {
-  const MrBatch *batch = work->batch;
-  for (guint i = 0; i < batch->shard_count; i++)
-    {
-      Job *job = &work->jobs[i];
-      job->work = work;
-      job->shard = batch->shards[i];
-      if (batch->order)
-        {
-          S_fill_order (d, now, job);
-          continue;
-        }
-      const MrShard *shard = &batch->map->shards[batch->shards[i]];
-      job->replica_count = shard->replica_count;
-      for (guint r = 0; r < shard->replica_count; r++)
-        job->replicas[r] =
-            S_target (d, now, &batch->map->targets[shard->replicas[r]], &batch->policy);
-    }
+  (void) host;
+  gboolean untouched = result->cause == MR_CAUSE_TIME && result->sends->len == 0;
+  S_finish (request, untouched ? MR_PARTIAL_DEADLINE : MR_PARTIAL_ANSWER, result);
 }
 
 void
 mr_dispatch_submit (MrDispatch *d, MrTime now, MrBatch *batch)
 {
-  Work *work = g_new0 (Work, 1);
-  work->batch = batch;
-  work->service = S_service (d, batch->map->service);
-  work->merge = mr_merge_new (batch->map, MAX (batch->top_k, 1));
-  work->arrived = now;
-  work->check_at = MR_NEVER;
-  work->tell_at = now + MR_WORKING_GAP;
-  work->open = batch->shard_count;
-  work->jobs = g_new0 (Job, MAX (batch->shard_count, 1));
-  work->outcome = MR_ORDER_NOT_RUN;
+  Work *work = S_work_new (d, now, batch);
   g_hash_table_replace (d->works, &batch->id, work);
-  S_fill_jobs (d, now, work);
-
   if (batch->deadline <= now || batch->shard_count == 0)
     {
-      mr_dispatch_finish (d, now, work, MR_PARTIAL_DEADLINE);
+      S_finish (work, MR_PARTIAL_DEADLINE, NULL);
       return;
     }
   if (!S_admit (work, now))
     {
-      mr_dispatch_finish (d, now, work, MR_PARTIAL_REFUSED);
+      S_finish (work, MR_PARTIAL_REFUSED, NULL);
       return;
     }
-  mr_budget_earn (&work->service->budget, batch->policy.extra_calls, batch->shard_count);
+  /* An order's batch has no other root to tell, and its home would take any
+   * partial for the end of it. */
+  if (!batch->order)
+    mr_timers_set (d->timers, &work->tell, now + MR_WORKING_GAP);
   guint64 id = batch->id;
-  guint count = batch->shard_count;
-  for (guint i = 0; i < count; i++)
-    {
-      mr_dispatch_place (d, now, &work->jobs[i]);
-      /* Placing the last job can finish the batch. */
-      if (!g_hash_table_contains (d->works, &id))
-        return;
-    }
+  MrRelayWork *begun = mr_relay_submit (d->relay, now, work, NULL, &work->route, batch->deadline);
+  if (begun && g_hash_table_lookup (d->works, &id) == work)
+    work->work = begun;
 }
 
-/* Ends. */
-
-/* The target that held the batch up: the first replica of a shard that is
- * missing, else whoever answered last. */
-static const MrTargetState *
-S_find_blame (const Work *work)
+void
+mr_dispatch_forget (MrDispatch *d, MrTime now, guint64 batch_id)
 {
-  for (guint i = 0; i < work->batch->shard_count && !work->batch->order; i++)
-    if (!mr_merge_covers (work->merge, work->jobs[i].shard))
-      return work->jobs[i].replicas[0];
-  return work->blame;
+  Work *work = g_hash_table_lookup (d->works, &batch_id);
+  if (!work)
+    return;
+  mr_relay_forget (d->relay, now, work->work);
+  g_hash_table_remove (d->works, &batch_id);
 }
 
-/* Its index in the map. */
-static guint
-S_blame (const Work *work)
+/* Calls. */
+
+static void
+S_on_call (MrRelayHost *host, const MrRelayCall *call)
 {
-  const MrTargetState *blame = S_find_blame (work);
-  const MrShardMap *map = work->batch->map;
-  for (guint i = 0; blame && i < map->target_count; i++)
-    if (g_str_equal (map->targets[i].id, blame->id))
-      return i;
-  return MR_NO_TARGET_INDEX;
+  MrDispatch *d = (MrDispatch *) host;
+  const Work *work = call->request;
+  MrCallStart start = {
+    .id = call->id,
+    .target = call->target,
+    .batch = work->batch,
+    .shard = work->batch->shards[call->part],
+  };
+  d->host->start_call (d->host, &start);
 }
 
-static gint64
-S_retry_after_ms (const Work *work)
+static void
+S_on_unwanted (MrRelayHost *host, guint64 id)
 {
-  return MAX ((gint64) (S_expected_wait (work) / (double) MR_MS), 1);
+  MrDispatch *d = (MrDispatch *) host;
+  d->counts.cancelled++;
+  d->host->cancel_call (d->host, id);
 }
 
-void
-mr_dispatch_finish (MrDispatch *d, MrTime now, Work *work, MrPartialKind kind)
+static gboolean
+S_holds (MrRelayHost *host, gpointer request, const MrTargetState *target, MrTime now)
 {
-  if (work->finished)
-    return;
-  work->finished = TRUE;
-  MrPartial *partial = mr_partial_new (work->batch->id, kind);
-  partial->blame = S_blame (work);
-  if (kind == MR_PARTIAL_REFUSED)
-    {
-      d->counts.refused++;
-      partial->retry_after_ms = S_retry_after_ms (work);
-    }
-  for (guint i = 0; i < work->batch->shard_count; i++)
-    {
-      Job *job = &work->jobs[i];
-      job->ended = TRUE;
-      mr_dispatch_unlink_job (job);
-      mr_dispatch_drop_calls (d, now, job);
-    }
-  partial->calls = work->calls;
-  partial->extra = work->extra;
-  partial->outcome = work->outcome;
-  partial->reply = work->reply;
-  work->reply = NULL;
-  mr_merge_take (work->merge, partial);
-  g_hash_table_remove (d->works, &partial->batch_id);
-  d->host->done (d->host, partial);
+  (void) host;
+  const Work *work = request;
+  return mr_target_state_holds (target, work->batch->map, now);
 }
 
-void
-mr_dispatch_forget (MrDispatch *d, MrTime now, guint64 batch_id)
+static void
+S_on_probe (MrRelayHost *host, const MrTargetState *target)
 {
-  Work *work = g_hash_table_lookup (d->works, &batch_id);
-  if (!work)
-    return;
-  work->finished = TRUE;
-  for (guint i = 0; i < work->batch->shard_count; i++)
-    {
-      mr_dispatch_unlink_job (&work->jobs[i]);
-      mr_dispatch_drop_calls (d, now, &work->jobs[i]);
-    }
-  g_hash_table_remove (d->works, &batch_id);
+  MrDispatchHost *owner = ((MrDispatch *) host)->host;
+  owner->probe (owner, target);
 }
 
-/* Orders: what an ended call says of the request having run.  Only an outcome
- * that proves that it did not run lets it go to another target; everything else
- * ends it, since sending again could run it twice. */
 static void
-S_end_order_call (MrDispatch *d, MrTime now, Job *job, const MrCallEnd *end)
+S_on_renew (MrRelayHost *host, const MrTargetState *target)
 {
-  Work *work = job->work;
-  switch (end->outcome)
-    {
-    case MR_CALL_ANSWER:
-      work->outcome = MR_ORDER_DONE;
-      work->reply = g_string_new_len (end->order_reply.data, (gssize) end->order_reply.len);
-      mr_dispatch_end_job (d, now, job);
-      return;
-    case MR_CALL_SHED:
-    case MR_CALL_DRAINING:
-    case MR_CALL_MISDIRECTED:
-    case MR_CALL_NOT_CONNECTED:
-      mr_dispatch_place (d, now, job);
-      return;
-    case MR_CALL_NO_SNAPSHOT:
-    case MR_CALL_BROKEN:
-    case MR_CALL_ERROR:
-    case MR_CALL_CANCELLED:
-    case MR_CALL_SILENT:
-      /* A broken connection after the first byte left says nothing: the target
-       * may have run the order and lost only the answer. */
-      if (!MR_SAFEGUARD (MR_GUARD_NOT_RUN))
-        {
-          mr_dispatch_place (d, now, job);
-          return;
-        }
-      work->outcome = MR_ORDER_UNKNOWN;
-      mr_dispatch_end_job (d, now, job);
-      return;
-    }
+  MrDispatchHost *owner = ((MrDispatch *) host)->host;
+  owner->renew (owner, target);
 }
 
 static gboolean
-S_echo_matches (const Call *call, const MrCallEnd *end)
+S_echo_matches (const Work *work, guint shard, const MrCallEnd *end)
 {
-  const Job *job = call->job;
-  const MrShardMap *map = job->work->batch->map;
+  const MrShardMap *map = work->batch->map;
   /* An answer that was delayed, doubled or crossed belongs to another request;
    * ids are never reused in an incarnation, so equality is enough. */
-  if (end->echoed_id != call->id && MR_SAFEGUARD (MR_GUARD_REPLY_ID))
+  if (end->echoed_id != end->id && MR_SAFEGUARD (MR_GUARD_REPLY_ID))
     return FALSE;
-  if (job->work->batch->order)
+  if (work->batch->order)
     return TRUE;
   /* A target that moved on answers from another snapshot; merged, two versions
    * of a record could stand in one answer. */
   if (!mr_text_equal (end->echoed_snapshot, mr_text (map->snapshot)) &&
       MR_SAFEGUARD (MR_GUARD_SNAPSHOT))
     return FALSE;
-  return mr_text_equal (end->echoed_shard, mr_text (map->shards[job->shard].name)) ||
+  return mr_text_equal (end->echoed_shard, mr_text (map->shards[shard].name)) ||
          !MR_SAFEGUARD (MR_GUARD_REPLY_ID);
 }
 
-static void
-S_note_latency (Work *work, MrTargetState *target, MrTime latency)
-{
-  Service *service = work->service;
-  mr_target_state_add_latency (target, latency);
-  service->mean += SERVICE_TIME_WEIGHT * ((double) latency - service->mean);
-  mr_histogram_add (&service->latency, latency);
-  if (service->latency.total >= SAMPLES_DECAY)
-    mr_histogram_decay (&service->latency);
-}
-
-/* Another try of a search's shard, if a replica is left and the budget allows.
- * A shed or draining answer cost the target nothing, but asking on is load all
- * the same, so it draws on the budget too. */
-static void
-S_settle (MrDispatch *d, MrTime now, Job *job)
-{
-  if (mr_dispatch_has_call (job) || job->linked)
-    return;
-  gboolean left = FALSE;
-  for (guint i = 0; i < job->replica_count; i++)
-    left = left || !(job->tried & (1U << i));
-  if (!left || !mr_budget_spend (&job->work->service->budget, now))
-    {
-      mr_dispatch_end_job (d, now, job);
-      return;
-    }
-  job->retry = TRUE;
-  d->counts.retries++;
-  mr_dispatch_place (d, now, job);
-}
-
-/* What the end of a call, wanted or not, says of its target. */
-static void
-S_note_target (
-    MrDispatch *d, MrTime now, MrTargetState *target, MrTime started, const MrCallEnd *end)
+/* Takes over what a wanted call has brought; FALSE if it is not its answer. */
+static gboolean
+S_take_end (MrDispatch *d, MrTime now, const MrRelayCall *call, MrCallEnd *end)
 {
-  MrHealthAction action = MR_HEALTH_NOTHING;
-  switch (end->outcome)
+  Work *work = call->request;
+  guint shard = work->batch->shards[call->part];
+  work->last = call->target;
+  if (end->outcome == MR_CALL_NO_SNAPSHOT)
+    mr_target_state_lacks ((MrTargetState *) call->target, work->batch->map, now);
+  if (end->outcome != MR_CALL_ANSWER)
+    return TRUE;
+  if (!S_echo_matches (work, shard, end))
     {
-    case MR_CALL_ANSWER:
-      mr_limit_on_success (&target->limit);
-      action = mr_health_on_answer (&target->health, now);
-      break;
-    case MR_CALL_SHED:
-      d->counts.shed++;
-      target->shed++;
-      mr_limit_on_shed (&target->limit, now);
-      mr_health_on_word (&target->health, now);
-      break;
-    case MR_CALL_DRAINING:
-      mr_dispatch_leave (d, now, target, "it drains");
-      break;
-    case MR_CALL_MISDIRECTED:
-      mr_dispatch_leave (d, now, target, "its address belongs to another process");
-      break;
-    case MR_CALL_NOT_CONNECTED:
-    case MR_CALL_BROKEN:
-      action = mr_health_on_break (&target->health, now);
-      break;
-    case MR_CALL_SILENT:
-      action = mr_health_on_lost (&target->health, started, now);
-      break;
-    case MR_CALL_ERROR:
-      mr_health_on_failure (&target->health, now);
-      if (target->health.state == MR_HEALTH_DOWN)
-        mr_dispatch_evict_waiting (d, now, target);
-      break;
-    case MR_CALL_NO_SNAPSHOT:
-    case MR_CALL_CANCELLED:
-      mr_health_on_word (&target->health, now);
-      break;
+      d->counts.discarded++;
+      end->outcome = work->batch->order ? MR_CALL_BROKEN : MR_CALL_ERROR;
+      mr_log (MR_LOG_WARNING, MR_EVENT_REPLY_DISCARDED,
+              "answer of target %s discarded: another id, snapshot or shard", call->target->id);
+      return FALSE;
     }
-  mr_dispatch_act (d, now, target, action);
-}
-
-static void
-S_end_search_call (MrDispatch *d, MrTime now, Job *job, MrCallEnd *end)
-{
-  if (end->outcome != MR_CALL_ANSWER)
+  if (work->batch->order)
     {
-      S_settle (d, now, job);
-      return;
+      work->order_done = TRUE;
+      work->reply = g_string_new_len (end->order_reply.data, (gssize) end->order_reply.len);
     }
-  mr_merge_add_shard (job->work->merge, job->shard, end->hits, end->hit_count);
-  mr_dispatch_end_job (d, now, job);
+  else
+    mr_merge_add_shard (work->merge, shard, end->hits, end->hit_count);
+  return TRUE;
 }
 
 gboolean
 mr_dispatch_call_end (MrDispatch *d, MrTime now, MrCallEnd *end)
 {
-  Call *call = g_hash_table_lookup (d->calls, &end->id);
-  if (!call)
+  MrRelayCall call;
+  if (!mr_relay_find_call (d->relay, end->id, &call))
     {
       d->counts.discarded++;
       return FALSE;
     }
-  Job *job = call->job;
-  if (job)
-    job->work->blame = call->target;
-  gboolean matches = TRUE;
-  if (job && end->outcome == MR_CALL_ANSWER && !S_echo_matches (call, end))
-    {
-      matches = FALSE;
-      d->counts.discarded++;
-      end->outcome = job->work->batch->order ? MR_CALL_BROKEN : MR_CALL_ERROR;
-      mr_log (MR_LOG_WARNING, MR_EVENT_REPLY_DISCARDED,
-              "answer of target %s discarded: another id, snapshot or shard", call->target->id);
-    }
-  if (job)
-    *mr_dispatch_call_place (job, call) = NULL;
-  if (job && end->outcome == MR_CALL_NO_SNAPSHOT)
-    mr_target_state_lacks (call->target, job->work->batch->map, now);
-  if (job && end->outcome == MR_CALL_ANSWER)
-    S_note_latency (job->work, call->target, now - call->started);
-  MrTargetState *target = call->target;
-  MrTime started = call->started;
-  target->in_flight--;
-  g_hash_table_remove (d->calls, &end->id);
-  if (job && job->work->batch->order)
-    S_end_order_call (d, now, job, end);
-  else if (job)
-    S_end_search_call (d, now, job, end);
-  S_note_target (d, now, target, started, end);
-  mr_dispatch_pump (d, now, target);
+  gboolean matches = call.request ? S_take_end (d, now, &call, end) : TRUE;
+  if (end->outcome == MR_CALL_SHED)
+    d->counts.shed++;
+  mr_relay_call_end (d->relay, now, end->id, end->outcome, NULL);
   return matches;
 }
 
 void
 mr_dispatch_probe_end (MrDispatch *d, MrTime now, const char *key, bool answered)
 {
-  MrTargetState *target = g_hash_table_lookup (d->targets, key);
-  gboolean down = FALSE;
-  if (!target)
-    return;
-  MrHealthAction action = mr_target_state_probed (target, now, answered, &down);
-  if (down)
-    mr_dispatch_evict_waiting (d, now, target);
-  mr_dispatch_act (d, now, target, action);
+  mr_relay_probe_end (d->relay, now, key, answered);
 }
 
 void
@@ -484,18 +518,72 @@
     g_hash_table_add (d->leaving, g_strdup (key));
   else
     g_hash_table_remove (d->leaving, key);
-  MrTargetState *target = g_hash_table_lookup (d->targets, key);
-  if (!target)
+  mr_relay_target_leaving (d->relay, now, key, leaving);
+}
+
+MrTime
+mr_dispatch_tick (MrDispatch *d, MrTime now)
+{
+  S_release_old (d);
+  MrTime next = mr_relay_tick (d->relay, now);
+  for (MrTimer *timer = mr_timers_pop (d->timers, now); timer;
+       timer = mr_timers_pop (d->timers, now))
+    {
+      const Work *work = timer->owner;
+      mr_timers_set (d->timers, timer, now + MR_WORKING_GAP);
+      d->host->done (d->host, mr_partial_new (work->batch->id, MR_PARTIAL_WORKING));
+    }
+  return MIN (next, mr_timers_next (d->timers));
+}
+
+MrDispatch *
+mr_dispatch_new (MrDispatchHost *host, guint32 seed)
+{
+  MrDispatch *d = g_new0 (MrDispatch, 1);
+  MrRelayInfo info = {
+    .policy = &batch_policy,
+    .budget = batch_budget,
+    .seed = seed,
+  };
+  d->relay_host = (MrRelayHost){
+    .call = S_on_call,
+    .unwanted = S_on_unwanted,
+    .holds = S_holds,
+    .probe = S_on_probe,
+    .renew = S_on_renew,
+    .done = S_on_done,
+  };
+  d->host = host;
+  d->relay = mr_relay_new (&d->relay_host, &info);
+  d->layouts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_layout_free);
+  d->works = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, S_work_free);
+  d->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  d->timers = mr_timers_new ();
+  return d;
+}
+
+void
+mr_dispatch_free (MrDispatch *d)
+{
+  if (!d)
     return;
-  if (leaving)
-    mr_dispatch_leave (d, now, target, "listed as leaving");
-  else
-    mr_dispatch_act (d, now, target, mr_health_on_live (&target->health, now));
+  g_hash_table_unref (d->works);
+  g_hash_table_unref (d->layouts);
+  mr_relay_free (d->relay);
+  g_hash_table_unref (d->leaving);
+  mr_timers_free (d->timers);
+  g_free (d);
 }
 
 const MrDispatchCounts *
-mr_dispatch_counts (const MrDispatch *d)
+mr_dispatch_counts (MrDispatch *d)
 {
+  const MrRelayCounts *counts = mr_relay_counts (d->relay);
+  d->counts.calls = counts->calls;
+  d->counts.hedges = counts->hedges;
+  d->counts.retries = counts->retries;
+  d->counts.expired = counts->expired;
+  d->counts.silent = counts->silent;
   return &d->counts;
 }
 
@@ -506,9 +594,9 @@
 }
 
 guint
-mr_dispatch_calls_open (const MrDispatch *d)
+mr_dispatch_maps (const MrDispatch *d)
 {
-  return g_hash_table_size (d->calls);
+  return g_hash_table_size (d->layouts);
 }
 
 void
@@ -516,5 +604,5 @@
                             void (*visit) (const MrTargetState *target, void *user),
                             void *user)
 {
-  mr_target_state_foreach (d->targets, visit, user);
+  mr_relay_foreach_target (d->relay, visit, user);
 }
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -1,17 +1,18 @@
-/* Owner's side of a search: which shard call goes to which target, when.
+/* Owner's side of a search: batches of shard calls, one partial answer each.
  *
- * Pure decisions: time comes as an argument, calls go out through a vtable.
- * A shard call waits in one queue for all its replicas and goes to the first
- * that has a free slot, so no call waits behind a straggler while another
- * replica idles.  Classes are served by arrival time plus a lag for each class,
- * which orders them and ages them at once.
+ * Admission, echoes and merging are here; which call goes to which target, and
+ * when, is decided by the engine that relayed requests use as well (relay.h).  A
+ * shard call waits in one queue for all its replicas and goes to the first that
+ * has a free slot, so no call waits behind a straggler while another replica
+ * idles.  Classes are served by arrival time plus a lag for each class, which
+ * orders them and ages them at once.  Pure decisions: time comes as an argument,
+ * calls go out through a vtable.
  *
  * What is measured and what was ruled out: docs/design/query-policy.md. */
 #pragma once
 
 #include "batch.h"
 #include "call.h"
-#include "health.h"
 #include "target.h"
 
 /* While a batch is open its root hears of it this often; without a word a root
@@ -89,9 +90,10 @@
 /* Carries out what is due; returns when to come back, or MR_NEVER. */
 MrTime mr_dispatch_tick (MrDispatch *dispatch, MrTime now);
 
-const MrDispatchCounts *mr_dispatch_counts (const MrDispatch *dispatch);
+const MrDispatchCounts *mr_dispatch_counts (MrDispatch *dispatch);
 guint mr_dispatch_batches (const MrDispatch *dispatch);
-guint mr_dispatch_calls_open (const MrDispatch *dispatch);
+/* Maps whose targets are laid out in sets. */
+guint mr_dispatch_maps (const MrDispatch *dispatch);
 void mr_dispatch_foreach_target (const MrDispatch *dispatch,
                                  void (*visit) (const MrTargetState *target, void *user),
                                  void *user);
--- a/src/relay.c
+++ b/src/relay.c
@@ -47,6 +47,19 @@
   return names[reason];
 }
 
+static Pool *
+S_pool (MrRelay *r, const char *name)
+{
+  Pool *pool = g_hash_table_lookup (r->pools, name);
+  if (pool)
+    return pool;
+  pool = g_new0 (Pool, 1);
+  pool->terms = r->terms;
+  pool->hedge_quantile = r->policy->hedge_quantile;
+  g_hash_table_insert (r->pools, g_strdup (name), pool);
+  return pool;
+}
+
 static void
 S_service_free (gpointer data)
 {
@@ -61,14 +74,15 @@
 {
   MrRelay *r = g_new0 (MrRelay, 1);
   r->host = host;
+  r->policy = info->policy;
   r->domain = g_strdup (info->domain);
   r->terms = info->budget;
   r->random = g_rand_new_with_seed (info->seed);
+  r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   r->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_service_free);
   r->kinds = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   r->splits = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, mr_relay_split_free);
   r->targets = g_hash_table_new (g_str_hash, g_str_equal);
-  r->homes = g_hash_table_new (g_str_hash, g_str_equal);
   r->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   r->works = g_hash_table_new (NULL, NULL);
   r->retired = g_ptr_array_new_with_free_func ((GDestroyNotify) mr_target_state_free);
@@ -112,11 +126,11 @@
     mr_target_state_free (item);
   g_hash_table_unref (r->works);
   g_hash_table_unref (r->calls);
-  g_hash_table_unref (r->homes);
   g_hash_table_unref (r->targets);
   g_hash_table_unref (r->splits);
   g_hash_table_unref (r->kinds);
   g_hash_table_unref (r->services);
+  g_hash_table_unref (r->pools);
   g_ptr_array_unref (r->retired);
   mr_timers_free (r->timers);
   g_rand_free (r->random);
@@ -127,24 +141,79 @@
 void
 mr_relay_set_share (MrRelay *r, double connections, double allowance)
 {
+  GHashTableIter iter;
+  gpointer pool = NULL;
   r->connections = connections;
   r->terms.share = allowance;
+  g_hash_table_iter_init (&iter, r->pools);
+  while (g_hash_table_iter_next (&iter, NULL, &pool))
+    ((Pool *) pool)->terms.share = allowance;
 }
 
-Service *
-mr_relay_service (MrRelay *r, const char *name)
+static Service *
+S_add_service (MrRelay *r, const char *name, const char *pool)
 {
-  Service *service = g_hash_table_lookup (r->services, name);
-  if (service)
-    return service;
-  service = g_new0 (Service, 1);
+  Service *service = g_new0 (Service, 1);
   service->name = g_strdup (name);
+  service->pool = S_pool (r, pool);
   service->targets = g_ptr_array_new ();
+  service->capped_share = NOT_CAPPED;
   g_queue_init (&service->waiting);
   g_hash_table_insert (r->services, service->name, service);
   return service;
 }
 
+Service *
+mr_relay_service (MrRelay *r, const char *name)
+{
+  Service *service = g_hash_table_lookup (r->services, name);
+  return service ? service : S_add_service (r, name, name);
+}
+
+void
+mr_relay_add_set (MrRelay *r, const char *set, const char *pool)
+{
+  if (!g_hash_table_contains (r->services, set))
+    S_add_service (r, set, pool);
+}
+
+void
+mr_relay_remove_set (MrRelay *r, const char *set)
+{
+  Service *service = g_hash_table_lookup (r->services, set);
+  if (!service)
+    return;
+  for (guint i = 0; i < service->targets->len; i++)
+    g_ptr_array_remove_fast (((MrTargetState *) g_ptr_array_index (service->targets, i))->sets,
+                             service);
+  g_hash_table_remove (r->services, set);
+}
+
+void
+mr_relay_set_pool (MrRelay *r, const char *name, double ratio, double hedge_quantile)
+{
+  Pool *pool = S_pool (r, name);
+  pool->terms.ratio = ratio;
+  pool->hedge_quantile = hedge_quantile;
+}
+
+guint
+mr_relay_waiting (const MrRelay *r, const char *name, guint rank)
+{
+  const Pool *pool = g_hash_table_lookup (r->pools, name);
+  guint sum = 0;
+  for (guint i = 0; pool && i <= MIN (rank, MR_RANKS - 1U); i++)
+    sum += pool->waiting[i];
+  return sum;
+}
+
+double
+mr_relay_mean (const MrRelay *r, const char *name)
+{
+  const Kind *kind = g_hash_table_lookup (r->kinds, name);
+  return kind ? kind->mean : 0;
+}
+
 /* Ends. */
 
 static MrTime
@@ -193,6 +262,7 @@
 {
   /* "Not run" is a promise: a call that is still out may yet run. */
   gboolean may_run = (work->ran || S_has_open_call (work)) && MR_SAFEGUARD (MR_GUARD_NOT_RUN);
+  MrTime linger = mr_relay_linger (r, now);
   if (verdict == MR_VERDICT_REFUSED && may_run)
     verdict = MR_VERDICT_FAILED;
   if (verdict == MR_VERDICT_TIMEOUT && !may_run)
@@ -204,6 +274,7 @@
     .part_count = work->part_count,
     .answers = work->answers,
     .missing = work->part_count - work->have,
+    .may_have_run = may_run,
     .sends = work->sends,
     .expected_wait = verdict == MR_VERDICT_REFUSED ? mr_relay_expected_wait (&work->jobs[0]) : 0,
   };
@@ -212,7 +283,7 @@
   for (guint i = 0; i < work->part_count; i++)
     {
       mr_relay_unqueue (&work->jobs[i]);
-      mr_relay_orphan_calls (r, now, &work->jobs[i], now + mr_relay_linger ());
+      mr_relay_orphan_calls (r, now, &work->jobs[i], linger);
     }
   r->host->done (r->host, work->request, &result);
   S_work_free (r, work);
@@ -224,6 +295,8 @@
   /* Searchers drop the work of a connection that closes.  A request that may not
    * be repeated is left to finish: its caller wants it done, if not told. */
   MrTime until = work->route->repeatable ? now : work->hard_end;
+  if (r->policy->linger == MR_NEVER)
+    until = MR_NEVER;
   g_hash_table_remove (r->works, work);
   for (guint i = 0; i < work->part_count; i++)
     {
@@ -241,7 +314,7 @@
 S_pass_failure_on (MrRelayWork *work)
 {
   Job *job = &work->jobs[0];
-  if (work->route->kind == MR_ROUTE_SHARDS || !job->failure)
+  if (work->route->kind >= MR_ROUTE_SHARDS || !job->failure)
     return FALSE;
   work->answers[0] = g_steal_pointer (&job->failure);
   work->have = 1;
@@ -274,8 +347,8 @@
         mr_relay_schedule (r, work);
       return;
     }
-  gboolean shards = work->route->kind == MR_ROUTE_SHARDS;
-  mr_relay_finish (r, now, work, shards ? MR_VERDICT_MERGE : MR_VERDICT_ANSWER);
+  gboolean merged = work->route->kind >= MR_ROUTE_SHARDS;
+  mr_relay_finish (r, now, work, merged ? MR_VERDICT_MERGE : MR_VERDICT_ANSWER);
 }
 
 static gboolean
@@ -314,6 +387,17 @@
   mr_relay_place (r, now, job, MR_SEND_RETRY);
 }
 
+/* A call that lost to a second send would have taken longer than this.  Where it
+ * is cancelled nothing else tells; left out, the quantile would sink until half
+ * of the second sends went to ordinary calls. */
+static void
+S_note_lost_calls (const MrRelay *r, MrTime now, const Job *job)
+{
+  for (guint i = 0; r->host->unwanted && i < CALLS_OF_JOB; i++)
+    if (job->calls[i])
+      mr_histogram_add (&job->calls[i]->kind->latency, now - job->calls[i]->started);
+}
+
 static void
 S_take_answer (MrRelay *r, MrTime now, Job *job, gpointer answer)
 {
@@ -321,7 +405,8 @@
   work->answers[job->part] = answer;
   work->ran = TRUE;
   work->have++;
-  mr_relay_orphan_calls (r, now, job, now + mr_relay_linger ());
+  S_note_lost_calls (r, now, job);
+  mr_relay_orphan_calls (r, now, job, mr_relay_linger (r, now));
   mr_relay_end_job (r, now, job, MR_CAUSE_NONE);
 }
 
@@ -346,8 +431,9 @@
     }
   Job *job = call->job;
   MrTargetState *target = call->target;
+  MrTime started = call->started;
   if (outcome == MR_CALL_ANSWER)
-    mr_relay_note_latency (call->kind, target, now - call->started);
+    mr_relay_note_latency (call->kind, target, now - started);
   if (job)
     {
       S_note_end (call, now, outcome);
@@ -356,7 +442,7 @@
           job->calls[i] = NULL;
     }
   mr_relay_call_free (r, call);
-  MrHealthAction action = mr_relay_note_target (r, now, target, outcome);
+  MrHealthAction action = mr_relay_note_target (r, now, target, outcome, started);
   if (job && outcome == MR_CALL_ANSWER)
     S_take_answer (r, now, job, answer);
   else if (job)
@@ -366,6 +452,23 @@
   mr_relay_act (r, now, target, action);
 }
 
+gboolean
+mr_relay_find_call (const MrRelay *r, guint64 id, MrRelayCall *out)
+{
+  const Call *call = g_hash_table_lookup (r->calls, &id);
+  if (!call)
+    return FALSE;
+  const Job *job = call->job;
+  *out = (MrRelayCall){ .id = id, .target = call->target };
+  if (job)
+    {
+      out->request = job->work->request;
+      out->part = job->part;
+      out->repeatable = job->work->route->repeatable;
+    }
+  return TRUE;
+}
+
 const MrRelayCounts *
 mr_relay_counts (const MrRelay *r)
 {
--- a/src/relay.h
+++ b/src/relay.h
@@ -1,9 +1,12 @@
-/* Decisions on relayed requests: which target gets what and when, what is sent
- * a second time, what is answered to the caller.
+/* Decisions on requests: which target gets what and when, what is sent a second
+ * time, what is answered to the caller.
  *
  * A request goes to one target of a service, or to one target of each shard,
- * whose answers are merged.  Pure decisions: time comes as an argument, calls
- * go out through a vtable, and an answer is an opaque pointer of the host's.
+ * whose answers are merged.  Two kinds of hosts use this: the relay's task, for
+ * requests of callers, and dispatch.c, for batches of shard calls from the root
+ * of a query.  They differ in an MrRelayPolicy.  Pure decisions: time comes as an
+ * argument, calls go out through a vtable, and an answer is an opaque pointer of
+ * the host's.
  *
  *   relay.c          ends of calls, verdicts
  *   relay_admit.c    admission, splits, who is turned away
@@ -28,7 +31,8 @@
 {
   guint64 id; /* never reused within an incarnation */
   const MrTargetState *target;
-  gpointer request;    /* as submitted */
+  gpointer request;    /* as submitted; NULL once nobody wants the answer */
+  guint part;          /* of the request */
   MrTime deadline;     /* of the caller */
   gboolean repeatable; /* may go out on a connection that could just be closing */
 } MrRelayCall;
@@ -87,8 +91,9 @@
   MrCause cause;
   MrTime retry_after; /* of a refusal */
   guint part_count;
-  gpointer *answers;    /* borrowed */
-  guint missing;        /* parts without an answer */
+  gpointer *answers; /* borrowed */
+  guint missing;     /* parts without an answer */
+  gboolean may_have_run;
   const GArray *sends;  /* MrSendNote */
   MrTime expected_wait; /* that caused a refusal for load */
 } MrRelayResult;
@@ -97,9 +102,15 @@
 struct _MrRelayHost
 {
   void (*call) (MrRelayHost *host, const MrRelayCall *call);
-  /* The call is not wanted any more: close its connection.  Its end is not
-   * reported. */
+  /* Nobody wants the call's answer any more; its end is still to be reported.
+   * NULL: nothing is done about it. */
+  void (*unwanted) (MrRelayHost *host, guint64 id);
+  /* The call has lingered for long enough: close its connection.  Its end is not
+   * reported.  NULL if calls linger until the host reports their end. */
   void (*drop) (MrRelayHost *host, guint64 id);
+  /* FALSE while @target is known not to hold what @request asks for; NULL: all
+   * targets of a set hold the same. */
+  gboolean (*holds) (MrRelayHost *host, gpointer request, const MrTargetState *target, MrTime now);
   /* Connect once to see whether it lives; mr_relay_probe_end () tells. */
   void (*probe) (MrRelayHost *host, const MrTargetState *target);
   /* Replace the idle connections of @target; all of them if it is gone. */
@@ -109,9 +120,44 @@
   void (*free_answer) (gpointer answer);
 };
 
+/* Waiting jobs are counted by rank up to this one; lower ranks with it. */
+enum
+{
+  MR_RANKS = 4,
+};
+
+/* What differs between hosts. */
 typedef struct
 {
-  char *domain; /* failure domain of this VM; borrowed */
+  /* Of the calls of one kind of request, this share is left alone: slower ones
+   * are worth a second send.  It can be set for each pool. */
+  double hedge_quantile;
+  double hedge_first_share; /* of the aim, before enough is measured */
+  MrTime hedge_min;
+  double hedge_share;      /* of the budget that second sends for slowness may use */
+  double mean_first_share; /* of the aim, before anything is measured */
+  /* A call is doubted after this many times the mean, within bounds. */
+  double silent_factor;
+  MrTime silent_min;
+  MrTime silent_max;
+  /* How long a call that nobody wants may run out; MR_NEVER: until the host
+   * reports its end. */
+  MrTime linger;
+  /* A rank waits as if it had come this much later, so that none starves; NULL:
+   * lower ranks wait for all higher ones. */
+  const MrTime *rank_lag;
+  /* Targets are told apart by address, not by id: an id names a replica, which
+   * may move to another process. */
+  gboolean by_address;
+} MrRelayPolicy;
+
+/* Of requests that callers send to be relayed. */
+extern const MrRelayPolicy mr_relay_policy;
+
+typedef struct
+{
+  const char *domain; /* failure domain of this VM, NULL: all are near; borrowed */
+  const MrRelayPolicy *policy;
   MrWindowTerms budget;
   guint32 seed;
 } MrRelayInfo;
@@ -129,6 +175,7 @@
   guint64 failed;
   guint64 timeouts;
   guint64 silent;
+  guint64 expired; /* waiting parts given up, too late to be served */
 } MrRelayCounts;
 
 MrRelay *mr_relay_new (MrRelayHost *host, const MrRelayInfo *info);
@@ -138,17 +185,34 @@
  * allowance of second sends. */
 void mr_relay_set_share (MrRelay *relay, double connections, double allowance);
 
-/* A target as it is known now; @leaving ones get no new work. */
-void mr_relay_target (MrRelay *relay,
-                      MrTime now,
-                      const char *service,
-                      const MrTarget *target,
-                      gboolean leaving,
-                      MrTime cold_for);
-void mr_relay_target_gone (MrRelay *relay, MrTime now, const char *id);
+/* Targets that serve alike form a set, which has a queue.  The sets of one pool
+ * share the budget for second sends.  A service is a set and a pool of its own,
+ * unless it was told otherwise here. */
+void mr_relay_add_set (MrRelay *relay, const char *set, const char *pool);
+/* No request may use it any more. */
+void mr_relay_remove_set (MrRelay *relay, const char *set);
+/* Extra calls for each first one, and the quantile to hedge at. */
+void mr_relay_set_pool (MrRelay *relay, const char *pool, double ratio, double hedge_quantile);
+/* Jobs of @rank and above that wait in the pool. */
+guint mr_relay_waiting (const MrRelay *relay, const char *pool, guint rank);
+/* Mean time of a call of that kind of request; 0: not known. */
+double mr_relay_mean (const MrRelay *relay, const char *kind);
+
+/* A target as it is known now, in @set besides the sets that it is in already;
+ * @leaving ones get no new work. */
+MrTargetState *mr_relay_target (MrRelay *relay,
+                                MrTime now,
+                                const char *set,
+                                const MrTarget *target,
+                                gboolean leaving,
+                                MrTime cold_for);
+/* A target is known under its id, or its address (by_address). */
+void mr_relay_target_leaving (MrRelay *relay, MrTime now, const char *name, gboolean leaving);
+void mr_relay_target_gone (MrRelay *relay, MrTime now, const char *name);
 
 /* Takes the request on; the verdict comes through done (), perhaps at once, in
- * which case NULL is returned.  @route belongs to @configuration. */
+ * which case NULL is returned.  @route lives as long as the request;
+ * @configuration, which it mostly belongs to, may be NULL. */
 MrRelayWork *mr_relay_submit (MrRelay *relay,
                               MrTime now,
                               gpointer request,
@@ -160,6 +224,9 @@
  * are dropped, others run to their end. */
 void mr_relay_forget (MrRelay *relay, MrTime now, MrRelayWork *work);
 
+/* The open call @id; FALSE if there is none. */
+gboolean mr_relay_find_call (const MrRelay *relay, guint64 id, MrRelayCall *call);
+
 /* A call has ended; takes @answer, which may be NULL. */
 void
 mr_relay_call_end (MrRelay *relay, MrTime now, guint64 id, MrCallOutcome outcome, gpointer answer);
--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -1,7 +1,5 @@
 #include "relay_private.h"
 
-/* Before anything is measured: this share of the aim. */
-static const double MEAN_FIRST_SHARE = 0.2;
 /* Kept back from a route's aim for what its clock counts beside our time: the
  * caller's connection, the way to it and back (about 12 ms), and the merge. */
 static const MrTime AIM_RESERVE = 25 * MR_MS;
@@ -37,16 +35,21 @@
 }
 
 static Kind *
-S_kind (MrRelay *r, const MrRoute *route)
+S_kind (MrRelay *r, const MrRoute *route, const Pool *pool)
 {
   Kind *kind = g_hash_table_lookup (r->kinds, route->name);
-  if (kind)
+  if (!kind)
+    {
+      kind = g_new0 (Kind, 1);
+      kind->policy = r->policy;
+      kind->mean = r->policy->mean_first_share * (double) route->aim;
+      g_hash_table_insert (r->kinds, g_strdup (route->name), kind);
+    }
+  if (kind->aim == route->aim && kind->hedge_quantile == pool->hedge_quantile)
     return kind;
-  kind = g_new0 (Kind, 1);
-  kind->mean = MEAN_FIRST_SHARE * (double) route->aim;
   kind->aim = route->aim;
+  kind->hedge_quantile = pool->hedge_quantile;
   mr_relay_measure (kind);
-  g_hash_table_insert (r->kinds, g_strdup (route->name), kind);
   return kind;
 }
 
@@ -84,6 +87,8 @@
 static guint
 S_needed_shards (const MrRoute *route)
 {
+  if (route->kind == MR_ROUTE_BATCH)
+    return 0;
   if (route->kind != MR_ROUTE_SHARDS)
     return 1;
   guint needed = 1;
@@ -102,18 +107,19 @@
 {
   MrRelayWork *work = g_new0 (MrRelayWork, 1);
   gboolean shards = route->kind == MR_ROUTE_SHARDS;
+  /* A batch's deadline is its root's, which has kept its reserve back already. */
+  MrTime reserve = route->kind == MR_ROUTE_BATCH ? 0 : DEADLINE_RESERVE;
   *work = (MrRelayWork){
     .timed = TIMED_WORK,
     .timer = { .owner = work },
     .request = request,
-    .configuration = mr_configuration_ref (configuration),
+    .configuration = configuration ? mr_configuration_ref (configuration) : NULL,
     .route = route,
-    .kind = S_kind (r, route),
     .arrived = now,
     .deadline = deadline,
     .soft_end = shards ? now + MAX (route->aim - AIM_RESERVE, route->aim / 2) : MR_NEVER,
-    .hard_end = MIN (deadline - DEADLINE_RESERVE, now + route->time_limit),
-    .part_count = shards ? route->part_count : 1,
+    .hard_end = MIN (deadline - reserve, now + route->time_limit),
+    .part_count = route->kind >= MR_ROUTE_SHARDS ? route->part_count : 1,
     .needed = S_needed_shards (route),
   };
   work->open = work->part_count;
@@ -125,8 +131,10 @@
     {
       Service *service = mr_relay_service (r, route->parts[first + i].service);
       work->jobs[i] = (Job){ .work = work, .part = i, .service = service, .hedge_at = MR_NEVER };
-      mr_window_budget_request (&service->budget, &r->terms, now);
+      mr_window_budget_request (&service->pool->budget, &service->pool->terms, now);
+      mr_relay_cap (r, work, service);
     }
+  work->kind = S_kind (r, route, work->jobs[0].service->pool);
   return work;
 }
 
@@ -181,6 +189,8 @@
   *wait = 0;
   if (work->hard_end <= now)
     return MR_CAUSE_TIME;
+  if (work->needed == 0)
+    return MR_CAUSE_NONE;
   MrTime most = (MrTime) (WAIT_SHARE * (double) MIN (work->route->aim, work->hard_end - now));
   for (guint i = 0; i < work->part_count; i++)
     {
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -19,9 +19,6 @@
 /* Weight of failures: a target that fails half of its calls costs six times as
  * much as one that fails none. */
 static const double FAILING_COST = 10;
-/* Share of the budget that second sends for slowness may use: what is left
- * repairs calls that failed. */
-static const double HEDGE_SHARE = 0.75;
 /* Load of a shard, as the expected time of a call over the time that an answer
  * has, from which its part is left out of some answers, and at which of most.
  * On a site whose shards lose targets until one is asked for 110 % of its slots,
@@ -46,7 +43,7 @@
 S_cost (const MrRelay *relay, MrTime now, const MrTargetState *target)
 {
   double cost = target->relative * (target->in_flight + 1) * (1 + FAILING_COST * target->failing);
-  if (!g_str_equal (target->domain, relay->domain))
+  if (relay->domain && !g_str_equal (target->domain, relay->domain))
     cost *= FAR_COST;
   if (now < target->cold_until)
     cost *= COLD_COST;
@@ -64,6 +61,16 @@
   return FALSE;
 }
 
+/* TRUE if the job may go to @target once that is usable and has room. */
+static gboolean
+S_may_go (const MrRelay *relay, MrTime now, const Job *job, const MrTargetState *target)
+{
+  MrRelayHost *host = relay->host;
+  if (S_tried (job, target))
+    return FALSE;
+  return !host->holds || host->holds (host, job->work->request, target, now);
+}
+
 /* Best target not tried; @hope is set if one may have room later. */
 static MrTargetState *
 S_pick (MrRelay *relay, MrTime now, const Job *job, gboolean *hope)
@@ -78,7 +85,8 @@
     {
       MrTargetState *target = g_ptr_array_index (targets, (n + offset) % targets->len);
       gboolean usable = mr_health_usable (&target->health);
-      if (S_tried (job, target) || (!usable && target->health.state != MR_HEALTH_SUSPECT))
+      if ((!usable && target->health.state != MR_HEALTH_SUSPECT) ||
+          !S_may_go (relay, now, job, target))
         continue;
       *hope = TRUE;
       if (!usable || !mr_target_state_free_slot (target))
@@ -93,16 +101,23 @@
   return best;
 }
 
-/* Connections of a target that are this daemon's: its share of the cap. */
-static void
-S_set_share (const MrRelay *relay,
-             const MrRelayWork *work,
-             MrTargetState *target,
-             const char *service)
+void
+mr_relay_cap (const MrRelay *relay, const MrRelayWork *work, Service *service)
 {
-  const MrServiceInfo *info = mr_configuration_service (work->configuration, service);
-  double most = info ? info->most_connections : target->connections;
-  mr_limit_set_most (&target->limit, floor (most * relay->connections));
+  if (!work->configuration)
+    return; /* its host sets the limits */
+  guint64 version = mr_configuration_version (work->configuration);
+  if (service->capped_version == version && service->capped_share == relay->connections)
+    return;
+  const MrServiceInfo *info = mr_configuration_service (work->configuration, service->name);
+  service->capped_version = version;
+  service->capped_share = relay->connections;
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      MrTargetState *target = g_ptr_array_index (service->targets, i);
+      double most = info ? info->most_connections : target->connections;
+      mr_limit_set_most (&target->limit, floor (most * relay->connections));
+    }
 }
 
 static Call **
@@ -159,13 +174,13 @@
   else if (reason == MR_SEND_RETRY)
     relay->counts.retries++;
   job->hedge_at = work->route->repeatable ? now + work->kind->slow : MR_NEVER;
-  mr_timers_set (relay->timers, &call->timer,
-                 now + mr_relay_silent_delay (work->kind, work->route));
+  mr_timers_set (relay->timers, &call->timer, now + mr_relay_silent_delay (work->kind));
   mr_relay_schedule (relay, work);
   MrRelayCall out = {
     .id = call->id,
     .target = target,
     .request = work->request,
+    .part = job->part,
     .deadline = MIN (work->deadline, work->hard_end),
     .repeatable = work->route->repeatable,
   };
@@ -173,23 +188,44 @@
 }
 
 static gboolean
-S_goes_before (const Job *a, const Job *b)
+S_goes_before (const MrRelay *relay, const Job *a, const Job *b)
 {
-  if (a->work->route->rank != b->work->route->rank)
-    return a->work->route->rank < b->work->route->rank;
+  const MrTime *lag = relay->policy->rank_lag;
+  guint a_rank = a->work->route->rank;
+  guint b_rank = b->work->route->rank;
+  if (lag)
+    return a->work->arrived + lag[a_rank] < b->work->arrived + lag[b_rank];
+  if (a_rank != b_rank)
+    return a_rank < b_rank;
   return a->work->arrived < b->work->arrived;
 }
 
+static guint *
+S_waiting (const Job *job)
+{
+  return &job->service->pool->waiting[MIN (job->work->route->rank, MR_RANKS - 1U)];
+}
+
+static gboolean
+S_nobody_waits (const Pool *pool)
+{
+  for (guint i = 0; i < MR_RANKS; i++)
+    if (pool->waiting[i] > 0)
+      return FALSE;
+  return TRUE;
+}
+
 static void
-S_queue (Job *job, MrSendReason reason)
+S_queue (const MrRelay *relay, Job *job, MrSendReason reason)
 {
   GQueue *queue = &job->service->waiting;
   GList *after = queue->tail;
-  while (after && S_goes_before (job, after->data))
+  while (after && S_goes_before (relay, job, after->data))
     after = after->prev;
   job->link = (GList){ .data = job };
   job->waiting = TRUE;
   job->reason = reason;
+  (*S_waiting (job))++;
   if (after)
     g_queue_insert_after_link (queue, after, &job->link);
   else
@@ -202,6 +238,7 @@
   if (!job->waiting)
     return;
   job->waiting = FALSE;
+  (*S_waiting (job))--;
   g_queue_unlink (&job->service->waiting, &job->link);
 }
 
@@ -219,8 +256,9 @@
   /* What never left costs the targets nothing. */
   if (job->sends == 0)
     return TRUE;
-  double share = reason == MR_SEND_HEDGE ? HEDGE_SHARE : 1;
-  if (mr_window_budget_spend (&job->service->budget, &relay->terms, now, share))
+  Pool *pool = job->service->pool;
+  double share = reason == MR_SEND_HEDGE ? relay->policy->hedge_share : 1;
+  if (mr_window_budget_spend (&pool->budget, &pool->terms, now, share))
     return TRUE;
   relay->counts.over_budget++;
   *cause = MR_CAUSE_BUDGET;
@@ -307,8 +345,6 @@
   MrRelayWork *work = job->work;
   MrCause cause = MR_CAUSE_NONE;
   gboolean hope = FALSE;
-  for (guint i = 0; i < job->service->targets->len; i++)
-    S_set_share (relay, work, g_ptr_array_index (job->service->targets, i), job->service->name);
   MrTargetState *target = S_pick (relay, now, job, &hope);
   if (!hope)
     cause = job->tried_count > 0 ? MR_CAUSE_ATTEMPTS : MR_CAUSE_NO_TARGET;
@@ -317,7 +353,7 @@
       if (target)
         S_start (relay, now, job, target, reason);
       else
-        S_queue (job, reason);
+        S_queue (relay, job, reason);
       return TRUE;
     }
   if (mr_relay_job_calls (job) > 0)
@@ -333,7 +369,7 @@
   MrCause cause = MR_CAUSE_NONE;
   gboolean hope = FALSE;
   /* With others waiting for room a second send would take the place of a first. */
-  if (!S_free_place (job) || !g_queue_is_empty (&job->service->waiting))
+  if (!S_free_place (job) || !S_nobody_waits (job->service->pool))
     return FALSE;
   MrTargetState *target = S_pick (relay, now, job, &hope);
   if (!target || S_stalled (target, now) || !S_may_send (relay, now, job, MR_SEND_HEDGE, &cause))
@@ -342,6 +378,56 @@
   return TRUE;
 }
 
+/* TRUE if a call begun now has little chance to be back in time.  Its place goes
+ * to another, and its caller hears at once rather than at the end of its time. */
+static gboolean
+S_too_late (const Job *job, MrTime now)
+{
+  return now + (MrTime) (job->work->kind->mean / 2) >= job->work->hard_end;
+}
+
+/* Sends a job that has waited, or gives it up. */
+static void
+S_begin_waiting (MrRelay *relay, MrTime now, Job *job, MrTargetState *target)
+{
+  mr_relay_unqueue (job);
+  if (S_too_late (job, now))
+    {
+      relay->counts.expired++;
+      mr_relay_end_job (relay, now, job, MR_CAUSE_TIME);
+    }
+  else
+    S_start (relay, now, job, target, job->reason);
+}
+
+/* First job in the set's queue that may go to @target. */
+static Job *
+S_first_for (const MrRelay *relay, MrTime now, const Service *service, const MrTargetState *target)
+{
+  for (GList *link = service->waiting.head; link; link = link->next)
+    if (S_may_go (relay, now, link->data, target))
+      return link->data;
+  return NULL;
+}
+
+void
+mr_relay_pump_target (MrRelay *relay, MrTime now, MrTargetState *target)
+{
+  while (mr_health_usable (&target->health) && mr_target_state_free_slot (target))
+    {
+      Job *next = NULL;
+      for (guint i = 0; i < target->sets->len; i++)
+        {
+          Job *job = S_first_for (relay, now, g_ptr_array_index (target->sets, i), target);
+          if (job && (!next || S_goes_before (relay, job, next)))
+            next = job;
+        }
+      if (!next)
+        return;
+      S_begin_waiting (relay, now, next, target);
+    }
+}
+
 void
 mr_relay_pump (MrRelay *relay, MrTime now, Service *service)
 {
@@ -354,8 +440,8 @@
       MrTargetState *target = S_pick (relay, now, job, &hope);
       if (target)
         {
-          mr_relay_unqueue (job);
-          S_start (relay, now, job, target, job->reason);
+          S_begin_waiting (relay, now, job, target);
+          link = service->waiting.head; /* an end may have taken others out */
           continue;
         }
       if (hope)
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -11,21 +11,39 @@
   TRIED_OF_JOB = 8, /* targets remembered as tried */
 };
 
+/* Of a service whose targets' limits have not been set yet. */
+#define NOT_CAPPED (-1.0)
+
 typedef struct _Job Job;
 
+/* What several sets of targets share. */
+typedef struct
+{
+  MrWindowBudget budget;
+  MrWindowTerms terms;
+  double hedge_quantile;
+  guint waiting[MR_RANKS]; /* jobs in the sets' queues */
+} Pool;
+
+/* Targets that serve alike: those of a service, or of one shard of a map. */
 typedef struct
 {
   char *name;
+  Pool *pool;
   GPtrArray *targets; /* MrTargetState, borrowed */
-  GQueue waiting;     /* Job, lowest rank and oldest first */
-  MrWindowBudget budget;
+  GQueue waiting;     /* Job, first to go first */
+  /* What the targets' limits were set for. */
+  guint64 capped_version;
+  double capped_share;
 } Service;
 
 /* Running measures of one route's calls: requests of one route are alike. */
 typedef struct
 {
+  const MrRelayPolicy *policy;
   MrHistogram latency;
-  MrTime aim;   /* of the route */
+  MrTime aim; /* of the route */
+  double hedge_quantile;
   double mean;  /* us */
   double usual; /* median, us; a few slow targets don't move it */
   MrTime slow;  /* a call that takes longer is worth a second send */
@@ -96,20 +114,22 @@
 struct _MrRelay
 {
   MrRelayHost *host;
+  const MrRelayPolicy *policy;
   char *domain;
-  MrWindowTerms terms;
-  double connections; /* share of each target's that is this daemon's */
+  MrWindowTerms terms; /* that pools begin with */
+  double connections;  /* share of each target's that is this daemon's */
   GRand *random;
+  GHashTable *pools;    /* name -> Pool */
   GHashTable *services; /* name -> Service */
   GHashTable *kinds;    /* route name -> Kind */
   GHashTable *splits;   /* route name -> Split */
-  GHashTable *targets;  /* id -> MrTargetState */
-  GHashTable *homes;    /* id -> Service, of the targets */
+  GHashTable *targets;  /* id, or address (by_address) -> MrTargetState */
   GHashTable *calls;    /* id -> Call */
   GHashTable *works;    /* set of MrRelayWork */
   GPtrArray *retired;   /* MrTargetState of targets that are gone */
   MrTimers *timers;
   MrTime health_at; /* next look at the targets that are down */
+  gboolean some_down;
   guint64 last_call;
   MrRelayCounts counts;
 };
@@ -120,8 +140,8 @@
 /* What an answer says of its kind of request and its target, and what the end of
  * a call says of its target. */
 void mr_relay_note_latency (Kind *kind, MrTargetState *target, MrTime latency);
-MrHealthAction
-mr_relay_note_target (MrRelay *relay, MrTime now, MrTargetState *target, MrCallOutcome outcome);
+MrHealthAction mr_relay_note_target (
+    MrRelay *relay, MrTime now, MrTargetState *target, MrCallOutcome outcome, MrTime started);
 
 /* Carries out what a target's health asks for. */
 void mr_relay_act (MrRelay *relay, MrTime now, MrTargetState *target, MrHealthAction action);
@@ -146,10 +166,17 @@
 /* A second send beside one that is under way; FALSE if none may go out now. */
 gboolean mr_relay_hedge (MrRelay *relay, MrTime now, Job *job);
 
-/* Gives room at the service's targets to the jobs that wait. */
+/* Gives room at the service's targets to the jobs that wait; ends those that no
+ * target can serve any more. */
 void mr_relay_pump (MrRelay *relay, MrTime now, Service *service);
+/* Gives room at @target to the jobs that wait for it, in whatever set. */
+void mr_relay_pump_target (MrRelay *relay, MrTime now, MrTargetState *target);
 void mr_relay_unqueue (Job *job);
 
+/* Sets the limits of the service's targets to this daemon's share of their
+ * connections. */
+void mr_relay_cap (const MrRelay *relay, const MrRelayWork *work, Service *service);
+
 /* Usable targets of the service, and calls they have room for together. */
 guint mr_relay_usable (const Service *service, double *room);
 
@@ -163,6 +190,6 @@
 
 /* Reads the kind's measures anew. */
 void mr_relay_measure (Kind *kind);
-/* How long a call that nobody wants may run out. */
-MrTime mr_relay_linger (void);
-MrTime mr_relay_silent_delay (const Kind *kind, const MrRoute *route);
+/* Until when a call that nobody wants from now on may run out. */
+MrTime mr_relay_linger (const MrRelay *relay, MrTime now);
+MrTime mr_relay_silent_delay (const Kind *kind);
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -29,65 +29,102 @@
 void
 mr_relay_act (MrRelay *r, MrTime now, MrTargetState *target, MrHealthAction action)
 {
-  Service *service = g_hash_table_lookup (r->homes, target->id);
   mr_target_state_act (target, now, action, &target_ops, r);
-  if (service && !g_queue_is_empty (&service->waiting))
-    mr_relay_pump (r, now, service);
+  r->some_down |= target->health.state == MR_HEALTH_DOWN;
+  if (mr_health_usable (&target->health))
+    {
+      mr_relay_pump_target (r, now, target);
+      return;
+    }
+  /* Jobs that waited for this target alone have nothing to wait for. */
+  for (guint i = 0; i < target->sets->len; i++)
+    mr_relay_pump (r, now, g_ptr_array_index (target->sets, i));
+}
+
+static const char *
+S_name (const MrRelay *r, const MrTargetState *state)
+{
+  return r->policy->by_address ? state->key : state->id;
 }
 
 static MrTargetState *
-S_add_target (MrRelay *r, MrTime now, const char *service, const MrTarget *target, MrTime cold_for)
+S_add_target (MrRelay *r, MrTime now, const char *set, const MrTarget *target, MrTime cold_for)
 {
   char key[64];
   g_snprintf (key, sizeof key, "%s:%d", target->ip, target->port);
-  MrTargetState *state = mr_target_state_new (target, key);
+  MrTargetState *state = g_hash_table_lookup (r->targets, r->policy->by_address ? key : target->id);
+  if (state)
+    return state;
+  state = mr_target_state_new (target, key);
   state->cold_until = now + cold_for;
-  g_queue_init (&state->open);
-  g_hash_table_insert (r->targets, state->id, state);
-  Service *home = mr_relay_service (r, service);
-  g_hash_table_insert (r->homes, state->id, home);
-  g_ptr_array_add (home->targets, state);
+  g_hash_table_insert (r->targets, (gpointer) S_name (r, state), state);
   mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_KNOWN, "target %s (%s) of %s in %s, slow for %d ms yet",
-          state->id, key, service, state->domain, (int) (cold_for / MR_MS));
+          state->id, key, set, state->domain, (int) (cold_for / MR_MS));
   return state;
 }
 
-void
+static void
+S_list_as_leaving (MrRelay *r, MrTime now, MrTargetState *state)
+{
+  if (state->health.state == MR_HEALTH_LEAVING)
+    return;
+  mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_LEAVING, "target %s (%s) leaves: listed as leaving",
+          state->id, state->key);
+  mr_health_on_leaving (&state->health, now);
+  mr_relay_act (r, now, state, MR_HEALTH_NOTHING);
+}
+
+MrTargetState *
 mr_relay_target (MrRelay *r,
                  MrTime now,
-                 const char *service,
+                 const char *set,
                  const MrTarget *target,
                  gboolean leaving,
                  MrTime cold_for)
 {
-  MrTargetState *state = g_hash_table_lookup (r->targets, target->id);
-  if (!state)
-    state = S_add_target (r, now, service, target, cold_for);
-  if (leaving && state->health.state != MR_HEALTH_LEAVING)
+  MrTargetState *state = S_add_target (r, now, set, target, cold_for);
+  Service *service = mr_relay_service (r, set);
+  if (!g_ptr_array_find (state->sets, service, NULL))
     {
-      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_LEAVING, "target %s (%s) leaves: listed as leaving",
-              state->id, state->key);
-      mr_health_on_leaving (&state->health, now);
+      g_ptr_array_add (state->sets, service);
+      g_ptr_array_add (service->targets, state);
+      service->capped_share = NOT_CAPPED;
     }
-  mr_relay_pump (r, now, g_hash_table_lookup (r->homes, state->id));
+  if (leaving)
+    S_list_as_leaving (r, now, state);
+  mr_relay_pump (r, now, service);
+  return state;
+}
+
+void
+mr_relay_target_leaving (MrRelay *r, MrTime now, const char *name, gboolean leaving)
+{
+  MrTargetState *state = g_hash_table_lookup (r->targets, name);
+  if (state && leaving)
+    S_list_as_leaving (r, now, state);
+  else if (state)
+    mr_relay_act (r, now, state, mr_health_on_live (&state->health, now));
 }
 
 void
-mr_relay_target_gone (MrRelay *r, MrTime now, const char *id)
+mr_relay_target_gone (MrRelay *r, MrTime now, const char *name)
 {
-  MrTargetState *state = g_hash_table_lookup (r->targets, id);
+  MrTargetState *state = g_hash_table_lookup (r->targets, name);
   if (!state)
     return;
-  Service *home = g_hash_table_lookup (r->homes, id);
   mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_LEAVING, "target %s (%s) leaves: no longer listed",
           state->id, state->key);
   mr_health_on_leaving (&state->health, now);
   state->health.leaving_at = now;
-  g_ptr_array_remove (home->targets, state);
-  g_hash_table_remove (r->targets, state->id);
+  g_hash_table_remove (r->targets, S_name (r, state));
   r->host->renew (r->host, state);
-  mr_relay_pump (r, now, home);
-  g_hash_table_remove (r->homes, state->id);
+  for (guint i = 0; i < state->sets->len; i++)
+    {
+      Service *service = g_ptr_array_index (state->sets, i);
+      g_ptr_array_remove (service->targets, state);
+      mr_relay_pump (r, now, service);
+    }
+  g_ptr_array_set_size (state->sets, 0);
   g_ptr_array_add (r->retired, state);
 }
 
@@ -114,9 +151,12 @@
 }
 
 MrHealthAction
-mr_relay_note_target (MrRelay *r, MrTime now, MrTargetState *target, MrCallOutcome outcome)
+mr_relay_note_target (
+    MrRelay *r, MrTime now, MrTargetState *target, MrCallOutcome outcome, MrTime started)
 {
-  mr_target_state_add_outcome (target, outcome != MR_CALL_ANSWER);
+  /* These two say nothing of how well it works. */
+  if (outcome != MR_CALL_CANCELLED && outcome != MR_CALL_NO_SNAPSHOT)
+    mr_target_state_add_outcome (target, outcome != MR_CALL_ANSWER);
   switch (outcome)
     {
     case MR_CALL_ANSWER:
@@ -140,9 +180,11 @@
     case MR_CALL_NOT_CONNECTED:
     case MR_CALL_BROKEN:
       return mr_health_on_break (&target->health, now);
+    case MR_CALL_SILENT:
+      return mr_health_on_lost (&target->health, started, now);
     case MR_CALL_NO_SNAPSHOT:
     case MR_CALL_CANCELLED:
-    case MR_CALL_SILENT:
+      mr_health_on_word (&target->health, now);
       return MR_HEALTH_NOTHING;
     }
   return MR_HEALTH_NOTHING;
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -223,11 +223,13 @@
     {
       MrRelayInfo relay = {
         .domain = settings->base.domain,
+        .policy = &mr_relay_policy,
         .seed = info->seed,
         .budget = {
           .window = settings->window_ms * MR_MS,
           .ratio = settings->extra_ratio,
           .allowance = settings->extra_allowance,
+          .margin = MR_FLEET_MARGIN,
           .born = mr_now (),
         },
       };
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -5,23 +5,26 @@
   SAMPLES_MIN = 30, /* under this the quantile is not used */
 };
 
-/* Share of calls that are left alone: with a budget of one second send in five
- * requests, the slowest tenth can be sent again and half of the budget is left
- * for failures. */
-static const double HEDGE_QUANTILE = 0.92;
-/* Before enough is measured: a quarter of the route's aim. */
-static const double HEDGE_FIRST_SHARE = 0.25;
-static const MrTime HEDGE_MIN = 4 * MR_MS;
+const MrRelayPolicy mr_relay_policy = {
+  /* With a budget of one second send in five requests, the slowest tenth can be
+   * sent again and half of the budget is left for failures. */
+  .hedge_quantile = 0.92,
+  .hedge_first_share = 0.25,
+  .hedge_min = 4 * MR_MS,
+  /* What is left repairs calls that failed. */
+  .hedge_share = 0.75,
+  .mean_first_share = 0.2,
+  /* A searcher's ordinary pause (250 ms) is not a reason to close its
+   * connections. */
+  .silent_factor = 8,
+  .silent_min = 700 * MR_MS,
+  .silent_max = 4 * MR_SECOND,
+  /* Letting a call run out spares a new connection (6 ms of a searcher's slot). */
+  .linger = 400 * MR_MS,
+};
+
 /* A second send that found no target is tried again after this. */
 static const MrTime HEDGE_AGAIN = 5 * MR_MS;
-/* A call is doubted after this; a searcher's ordinary pause (250 ms) is not a
- * reason to close its connections. */
-static const MrTime SILENT_MIN = 700 * MR_MS;
-static const double SILENT_FACTOR = 8;
-static const MrTime SILENT_MAX = 4 * MR_SECOND;
-/* A call that nobody wants any more may run out for this long, which spares a
- * new connection (6 ms of a searcher's slot); past it the connection closes. */
-static const MrTime LINGER = 400 * MR_MS;
 /* Requests remember the targets they tried; none lasts as long as this. */
 static const MrTime RETIRED_KEPT = 300 * MR_SECOND;
 /* Health of targets that are down is looked at this often. */
@@ -31,28 +34,29 @@
 mr_relay_measure (Kind *kind)
 {
   const MrHistogram *latency = &kind->latency;
-  kind->slow = (MrTime) (HEDGE_FIRST_SHARE * (double) kind->aim);
+  kind->slow = (MrTime) (kind->policy->hedge_first_share * (double) kind->aim);
   kind->usual = kind->mean;
   if (latency->total >= SAMPLES_MIN)
     {
-      kind->slow = mr_histogram_quantile (latency, HEDGE_QUANTILE);
+      kind->slow = mr_histogram_quantile (latency, kind->hedge_quantile);
       kind->usual = (double) mr_histogram_quantile (latency, 0.5);
     }
-  kind->slow = MAX (kind->slow, HEDGE_MIN);
+  kind->slow = MAX (kind->slow, kind->policy->hedge_min);
 }
 
 MrTime
-mr_relay_silent_delay (const Kind *kind, const MrRoute *route)
+mr_relay_silent_delay (const Kind *kind)
 {
-  (void) route;
-  MrTime delay = (MrTime) (SILENT_FACTOR * kind->mean);
-  return CLAMP (delay, SILENT_MIN, SILENT_MAX);
+  const MrRelayPolicy *policy = kind->policy;
+  MrTime delay = (MrTime) (policy->silent_factor * kind->mean);
+  return CLAMP (delay, policy->silent_min, policy->silent_max);
 }
 
 MrTime
-mr_relay_linger (void)
+mr_relay_linger (const MrRelay *relay, MrTime now)
 {
-  return LINGER;
+  MrTime linger = relay->policy->linger;
+  return linger == MR_NEVER ? MR_NEVER : now + linger;
 }
 
 guint
@@ -85,6 +89,8 @@
         continue;
       job->calls[i] = NULL;
       call->job = NULL;
+      if (relay->host->unwanted)
+        relay->host->unwanted (relay->host, call->id);
       if (until <= now)
         {
           relay->host->drop (relay->host, call->id);
@@ -148,11 +154,10 @@
       relay->host->drop (relay->host, call->id);
       mr_relay_call_free (relay, call);
       mr_relay_act (relay, now, target, mr_health_on_lost (&target->health, started, now));
-      mr_relay_pump (relay, now, g_hash_table_lookup (relay->homes, target->id));
       return;
     }
   relay->counts.silent++;
-  mr_timers_set (relay->timers, &call->timer, now + SILENT_MAX);
+  mr_timers_set (relay->timers, &call->timer, now + relay->policy->silent_max);
   mr_relay_act (relay, now, target, mr_health_on_silence (&target->health, call->started, now));
 }
 
@@ -176,6 +181,7 @@
   GHashTableIter iter;
   gpointer item = NULL;
   relay->health_at = now + HEALTH_GAP;
+  relay->some_down = FALSE;
   g_hash_table_iter_init (&iter, relay->targets);
   while (g_hash_table_iter_next (&iter, NULL, &item))
     {
@@ -199,5 +205,6 @@
     }
   if (now >= relay->health_at)
     S_check_health (relay, now);
-  return mr_timers_next (relay->timers);
+  MrTime next = mr_timers_next (relay->timers);
+  return relay->some_down ? MIN (next, relay->health_at) : next;
 }
--- a/src/target.c
+++ b/src/target.c
@@ -21,8 +21,8 @@
   state->latency = LATENCY_FIRST;
   state->relative = 1;
   mr_limit_init (&state->limit, target->slots);
-  for (int i = 0; i < MR_CLASS_COUNT; i++)
-    g_queue_init (&state->waiting[i]);
+  state->sets = g_ptr_array_new ();
+  g_queue_init (&state->open);
   return state;
 }
 
@@ -35,6 +35,7 @@
   g_free (state->id);
   g_free (state->ip);
   g_free (state->domain);
+  g_ptr_array_unref (state->sets);
   g_free (state);
 }
 
@@ -57,12 +58,6 @@
   target->lacks_until = now + LACKS_HOLD;
 }
 
-double
-mr_target_state_cost (const MrTargetState *target)
-{
-  return target->latency * (target->in_flight + 1) / mr_limit_calls (&target->limit);
-}
-
 void
 mr_target_state_add_latency (MrTargetState *target, MrTime latency)
 {
--- a/src/target.h
+++ b/src/target.h
@@ -1,5 +1,4 @@
-/* State of one target as its owner sees it: health, limit, latency, and the
- * jobs that wait for one of its slots. */
+/* State of one target as its daemon sees it: health, limit, latency. */
 #pragma once
 
 #include "batch.h"
@@ -28,7 +27,7 @@
   guint64 shed;      /* answers that refused for load */
   guint64 lacks;     /* generation that it said it does not hold */
   MrTime lacks_until;
-  GQueue waiting[MR_CLASS_COUNT];
+  GPtrArray *sets; /* that it is in; kept by the relay */
 };
 
 MrTargetState *mr_target_state_new (const MrTarget *target, const char *key);
@@ -65,9 +64,6 @@
 /* It said that it does not hold the map's snapshot. */
 void mr_target_state_lacks (MrTargetState *target, const MrShardMap *map, MrTime now);
 
-/* Expected time of one more call; lower is better. */
-double mr_target_state_cost (const MrTargetState *target);
-
 void mr_target_state_add_latency (MrTargetState *target, MrTime latency);
 
 /* One answer that took @latency where requests of its kind take @usual. */
--- a/src/target_task.c
+++ b/src/target_task.c
@@ -324,8 +324,8 @@
       mr_http_client_close_idle (task->client, target->ip, target->port, lane);
   link->first = (link->first + mr_limit_calls (&target->limit) + 1) % LANES;
   mr_metrics_add (MR_METRIC_RENEWALS, 1);
-  mr_log (MR_LOG_NOTICE, MR_EVENT_CONNECTION_SILENT,
-          "target %s answers on a new connection: old connections are replaced", target->id);
+  mr_log (MR_LOG_NOTICE, MR_EVENT_CONNECTION_SILENT, "target %s: idle connections are replaced",
+          target->id);
 }
 
 static void
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -489,11 +489,13 @@
       g_snprintf (domain, sizeof domain, "d%u", i % 3);
       MrRelayInfo info = {
         .domain = domain,
+        .policy = &mr_relay_policy,
         .seed = w->plan->seed + i,
         .budget = { .window = WINDOW_US,
                     .ratio = RATIO_PERCENT / 100.0,
                     .allowance = ALLOWANCE,
                     .share = 1.0 / w->plan->daemons,
+                    .margin = MR_FLEET_MARGIN,
                     .born = 0 },
       };
       *daemon = (Daemon){ .host = host, .world = w, .index = i, .tick_at = MR_NEVER };
