A target's bare 503 is not passed on as "not run"

Cause: a target that ran an order and answered 503, 429 or 408 without its field for "not executed" had that answer passed to the caller, who reads these statuses as leave to send the order again. Found by reading; process_relay showed it (503 where 502 is due) before the change.

Ruled out: passing it on with another status (it bears the target's signature).

After: 502, one run; process_relay passes.

--- a/src/target.c
+++ b/src/target.c
@@ -82,6 +82,17 @@
   target->failing += FAILING_WEIGHT * ((failed ? 1.0 : 0.0) - target->failing);
 }
 
+static void
+S_log_probe (const MrTargetState *target, MrTime now)
+{
+  g_autofree char *heard = target->health.answered_at == 0
+                               ? g_strdup ("no answer yet")
+                               : g_strdup_printf ("last answer %" G_GINT64_FORMAT " ms ago",
+                                                  (now - target->health.answered_at) / MR_MS);
+  mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_SUSPECT, "target %s (%s) is probed, state %s, %s",
+          target->id, target->key, mr_health_name (target->health.state), heard);
+}
+
 void
 mr_target_state_act (MrTargetState *target,
                      MrTime now,
@@ -92,10 +103,7 @@
   switch (action)
     {
     case MR_HEALTH_PROBE:
-      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_SUSPECT,
-              "target %s (%s) is probed, state %s, last answer %" G_GINT64_FORMAT " ms ago",
-              target->id, target->key, mr_health_name (target->health.state),
-              (now - target->health.answered_at) / MR_MS);
+      S_log_probe (target, now);
       ops->probe (owner, target);
       break;
     case MR_HEALTH_RENEW:
--- a/src/target_client.c
+++ b/src/target_client.c
@@ -179,6 +179,20 @@
   return count > 0;
 }
 
+/* A caller takes these statuses for the word that the request has not run, and may
+ * send it again. */
+static gboolean
+S_reads_as_not_run (int status)
+{
+  enum
+  {
+    REQUEST_TIMEOUT = 408,
+    TOO_MANY_REQUESTS = 429,
+    UNAVAILABLE = 503,
+  };
+  return status == REQUEST_TIMEOUT || status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
+}
+
 static MrCallOutcome
 S_outcome (const Connection *c, const MrHttpParser *answer)
 {
@@ -202,6 +216,8 @@
     /* A success that the target has not signed, or whose body is not as the
      * target wrote it, is nobody's answer. */
     return signatures == 1 && encodings == 0 ? MR_CALL_ANSWER : MR_CALL_BROKEN;
+  if (S_reads_as_not_run (status))
+    return MR_CALL_ERROR;
   return c->part || status >= SERVER_ERRORS ? MR_CALL_ERROR : MR_CALL_ANSWER;
 }
 
@@ -259,7 +275,10 @@
   g_hash_table_remove (c->client->calls, &c->call_id);
   c->call_id = 0;
   MrTargetClientHost *host = c->client->host;
-  if (outcome == MR_CALL_BROKEN)
+  /* Nor is a failure passed on that would tell the caller what the target has not
+   * said: an order that ran would run again. */
+  if (outcome == MR_CALL_BROKEN ||
+      (outcome == MR_CALL_ERROR && S_reads_as_not_run (mr_http_parser_status (answer))))
     g_clear_pointer (&answer, mr_http_parser_free);
   if (keep)
     S_make_idle (c);
--- a/test/platform/process_relay.sh
+++ b/test/platform/process_relay.sh
@@ -58,6 +58,28 @@
 mode "$(searcher_at 1)" ok
 mode "$(searcher_at 2)" ok
 
+# A second answer to the request before comes late, where the next one is due: it
+# is passed over, and the connection stays in use.
+mode "$(searcher_at 1)" late
+mode "$(searcher_at 2)" late
+for i in $(seq 1 20); do
+  [ "$(ask 1 /one/q "l$i")" = 200 ] || fail "late answer $i"
+  field X-Server-Stamp | grep -q "\.l$i$" || fail "the answer to the request before"
+  grep -q "not yours" "$LOGS/body" && fail "the body of a late answer"
+done
+mode "$(searcher_at 1)" ok
+mode "$(searcher_at 2)" ok
+
+# The searcher has run the order and answers 503 without a word of not having run
+# it.  To the caller 503 would say that it may be sent again.
+mode "$(searcher_at 1)" busy
+mode "$(searcher_at 2)" busy
+[ "$(ask 1 /order/q b1 -X POST -d x)" = 502 ] || fail "an order that ran was called not run: $(cat "$LOGS/head")"
+[ -z "$(field X-Server-Stamp)" ] || fail "our 502 bears a searcher's signature"
+[ "$(runs b1)" = 1 ] || fail "an order ran $(runs b1) times"
+mode "$(searcher_at 1)" ok
+mode "$(searcher_at 2)" ok
+
 # Another process has the address: the request does not run there, and the
 # target is not asked again.
 announce 1 i-9 a ready
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -34,12 +34,15 @@
   MODE_RESET,  /* runs, and the connection is reset */
   MODE_EXTRA,  /* the answer to the request before follows each answer */
   MODE_SLOW,   /* 300 ms */
+  MODE_LATE,   /* the answer to the request before goes ahead of each answer */
   MODE_ERROR,  /* 500, with a signature */
+  MODE_BUSY,   /* runs, then 503 with a signature and no word of not having run */
   MODE_COUNT,
 } Mode;
 
-static const char *const mode_names[MODE_COUNT] = { "ok",  "down",  "silent", "gone", "shed",
-                                                    "cut", "reset", "extra",  "slow", "error" };
+static const char *const mode_names[MODE_COUNT] = { "ok",   "down", "silent", "gone",
+                                                    "shed", "cut",  "reset",  "extra",
+                                                    "slow", "late", "error",  "busy" };
 
 typedef struct Server Server;
 
@@ -266,6 +269,23 @@
   return body;
 }
 
+/* The answer to the request before, once more. */
+static void
+S_repeat_last (Peer *peer)
+{
+  g_autofree char *extra = g_strdup_printf ("X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n",
+                                            peer->last_id, peer->server->id, peer->last_id);
+  S_send (peer, 200, extra, MR_TEXT ("not yours"));
+}
+
+static int
+S_status (Mode mode)
+{
+  if (mode == MODE_BUSY)
+    return 503;
+  return mode == MODE_ERROR ? 500 : 200;
+}
+
 static void
 S_answer_run (Peer *peer, const char *id)
 {
@@ -281,12 +301,11 @@
       mr_stream_close (peer->stream);
       return;
     }
-  S_send (peer, server->mode == MODE_ERROR ? 500 : 200, fields, mr_text_of (body));
-  if (server->mode != MODE_EXTRA || !peer->last_id)
-    return;
-  g_autofree char *extra = g_strdup_printf ("X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\n",
-                                            peer->last_id, server->id, peer->last_id);
-  S_send (peer, 200, extra, MR_TEXT ("not yours"));
+  if (server->mode == MODE_LATE && peer->last_id)
+    S_repeat_last (peer);
+  S_send (peer, S_status (server->mode), fields, mr_text_of (body));
+  if (server->mode == MODE_EXTRA && peer->last_id)
+    S_repeat_last (peer);
 }
 
 static void
