Clock faults in the soak and in the members' property; the soak in four files

Cause: the soak had no clock faults because "the relay decides nothing by the time of day"; read again, a process's number among its members is taken from it, so a clock that jumped back before a restart makes a new process look older than the one before. membership.c goes past the higher number when it hears of it, which no test showed.

--- a/test/prop_membership.cpp
+++ b/test/prop_membership.cpp
@@ -1,7 +1,7 @@
 // Members agree once faults end: who lives is seen as alive, who died is not.
 //
 // The real membership module of up to 12 members over a fake wire with kills,
-// restarts, freezes, one-way cuts and a split in two.
+// restarts, freezes, one-way cuts, a split in two, and a time of day that jumps.
 
 #include "core.hpp"
 #include <cstdio>
@@ -38,6 +38,7 @@
   MrTime now = MR_SECOND;
   std::vector<Node> nodes;
   std::vector<std::vector<bool> > cut;
+  std::vector<gint64> clock; // time of day less the steady clock, ms
   guint64 births = 0;
 
   explicit World (int count);
@@ -66,7 +67,8 @@
 {
 }
 
-World::World (int count) : nodes (count), cut (count, std::vector<bool> (count, false))
+World::World (int count)
+    : nodes (count), cut (count, std::vector<bool> (count, false)), clock (count, 1000000)
 {
   for (int i = 0; i < count; i++)
     {
@@ -90,7 +92,8 @@
   g_snprintf (self.name, sizeof self.name, "d%d", n.index);
   g_strlcpy (self.ip, "10.0.0.1", sizeof self.ip);
   self.peer_port = n.index + 1;
-  self.incarnation = ++births;
+  // A number from the time of day, which may have jumped, and a random one.
+  self.incarnation = ((guint64) (now / MR_MS + clock[n.index]) << 20) | ++births;
   n.host = { membership_send, membership_changed };
   n.membership = mr_membership_new (&n.host, &self, (guint32) births);
   std::vector<MrMember> seeds;
@@ -167,6 +170,9 @@
         for (size_t j = 0; j < count; j++)
           cut[i][j] = c.b % 2 == 0 && (i % 2) != (j % 2);
       break;
+    case 4:
+      clock[(size_t) c.a % count] = 1000000 + (c.b - 50) * 1000;
+      break;
     default:
       run (now + (1 + c.b % 12) * MR_SECOND);
       break;
@@ -211,7 +217,7 @@
   World w (3 + g_rand_int_range (random, 0, 10));
   w.run (w.now + 20 * MR_SECOND);
   for (int i = 0; i < 15; i++)
-    w.apply ({ g_rand_int_range (random, 0, 7), g_rand_int_range (random, 0, 100),
+    w.apply ({ g_rand_int_range (random, 0, 8), g_rand_int_range (random, 0, 100),
                g_rand_int_range (random, 0, 100) });
   g_rand_free (random);
   return w.agreement ();
--- /dev/null
+++ b/test/soak/soak.h
@@ -0,0 +1,114 @@
+/* Inside of the fault soak, shared by its files:
+ *   soak.c            the run, what is checked at its end
+ *   soak_processes.c  starting, stopping and telling the processes
+ *   soak_callers.c    callers and what they check of each answer
+ *   soak_faults.c     what is done to the processes, their paths and clocks */
+#pragma once
+
+#include "http_message.h"
+#include "proxy.h"
+#include "stream.h"
+
+#include <sys/types.h>
+
+enum
+{
+  /* Beside the first port, which is given. */
+  STORE_PORT = 0,
+  STORE_PROXY = 10, /* one a relay */
+  SEARCHER_PORT = 100,
+  SEARCHER_PROXY = 200, /* one a searcher: the address that is listed */
+  RELAY_PORT = 300,     /* ten a relay: front, ready, directory, control */
+  SERVICES = 3,
+  SEARCHERS = 6, /* two a service */
+  RELAYS = 3,
+  REQUESTS_PER_SECOND = 80,
+  RECORDS = 8,
+  TOP = 4,
+  ID_BYTES = 24,
+};
+
+typedef struct Soak Soak;
+
+typedef struct
+{
+  pid_t pid;
+  MrTime disturbed; /* last signal, start or fault on its way */
+  MrTime back_at;   /* when it is continued or started again; 0: it runs */
+  gboolean stopped; /* by SIGSTOP */
+  guint generation; /* of a searcher */
+} Child;
+
+/* What became of an order. */
+typedef enum
+{
+  ORDER_OPEN,
+  ORDER_DONE,
+  ORDER_REFUSED,
+  ORDER_UNKNOWN,
+} OrderEnd;
+
+struct Soak
+{
+  MrLoopHost host;
+  MrLoop *loop;
+  MrTimers *timers; /* Caller */
+  MrTimers *proxy_timers;
+  GRand *random;
+  const char *build;
+  const char *only; /* one mode of searchers in place of all faults */
+  char *folder;
+  Child store;
+  Child searchers[SEARCHERS];
+  Child relays[RELAYS];
+  gint64 *clocks[RELAYS]; /* us that a relay's time of day is off by; NULL: not built */
+  SoakProxy *store_proxies[RELAYS];
+  SoakProxy *searcher_proxies[SEARCHERS];
+  MrTime proxies_back[RELAYS + SEARCHERS];
+  GQueue idle[RELAYS]; /* Caller */
+  GHashTable *orders;  /* id -> OrderEnd */
+  GHashTable *sent;    /* set of ids */
+  guint64 last_id;
+  guint version;
+  gboolean wide; /* the version names three services */
+  MrTime now;
+  MrTime start;
+  MrTime next_request;
+  MrTime next_fault;
+  MrTime faults_end;
+  MrTime end;
+  MrTime store_back;
+  guint answered;
+  guint served;
+  guint broken; /* promises */
+  gboolean healing_checked;
+  guint healed[RELAYS];
+};
+
+/* All ports are this one plus a number from above. */
+extern int soak_first_port;
+
+void soak_broken (Soak *s, const char *format, ...) G_GNUC_PRINTF (2, 3);
+void soak_say (const Soak *s, const char *format, ...) G_GNUC_PRINTF (2, 3);
+guint soak_pick (Soak *s, guint below);
+MrTime soak_between (Soak *s, double least_ms, double most_ms);
+
+void soak_start_standin (
+    Soak *s, Child *child, const char *role, int port, const char *id, const char *log);
+void soak_start_searcher (Soak *s, guint index);
+void soak_start_relay (Soak *s, guint index);
+void soak_withdraw (Soak *s, guint index);
+/* A short HTTP exchange of the operator's with a stand-in; waits for it. */
+void soak_tell (int port, const char *method, const char *path, const char *body);
+/* Puts the next version in force, with two or three services. */
+void soak_configure (Soak *s);
+
+/* Sends one request of a caller; its answer is checked when it comes. */
+void soak_ask (Soak *s);
+/* A caller has waited for too long. */
+void soak_caller_overdue (MrTimer *timer);
+
+/* Draws one fault; with SOAK_ONLY set, always that mode of all searchers. */
+void soak_disturb (Soak *s);
+/* Ends the faults that are due, or all. */
+void soak_restore (Soak *s, gboolean all);
--- /dev/null
+++ b/test/soak/soak_processes.c
@@ -0,0 +1,178 @@
+#include "soak.h"
+
+#include <fcntl.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/mman.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static pid_t
+S_spawn (const Soak *s, const char *log, char *const *argv)
+{
+  g_autofree char *path = g_build_filename (s->folder, log, NULL);
+  pid_t pid = fork ();
+  if (pid != 0)
+    return pid;
+  prctl (PR_SET_PDEATHSIG, SIGKILL); /* nothing is left behind if the soak is ended */
+  int fd = open (path, O_WRONLY | O_CREAT | O_APPEND, 0600);
+  dup2 (fd, STDOUT_FILENO);
+  dup2 (fd, STDERR_FILENO);
+  execv (argv[0], argv);
+  _exit (EXIT_FAILURE);
+}
+
+void
+soak_start_standin (
+    Soak *s, Child *child, const char *role, int port, const char *id, const char *log)
+{
+  g_autofree char *program = g_build_filename (s->build, "test", "standin", NULL);
+  g_autofree char *number = g_strdup_printf ("%d", port);
+  char *argv[] = { program, (char *) role, number, (char *) id, NULL };
+  child->pid = S_spawn (s, log, argv);
+  child->disturbed = mr_now ();
+}
+
+void
+soak_tell (int port, const char *method, const char *path, const char *body)
+{
+  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%d%s", port, path);
+  char *argv[] = { "/usr/bin/curl",
+                   "-sS",
+                   "--max-time",
+                   "2",
+                   "--retry",
+                   "20",
+                   "--retry-connrefused",
+                   "-o",
+                   "/dev/null",
+                   "-X",
+                   (char *) method,
+                   "--data-binary",
+                   (char *) body,
+                   "--retry-delay",
+                   "1",
+                   url,
+                   NULL };
+  pid_t pid = fork ();
+  if (pid == 0)
+    {
+      int null = open ("/dev/null", O_WRONLY);
+      dup2 (null, STDERR_FILENO);
+      execv (argv[0], argv);
+      _exit (EXIT_FAILURE);
+    }
+  waitpid (pid, NULL, 0);
+}
+
+static void
+S_searcher_id (const Soak *s, guint index, char *id)
+{
+  g_snprintf (id, ID_BYTES, "s%u-%u", index, s->searchers[index].generation);
+}
+
+static void
+S_announce (Soak *s, guint index, const char *state)
+{
+  char id[ID_BYTES];
+  S_searcher_id (s, index, id);
+  g_autofree char *path = g_strdup_printf ("/objects/servers/%s", id);
+  g_autofree char *body = g_strdup_printf (
+      "{\"service\":\"%c\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%u\",\"slots\":5,"
+      "\"state\":\"%s\",\"warmup_left_ms\":0}",
+      'a' + (int) (index / 2), soak_first_port + SEARCHER_PROXY + (int) index, index % RELAYS,
+      state);
+  soak_tell (soak_first_port + STORE_PORT, state ? "PUT" : "DELETE", path, body);
+}
+
+void
+soak_withdraw (Soak *s, guint index)
+{
+  char id[ID_BYTES];
+  S_searcher_id (s, index, id);
+  g_autofree char *path = g_strdup_printf ("/objects/servers/%s", id);
+  soak_tell (soak_first_port + STORE_PORT, "DELETE", path, "");
+}
+
+void
+soak_start_searcher (Soak *s, guint index)
+{
+  char id[ID_BYTES];
+  g_autofree char *log = g_strdup_printf ("searcher%u.log", index);
+  s->searchers[index].generation++;
+  S_searcher_id (s, index, id);
+  soak_start_standin (s, &s->searchers[index], "searcher",
+                      soak_first_port + SEARCHER_PORT + (int) index, id, log);
+  S_announce (s, index, "ready");
+}
+
+/* The relay's time of day is read through test/soak/clock.c, which adds what
+ * stands in a file; sanitized builds have no such library. */
+static void
+S_set_clock (Soak *s, guint index)
+{
+  g_autofree char *library = g_build_filename (s->build, "test", "libsoak_clock.so", NULL);
+  g_autofree char *path = g_strdup_printf ("%s/clock%u", s->folder, index);
+  if (!g_file_test (library, G_FILE_TEST_EXISTS))
+    return;
+  if (!s->clocks[index])
+    {
+      const gint64 none = 0;
+      g_file_set_contents (path, (const char *) &none, sizeof none, NULL);
+      int fd = open (path, O_RDWR);
+      void *at = mmap (NULL, sizeof none, PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+      close (fd);
+      s->clocks[index] = at == MAP_FAILED ? NULL : at;
+    }
+  setenv ("SOAK_CLOCK", path, 1);
+  setenv ("LD_PRELOAD", library, 1);
+}
+
+void
+soak_start_relay (Soak *s, guint index)
+{
+  const char *name = getenv ("SOAK_RELAY"); /* another build, whose safeguards are off */
+  g_autofree char *program = g_build_filename (s->build, name ? name : "merlinring-relay", NULL);
+  g_autofree char *log = g_strdup_printf ("relay%u.log", index);
+  g_autofree char *settings = g_strdup_printf ("%s/relay%u.json", s->folder, index);
+  int base = soak_first_port + RELAY_PORT + 10 * (int) index;
+  g_autofree char *text = g_strdup_printf (
+      "{\"node_name\":\"r%u\",\"ip\":\"127.0.0.1\",\"zone\":\"z%u\",\"region\":\"reg\","
+      "\"seeds\":[\"127.0.0.1:%d\",\"127.0.0.1:%d\"],\"listen\":{\"front\":\"127.0.0.1:%d\","
+      "\"ready\":\"127.0.0.1:%d\",\"directory\":\"127.0.0.1:%d\",\"control\":\"127.0.0.1:%d\"},"
+      "\"limits\":{\"cpu_share\":0.25,\"cores\":1,\"max_fds\":1000,\"link_mbps\":1000},"
+      "\"bounds\":{\"grace_s\":3,\"budget_window_s\":10,\"retry_budget_ratio\":0.2,"
+      "\"retry_budget_slack\":100},\"platform\":{\"address\":\"127.0.0.1:%d\"}}",
+      index, index, soak_first_port + RELAY_PORT + 3, soak_first_port + RELAY_PORT + 13, base,
+      base + 1, base + 2, base + 3, soak_first_port + STORE_PROXY + (int) index);
+  g_file_set_contents (settings, text, -1, NULL);
+  S_set_clock (s, index);
+  setenv ("MERLINRING_CONFIG", settings, 1);
+  char *argv[] = { program, NULL };
+  s->relays[index].pid = S_spawn (s, log, argv);
+  unsetenv ("LD_PRELOAD");
+  s->relays[index].disturbed = mr_now ();
+}
+
+void
+soak_configure (Soak *s)
+{
+  s->wide = soak_pick (s, 2) == 0;
+  s->version++;
+  g_autofree char *body = g_strdup_printf (
+      "{\"version\":%u,\"routes\":["
+      "{\"name\":\"all\",\"host\":\"h\",\"path_prefix\":\"/all/\",\"kind\":\"safe\","
+      "\"timeout_ms\":1500,\"latency_target_ms\":300,\"priority\":1,\"gather\":[%s],"
+      "\"max_attempts\":2,\"top_k\":%d,\"min_shard_share\":0.5},"
+      "{\"name\":\"one\",\"host\":\"h\",\"path_prefix\":\"/one/\",\"kind\":\"safe\","
+      "\"timeout_ms\":1500,\"latency_target_ms\":300,\"priority\":0,\"service\":\"a\","
+      "\"max_attempts\":2},{\"name\":\"order\",\"host\":\"h\",\"path_prefix\":\"/order/\","
+      "\"kind\":\"unsafe\",\"timeout_ms\":1500,\"latency_target_ms\":300,\"priority\":0,"
+      "\"service\":\"b\",\"max_attempts\":2}],\"services\":[{\"name\":\"a\",\"max_conns\":40},"
+      "{\"name\":\"b\",\"max_conns\":40},{\"name\":\"c\",\"max_conns\":40}],\"limits\":{"
+      "\"max_header_bytes\":4096,\"max_body_bytes\":4096,\"header_timeout_ms\":1000,"
+      "\"idle_timeout_ms\":15000}}",
+      s->version, s->wide ? "\"a\",\"b\",\"c\"" : "\"a\",\"b\"", TOP);
+  soak_tell (soak_first_port + STORE_PORT, "PUT", "/objects/config/main", body);
+}
