--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -450,24 +450,20 @@
 void
 mr_relay_pump (MrRelay *relay, MrTime now, Service *service)
 {
-  GList *link = service ? service->waiting.head : NULL;
-  while (link)
+  while (service && !g_queue_is_empty (&service->waiting))
     {
-      Job *job = link->data;
+      Job *job = g_queue_peek_head (&service->waiting);
       gboolean hope = FALSE;
-      link = link->next;
       MrTargetState *target = S_pick (relay, now, job, &hope);
+      if (!target && hope)
+        return; /* no room for this one, nor for those behind it */
       if (target)
         {
           S_begin_waiting (relay, now, job, target);
-          link = service->waiting.head; /* an end may have taken others out */
           continue;
         }
-      if (hope)
-        return; /* no room for this one, nor for those behind it */
       mr_relay_unqueue (job);
       mr_relay_end_job (relay, now, job, MR_CAUSE_NO_TARGET);
-      link = service->waiting.head; /* the end may have taken others out */
     }
 }
 
