--- a/src/ctl.c
+++ b/src/ctl.c
@@ -44,7 +44,7 @@
     "merlinringctl explain 9c41d07be2a35f68 /var/log/relay-*.log", ctl_explain },
   { "report", "[FILE...]",
     "Latency, second sends, refusals by cause and spread of configurations, from log lines",
-    "merlinringctl report /var/log/relay-*.log", ctl_report },
+    "merlinringctl report --svg run.svg /var/log/relay-*.log", ctl_report },
 };
 
 CtlExit
@@ -72,6 +72,7 @@
   KEY_DOMAIN,
   KEY_TICKET,
   KEY_VERSION,
+  KEY_SVG,
   TIMEOUT_DEFAULT_MS = 5000,
 };
 
@@ -109,6 +110,7 @@
     .key = KEY_VERSION,
     .arg = "N",
     .doc = "document apply, edit: the version that the edit is based on" },
+  { .name = "svg", .key = KEY_SVG, .arg = "FILE", .doc = "report: write plots to FILE" },
   { 0 },
 };
 
@@ -128,6 +130,7 @@
     { KEY_K, &options->k },
     { KEY_DOMAIN, &options->domain },
     { KEY_TICKET, &options->ticket },
+    { KEY_SVG, &options->svg },
     { KEY_VERSION, &options->version },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -30,7 +30,8 @@
   const char *domain;
   const char *ticket;
   const char *version;
-  int argc; /* words after the sub-command */
+  const char *svg; /* report: file for the plots */
+  int argc;        /* words after the sub-command */
   char **argv;
 } CtlOptions;
 
@@ -89,6 +90,12 @@
 /* The text at @key of a log line; empty if it is not there. */
 const char *ctl_line_text (const json_t *line, const char *key);
 
+/* Requests that a relayed request's line stands for: plain answers are sampled. */
+guint ctl_line_weight (const json_t *line);
+
+/* The number at @key; 0 if it is not there. */
+json_int_t ctl_line_number (const json_t *line, const char *key);
+
 /* Reads standard input if @files is empty. */
 CtlExit
 ctl_read_files (int count, char **files, void (*add) (json_t *line, void *user), void *user);
--- a/src/ctl_explain.c
+++ b/src/ctl_explain.c
@@ -28,16 +28,10 @@
   { "no-route", "no route of the version in force there matches" },
 };
 
-static json_int_t
-S_number (const json_t *line, const char *key)
-{
-  return json_integer_value (json_object_get (line, key));
-}
-
 static void
 S_add (json_t *line, void *user)
 {
-  Entry entry = { .time = S_number (line, "time"), .line = json_incref (line) };
+  Entry entry = { .time = ctl_line_number (line, "time"), .line = json_incref (line) };
   g_array_append_val ((GArray *) user, entry);
 }
 
@@ -58,11 +52,13 @@
   {
     const char *target = ctl_line_text (call, "target");
     g_hash_table_add (targets, g_strdup (target));
-    printf ("    part %d at %s, %s after %.1f ms: %s after %.1f ms", (int) S_number (call, "part"),
-            target, ctl_line_text (call, "why"), (double) S_number (call, "at_us") / 1000,
-            ctl_line_text (call, "end"), (double) S_number (call, "took_us") / 1000);
-    if (S_number (call, "heard_us") >= 0)
-      printf ("; it had answered %.1f ms before", (double) S_number (call, "heard_us") / 1000);
+    printf ("    part %d at %s, %s after %.1f ms: %s after %.1f ms",
+            (int) ctl_line_number (call, "part"), target, ctl_line_text (call, "why"),
+            (double) ctl_line_number (call, "at_us") / 1000, ctl_line_text (call, "end"),
+            (double) ctl_line_number (call, "took_us") / 1000);
+    if (ctl_line_number (call, "heard_us") >= 0)
+      printf ("; it had answered %.1f ms before",
+              (double) ctl_line_number (call, "heard_us") / 1000);
     putchar ('\n');
   }
 }
@@ -81,12 +77,13 @@
 {
   printf ("%" JSON_INTEGER_FORMAT " %s route %s%s, configuration %" JSON_INTEGER_FORMAT
           ": status %" JSON_INTEGER_FORMAT " after %.1f ms",
-          S_number (line, "time"), ctl_line_text (line, "event"), ctl_line_text (line, "route"),
-          ctl_line_text (line, "target"), S_number (line, "version"), S_number (line, "status"),
-          (double) S_number (line, "took_us") / 1000);
-  if (S_number (line, "missing") > 0)
+          ctl_line_number (line, "time"), ctl_line_text (line, "event"),
+          ctl_line_text (line, "route"), ctl_line_text (line, "target"),
+          ctl_line_number (line, "version"), ctl_line_number (line, "status"),
+          (double) ctl_line_number (line, "took_us") / 1000);
+  if (ctl_line_number (line, "missing") > 0)
     printf (", %" JSON_INTEGER_FORMAT " of %" JSON_INTEGER_FORMAT " parts missing",
-            S_number (line, "missing"), S_number (line, "parts"));
+            ctl_line_number (line, "missing"), ctl_line_number (line, "parts"));
   printf ("\n    cause %s: %s\n", ctl_line_text (line, "cause"),
           S_meaning (ctl_line_text (line, "cause")));
   S_print_calls (line, targets);
--- a/src/ctl_log.c
+++ b/src/ctl_log.c
@@ -2,6 +2,8 @@
 
 #include "ctl.h"
 
+#include "relay_task.h"
+
 void
 ctl_read_lines (FILE *file, void (*add) (json_t *line, void *user), void *user)
 {
@@ -40,3 +42,18 @@
   const char *text = json_string_value (json_object_get (line, key));
   return text ? text : "";
 }
+
+json_int_t
+ctl_line_number (const json_t *line, const char *key)
+{
+  return json_integer_value (json_object_get (line, key));
+}
+
+guint
+ctl_line_weight (const json_t *line)
+{
+  gboolean served = ctl_line_number (line, "status") < 300;
+  gboolean whole = ctl_line_number (line, "missing") == 0 &&
+                   ctl_line_number (line, "sends") == ctl_line_number (line, "parts");
+  return served && whole ? MR_PLAIN_SAMPLE : 1;
+}
--- /dev/null
+++ b/src/ctl_plot.c
@@ -0,0 +1,223 @@
+#include "ctl_plot.h"
+
+#include <math.h>
+
+enum
+{
+  WIDTH = 900,
+  PANEL = 300, /* height of one plot */
+  LEFT = 60,
+  TOP = 40,
+  GAP = 70, /* between the plots, with room for the axis */
+  PAGE_HEIGHT = 2 * PANEL + GAP + TOP + 60,
+  CURVE_STEPS = 120,
+};
+
+/* Times from 1 ms to 10 s on a logarithmic axis. */
+static const double DECADES = 4;
+
+typedef enum
+{
+  OUTCOME_SERVED,
+  OUTCOME_PARTIAL,
+  OUTCOME_REFUSED,
+  OUTCOME_FAILED,
+  OUTCOMES,
+} Outcome;
+
+static const struct
+{
+  const char *name;
+  const char *color;
+} outcomes[OUTCOMES] = {
+  [OUTCOME_SERVED] = { "served", "#4c9f70" },
+  [OUTCOME_PARTIAL] = { "served in part or repeated", "#e0b13c" },
+  [OUTCOME_REFUSED] = { "refused", "#d9793a" },
+  [OUTCOME_FAILED] = { "failed or timed out", "#b23a48" },
+};
+
+static const char *const route_colors[] = { "#2d6a9f", "#b23a48", "#4c9f70",
+                                            "#8e5ea2", "#d9793a", "#555555" };
+
+typedef struct
+{
+  guint counts[OUTCOMES];
+} Second;
+
+struct _CtlPlot
+{
+  GHashTable *seconds; /* second -> Second */
+  gint64 first;
+  gint64 last;
+  GString *curves;
+  guint routes;
+};
+
+CtlPlot *
+ctl_plot_new (void)
+{
+  CtlPlot *plot = g_new0 (CtlPlot, 1);
+  plot->seconds = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  plot->first = G_MAXINT64;
+  plot->curves = g_string_new (NULL);
+  return plot;
+}
+
+void
+ctl_plot_free (CtlPlot *plot)
+{
+  if (!plot)
+    return;
+  g_hash_table_unref (plot->seconds);
+  g_string_free (plot->curves, TRUE);
+  g_free (plot);
+}
+
+static Outcome
+S_outcome (const json_t *line)
+{
+  const char *verdict = ctl_line_text (line, "verdict");
+  if (g_str_equal (verdict, "refused"))
+    return OUTCOME_REFUSED;
+  if (ctl_line_number (line, "status") >= 300)
+    return OUTCOME_FAILED;
+  return ctl_line_weight (line) == 1 ? OUTCOME_PARTIAL : OUTCOME_SERVED;
+}
+
+void
+ctl_plot_add (CtlPlot *plot, const json_t *line)
+{
+  gint64 at = ctl_line_number (line, "time") / 1000;
+  Second *second = g_hash_table_lookup (plot->seconds, &at);
+  if (!second)
+    {
+      gint64 *key = g_new (gint64, 1);
+      *key = at;
+      second = g_new0 (Second, 1);
+      g_hash_table_insert (plot->seconds, key, second);
+    }
+  second->counts[S_outcome (line)] += ctl_line_weight (line);
+  plot->first = MIN (plot->first, at);
+  plot->last = MAX (plot->last, at);
+}
+
+static double
+S_x_of (double us)
+{
+  double decades = log10 (MAX (us, 1) / 1000);
+  return LEFT + CLAMP (decades / DECADES, 0, 1) * (WIDTH - 2 * LEFT);
+}
+
+void
+ctl_plot_route (CtlPlot *plot, const char *route, const MrHistogram *latency)
+{
+  if (latency->total == 0)
+    return;
+  const char *color = route_colors[plot->routes % G_N_ELEMENTS (route_colors)];
+  g_autofree char *name = g_markup_escape_text (route, -1);
+  g_string_append_printf (plot->curves, "<polyline fill='none' stroke='%s' points='", color);
+  for (guint i = 0; i <= CURVE_STEPS; i++)
+    {
+      double us = 1000 * pow (10, DECADES * i / CURVE_STEPS);
+      double share =
+          (double) mr_histogram_count_under (latency, (gint64) us) / (double) latency->total;
+      g_string_append_printf (plot->curves, "%.1f,%.1f ", S_x_of (us), TOP + PANEL - share * PANEL);
+    }
+  g_string_append_printf (plot->curves,
+                          "'/>\n<text x='%d' y='%u' fill='%s'>%s (%" G_GUINT64_FORMAT ")</text>\n",
+                          LEFT + 10, TOP + 20 + 16 * plot->routes, color, name, latency->total);
+  plot->routes++;
+}
+
+static void
+S_add_latency_axis (GString *out)
+{
+  static const char *const labels[] = { "1 ms", "10 ms", "100 ms", "1 s", "10 s" };
+  g_string_append_printf (out,
+                          "<text x='%d' y='%d'>share of answers within a time, by route"
+                          "</text>\n",
+                          LEFT, TOP - 12);
+  for (guint i = 0; i < G_N_ELEMENTS (labels); i++)
+    {
+      double x = S_x_of (1000 * pow (10, i));
+      g_string_append_printf (out,
+                              "<line x1='%.1f' y1='%d' x2='%.1f' y2='%d' stroke='#ddd'/>"
+                              "<text x='%.1f' y='%d' text-anchor='middle'>%s</text>\n",
+                              x, TOP, x, TOP + PANEL, x, TOP + PANEL + 16, labels[i]);
+    }
+  for (guint tenth = 0; tenth <= 10; tenth += 5)
+    g_string_append_printf (out, "<text x='%d' y='%u' text-anchor='end'>%.1f</text>\n", LEFT - 6,
+                            TOP + PANEL - tenth * PANEL / 10, tenth / 10.0);
+}
+
+static guint
+S_most_in_a_second (const CtlPlot *plot)
+{
+  guint most = 1;
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, plot->seconds);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    {
+      guint sum = 0;
+      for (guint i = 0; i < OUTCOMES; i++)
+        sum += ((const Second *) item)->counts[i];
+      most = MAX (most, sum);
+    }
+  return most;
+}
+
+/* One bar a second, outcomes on top of each other. */
+static void
+S_add_bars (const CtlPlot *plot, GString *out)
+{
+  const int base = TOP + 2 * PANEL + GAP;
+  guint most = S_most_in_a_second (plot);
+  double step = (double) (WIDTH - 2 * LEFT) / (double) (plot->last - plot->first + 1);
+  GHashTableIter iter;
+  gpointer key = NULL;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, plot->seconds);
+  while (g_hash_table_iter_next (&iter, &key, &item))
+    {
+      const Second *second = item;
+      double x = LEFT + (double) (*(gint64 *) key - plot->first) * step;
+      double y = base;
+      for (guint i = 0; i < OUTCOMES; i++)
+        {
+          double height = (double) second->counts[i] * PANEL / most;
+          y -= height;
+          if (height > 0)
+            g_string_append_printf (
+                out, "<rect x='%.2f' y='%.2f' width='%.2f' height='%.2f' fill='%s'/>\n", x, y,
+                MAX (step - 0.5, 0.5), height, outcomes[i].color);
+        }
+    }
+  g_string_append_printf (out,
+                          "<text x='%d' y='%d'>requests a second, about (%u at most), over "
+                          "%" G_GINT64_FORMAT " s</text>\n",
+                          LEFT, base - PANEL - 12, most, plot->last - plot->first + 1);
+  for (guint i = 0; i < OUTCOMES; i++)
+    g_string_append_printf (out, "<text x='%u' y='%d' fill='%s'>%s</text>\n", LEFT + i * 200,
+                            base + 24, outcomes[i].color, outcomes[i].name);
+}
+
+CtlExit
+ctl_plot_write (const CtlPlot *plot, const char *path)
+{
+  g_autoptr (GString) out = g_string_new (NULL);
+  g_autoptr (GError) error = NULL;
+  g_string_append_printf (out,
+                          "<svg xmlns='http://www.w3.org/2000/svg' width='%d' height='%d' "
+                          "font-family='sans-serif' font-size='12'>\n"
+                          "<rect width='100%%' height='100%%' fill='white'/>\n",
+                          WIDTH, PAGE_HEIGHT);
+  S_add_latency_axis (out);
+  g_string_append_len (out, plot->curves->str, (gssize) plot->curves->len);
+  if (g_hash_table_size (plot->seconds) > 0)
+    S_add_bars (plot, out);
+  g_string_append (out, "</svg>\n");
+  if (!g_file_set_contents (path, out->str, (gssize) out->len, &error))
+    return ctl_fail (CTL_FAILED, "%s", error->message);
+  return CTL_OK;
+}
--- a/src/ctl_report.c
+++ b/src/ctl_report.c
@@ -1,6 +1,5 @@
-#include "ctl.h"
+#include "ctl_plot.h"
 
-#include "histogram.h"
 #include <stdio.h>
 
 enum
@@ -25,6 +24,7 @@
   GHashTable *causes;  /* "event cause" -> count, of what was not served */
   GHashTable *events;  /* event -> count */
   GHashTable *version; /* relay's time of a version in force: version -> times */
+  CtlPlot *plot;       /* NULL: not asked for */
   guint64 left_out;
   guint64 dropped;
   guint lines;
@@ -61,6 +61,8 @@
 S_add_request (Report *report, const json_t *line)
 {
   Route *route = S_route (report, ctl_line_text (line, "route"));
+  if (report->plot && *ctl_line_text (line, "verdict") != '\0')
+    ctl_plot_add (report->plot, line);
   size_t i = 0;
   json_t *call = NULL;
   route->lines++;
@@ -69,15 +71,16 @@
     route->hedges += g_str_equal (ctl_line_text (call, "why"), "hedge");
     route->retries += g_str_equal (ctl_line_text (call, "why"), "retry");
   }
-  if (json_integer_value (json_object_get (line, "status")) >= 300)
+  if (ctl_line_number (line, "status") >= 300)
     {
       g_autofree char *key =
           g_strdup_printf ("%s %s", ctl_line_text (line, "verdict"), ctl_line_text (line, "cause"));
       S_count (report->causes, key, 1);
       return;
     }
-  route->partial += json_integer_value (json_object_get (line, "missing")) > 0;
-  mr_histogram_add (&route->latency, json_integer_value (json_object_get (line, "took_us")));
+  route->partial += ctl_line_number (line, "missing") > 0;
+  for (guint left = ctl_line_weight (line); left > 0; left--)
+    mr_histogram_add (&route->latency, ctl_line_number (line, "took_us"));
 }
 
 /* "configuration 16 is in force here, after 12": when the first and the last relay
@@ -86,7 +89,7 @@
 S_add_version (Report *report, const json_t *line)
 {
   g_auto (GStrv) words = g_strsplit (ctl_line_text (line, "message"), " ", 3);
-  gint64 time = json_integer_value (json_object_get (line, "time"));
+  gint64 time = ctl_line_number (line, "time");
   if (g_strv_length (words) < 3 || !g_str_has_suffix (words[2], " 0"))
     {
       GArray *times = g_hash_table_lookup (report->version, words[1]);
@@ -105,8 +108,8 @@
   Report *report = user;
   const char *event = ctl_line_text (line, "event");
   report->lines++;
-  report->left_out += (guint64) json_integer_value (json_object_get (line, "left_out"));
-  report->dropped += (guint64) json_integer_value (json_object_get (line, "dropped"));
+  report->left_out += (guint64) ctl_line_number (line, "left_out");
+  report->dropped += (guint64) ctl_line_number (line, "dropped");
   S_count (report->events, event, 1);
   if (json_object_get (line, "route"))
     S_add_request (report, line);
@@ -173,6 +176,18 @@
     }
 }
 
+static CtlExit
+S_write_plots (const Report *report, const char *path)
+{
+  g_autoptr (GList) names = S_sorted_keys (report->routes);
+  for (const GList *name = names; name; name = name->next)
+    {
+      const Route *route = g_hash_table_lookup (report->routes, name->data);
+      ctl_plot_route (report->plot, route->name, &route->latency);
+    }
+  return ctl_plot_write (report->plot, path);
+}
+
 CtlExit
 ctl_report (const CtlOptions *options)
 {
@@ -182,6 +197,7 @@
     .events = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
     .version =
         g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_array_unref),
+    .plot = options->svg ? ctl_plot_new () : NULL,
   };
   CtlExit result = ctl_read_files (options->argc, options->argv, S_add, &report);
   if (result == CTL_OK && report.lines == 0)
@@ -189,13 +205,16 @@
   if (result == CTL_OK)
     {
       printf ("%u lines, %" G_GUINT64_FORMAT " left out for volume, %" G_GUINT64_FORMAT
-              " dropped; plain answers have one line in 50\n\n",
+              " dropped; plain answers have one line in 50 and count as many\n\n",
               report.lines, report.left_out, report.dropped);
       S_print_routes (&report);
       S_print_counts ("not served, by verdict and cause", report.causes);
       S_print_counts ("events", report.events);
       S_print_versions (&report);
+      if (options->svg)
+        result = S_write_plots (&report, options->svg);
     }
+  ctl_plot_free (report.plot);
   g_hash_table_unref (report.routes);
   g_hash_table_unref (report.causes);
   g_hash_table_unref (report.events);
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -5,8 +5,6 @@
 
 enum
 {
-  /* One plain success in this many has a log line; all else has one each. */
-  SAMPLE = 50,
   STATUS_OK = 200,
   STATUS_NOT_FOUND = 404,
   STATUS_BAD_GATEWAY = 502,
@@ -206,7 +204,7 @@
     [MR_VERDICT_REFUSED] = MR_EVENT_REQUEST_REFUSED, [MR_VERDICT_FAILED] = MR_EVENT_REQUEST_FAILED,
     [MR_VERDICT_TIMEOUT] = MR_EVENT_REQUEST_TIMEOUT,
   };
-  if (S_is_plain (result) && request->task->served++ % SAMPLE != 0)
+  if (S_is_plain (result) && request->task->served++ % MR_PLAIN_SAMPLE != 0)
     return;
   gboolean served = result->verdict <= MR_VERDICT_MERGE;
   MrEvent event =
--- a/src/relay_task.h
+++ b/src/relay_task.h
@@ -9,6 +9,12 @@
 #include "loop.h"
 #include "relay_settings.h"
 
+enum
+{
+  /* One plain success in this many has a log line; all else has one each. */
+  MR_PLAIN_SAMPLE = 50,
+};
+
 typedef struct _MrRelayTask MrRelayTask;
 
 typedef struct
