--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -222,7 +222,9 @@
   mr_log_set_level (MR_LOG_ERROR);
   signal (SIGPIPE, SIG_IGN);
   setvbuf (stdout, NULL, _IOLBF, 0);
-  Soak s = {
+  /* Static, for it lives as long as the process, as all that it owns does. */
+  static Soak s;
+  s = (Soak){
     .host = { .on_message = S_on_message, .on_tick = S_on_tick },
     .timers = mr_timers_new (),
     .proxy_timers = mr_timers_new (),
