--- a/test/platform/process_relay.sh
+++ b/test/platform/process_relay.sh
@@ -80,6 +80,19 @@
 mode "$(searcher_at 1)" ok
 mode "$(searcher_at 2)" ok
 
+# A searcher whose answer is larger than any may be, and one whose answer never
+# ends: the caller gets another's in time, and the relay keeps neither.
+for bad in huge drip; do
+  mode "$(searcher_at 1)" $bad
+  for i in 1 2 3 4 5 6; do
+    [ "$(ask 1 /one/q "$bad$i")" = 200 ] || fail "$bad answer $i: $(cat "$LOGS/head")"
+    field X-Server-Stamp | grep -q "^i-2\.$bad$i$" || fail "the answer of a searcher that is $bad"
+  done
+done
+mode "$(searcher_at 1)" ok
+held=$(awk '/^VmHWM/ { print $2 }' "/proc/${PIDS[r1]}/status")
+[ "$held" -lt "${MR_RSS_LIMIT_KB:-16000}" ] || fail "the relay held $held kB"
+
 # Another process has the address: the request does not run there, and the
 # target is not asked again.
 announce 1 i-9 a ready
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -21,6 +21,8 @@
   RECORD_BYTES = 16,
   RECORDS = 8,
   EXIT_USAGE = 2,
+  HUGE_BYTES = 64 * 1024 * 1024,
+  HUGE_PIECE = 16 * 1024 * 1024,
 };
 
 typedef enum
@@ -37,12 +39,14 @@
   MODE_LATE,   /* the answer to the request before goes ahead of each answer */
   MODE_ERROR,  /* 500, with a signature */
   MODE_BUSY,   /* runs, then 503 with a signature and no word of not having run */
+  MODE_HUGE,   /* an answer of HUGE_BYTES */
+  MODE_DRIP,   /* the head of an answer, then a byte each 50 ms */
   MODE_COUNT,
 } Mode;
 
-static const char *const mode_names[MODE_COUNT] = { "ok",   "down", "silent", "gone",
-                                                    "shed", "cut",  "reset",  "extra",
-                                                    "slow", "late", "error",  "busy" };
+static const char *const mode_names[MODE_COUNT] = { "ok",    "down",  "silent", "gone", "shed",
+                                                    "cut",   "reset", "extra",  "slow", "late",
+                                                    "error", "busy",  "huge",   "drip" };
 
 typedef struct Server Server;
 
@@ -54,7 +58,8 @@
   MrHttpParser *parser;
   char *last_id; /* of the request answered before */
   MrTimer timer; /* of an answer that waits */
-  char *kind;    /* of a watch that waits */
+  gboolean dripping;
+  char *kind; /* of a watch that waits */
   gint64 since;
 } Peer;
 
@@ -286,6 +291,31 @@
   return mode == MODE_ERROR ? 500 : 200;
 }
 
+/* An answer whose end never comes, or only after HUGE_BYTES. */
+static void
+S_begin_long (Peer *peer, const char *fields)
+{
+  g_autofree char *head =
+      g_strdup_printf ("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", fields,
+                       peer->server->mode == MODE_HUGE ? HUGE_BYTES : 1000);
+  mr_stream_write (peer->stream, mr_text (head));
+  if (peer->server->mode == MODE_HUGE)
+    {
+      g_autofree char *piece = g_malloc0 (HUGE_PIECE);
+      mr_stream_write (peer->stream, (MrText){ .data = piece, .len = HUGE_PIECE });
+      return;
+    }
+  peer->dripping = TRUE;
+  mr_timers_set (peer->server->timers, &peer->timer, mr_now () + 50 * MR_MS);
+}
+
+static void
+S_drip (Peer *peer)
+{
+  mr_stream_write (peer->stream, MR_TEXT ("."));
+  mr_timers_set (peer->server->timers, &peer->timer, mr_now () + 50 * MR_MS);
+}
+
 static void
 S_answer_run (Peer *peer, const char *id)
 {
@@ -301,6 +331,11 @@
       mr_stream_close (peer->stream);
       return;
     }
+  if (server->mode == MODE_HUGE || server->mode == MODE_DRIP)
+    {
+      S_begin_long (peer, fields);
+      return;
+    }
   if (server->mode == MODE_LATE && peer->last_id)
     S_repeat_last (peer);
   S_send (peer, S_status (server->mode), fields, mr_text_of (body));
@@ -431,7 +466,9 @@
        timer = mr_timers_pop (server->timers, now))
     {
       Peer *peer = timer->owner;
-      if (server->id)
+      if (peer->dripping)
+        S_drip (peer);
+      else if (server->id)
         S_answer_run (peer, peer->last_id);
       else
         S_answer_watch (peer, TRUE);
