Files of one job each: loads, log lines and laid-out maps apart

The generators of histories and the loops of process_relay stand once. Moves only; prop_search, prop_orders, prop_documents, prop_membership and test_relay_load give the same figures as before.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -1,8 +1,8 @@
 #include "dispatch.h"
 
+#include "layout.h"
 #include "log.h"
 #include "merge.h"
-#include "relay.h"
 #include "safeguard.h"
 #include "timers.h"
 
@@ -50,24 +50,11 @@
   .born = -10 * MR_SECOND,
 };
 
-/* One map's targets as sets of the engine: one a shard, one of all. */
-typedef struct
-{
-  MrShardMap *map;
-  char *all; /* name of the set of all targets */
-  MrSplitPart everything;
-  MrSplitPart *shards; /* names of the shards' sets */
-  MrTargetState **states;
-  MrPolicy policy; /* that the targets' limits were set by */
-  guint open;      /* batches that use it */
-  gboolean old;    /* a newer map of the service is in use */
-} Layout;
-
 typedef struct
 {
   MrDispatch *dispatch;
   MrBatch *batch;
-  Layout *layout;
+  MrLayout *layout;
   MrRoute route;
   MrSplitPart *parts;
   MrRelayWork *work;
@@ -83,140 +70,19 @@
   MrRelayHost relay_host;
   MrDispatchHost *host;
   MrRelay *relay;
-  GHashTable *layouts; /* set of all -> Layout */
-  guint old_layouts;
-  GHashTable *works;   /* batch id -> Work */
-  GHashTable *leaving; /* keys listed as leaving, seen in use or not */
+  MrLayouts *layouts;
+  GHashTable *works; /* batch id -> Work */
   MrTimers *timers;
   MrDispatchCounts counts;
 };
 
-/* Maps. */
-
-static void
-S_layout_free (gpointer data)
-{
-  Layout *layout = data;
-  for (guint i = 0; i < layout->map->shard_count; i++)
-    g_free (layout->shards[i].service);
-  g_free (layout->shards);
-  g_free (layout->states);
-  g_free (layout->all);
-  mr_shard_map_unref (layout->map);
-  g_free (layout);
-}
-
-/* Adds target @index of the map to @set. */
-static void
-S_add_to_set (MrDispatch *d, MrTime now, Layout *layout, const char *set, guint index)
-{
-  const MrTarget *target = &layout->map->targets[index];
-  char key[64];
-  g_snprintf (key, sizeof key, "%s:%d", target->ip, target->port);
-  gboolean leaving = g_hash_table_contains (d->leaving, key);
-  layout->states[index] = mr_relay_target (d->relay, now, set, target, leaving, 0);
-}
-
-static Layout *
-S_layout_new (MrDispatch *d, MrTime now, MrShardMap *map, char *all)
-{
-  Layout *layout = g_new0 (Layout, 1);
-  layout->map = mr_shard_map_ref (map);
-  layout->all = all;
-  layout->everything = (MrSplitPart){ .service = all };
-  layout->shards = g_new0 (MrSplitPart, map->shard_count + 1);
-  layout->states = g_new0 (MrTargetState *, map->target_count + 1);
-  mr_relay_add_set (d->relay, all, map->service);
-  for (guint i = 0; i < map->target_count; i++)
-    S_add_to_set (d, now, layout, all, i);
-  for (guint i = 0; i < map->shard_count; i++)
-    {
-      const MrShard *shard = &map->shards[i];
-      layout->shards[i].service = g_strdup_printf ("%s/%s", all, shard->name);
-      mr_relay_add_set (d->relay, layout->shards[i].service, map->service);
-      for (guint r = 0; r < shard->replica_count; r++)
-        S_add_to_set (d, now, layout, layout->shards[i].service, shard->replicas[r]);
-    }
-  return layout;
-}
-
-static void
-S_retire_older (MrDispatch *d, const MrShardMap *map)
-{
-  GHashTableIter iter;
-  gpointer item = NULL;
-  g_hash_table_iter_init (&iter, d->layouts);
-  while (g_hash_table_iter_next (&iter, NULL, &item))
-    {
-      Layout *layout = item;
-      if (layout->map->generation >= map->generation || layout->old ||
-          !g_str_equal (layout->map->service, map->service))
-        continue;
-      layout->old = TRUE;
-      d->old_layouts++;
-    }
-}
-
-/* Takes down the sets of old maps that no batch uses any more.  Not as the last
- * batch ends: the engine may be in the middle of one of them then. */
-static void
-S_release_old (MrDispatch *d)
-{
-  GHashTableIter iter;
-  gpointer item = NULL;
-  if (d->old_layouts == 0)
-    return;
-  g_hash_table_iter_init (&iter, d->layouts);
-  while (g_hash_table_iter_next (&iter, NULL, &item))
-    {
-      const Layout *layout = item;
-      if (!layout->old || layout->open > 0)
-        continue;
-      for (guint i = 0; i < layout->map->shard_count; i++)
-        mr_relay_remove_set (d->relay, layout->shards[i].service);
-      mr_relay_remove_set (d->relay, layout->all);
-      g_hash_table_iter_remove (&iter);
-      d->old_layouts--;
-    }
-}
-
-static Layout *
-S_layout (MrDispatch *d, MrTime now, MrShardMap *map)
-{
-  g_autofree char *all = g_strdup_printf ("%s#%" G_GUINT64_FORMAT, map->service, map->generation);
-  Layout *layout = g_hash_table_lookup (d->layouts, all);
-  if (layout)
-    return layout;
-  layout = S_layout_new (d, now, map, g_steal_pointer (&all));
-  g_hash_table_insert (d->layouts, layout->all, layout);
-  S_retire_older (d, map);
-  return layout;
-}
-
-/* Our share of each target's slots. */
-static void
-S_set_limits (Layout *layout, const MrPolicy *policy)
-{
-  if (layout->policy.owners == policy->owners &&
-      layout->policy.target_limit == policy->target_limit && layout->policy.owners > 0)
-    return;
-  layout->policy = *policy;
-  for (guint i = 0; i < layout->map->target_count; i++)
-    {
-      guint slots = layout->map->targets[i].slots;
-      if (policy->target_limit > 0)
-        slots = MIN (slots, policy->target_limit);
-      mr_limit_set_most (&layout->states[i]->limit, (double) slots / MAX (policy->owners, 1));
-    }
-}
-
 /* Works. */
 
 static Work *
 S_work_new (MrDispatch *d, MrTime now, MrBatch *batch)
 {
   Work *work = g_new0 (Work, 1);
-  Layout *layout = S_layout (d, now, batch->map);
+  MrLayout *layout = mr_layouts_get (d->layouts, now, batch->map);
   work->dispatch = d;
   work->batch = batch;
   work->layout = layout;
@@ -224,7 +90,7 @@
   work->tell.owner = work;
   work->parts = g_new0 (MrSplitPart, MAX (batch->shard_count, 1));
   for (guint i = 0; i < batch->shard_count; i++)
-    work->parts[i] = batch->order ? layout->everything : layout->shards[batch->shards[i]];
+    work->parts[i] = *mr_layout_part (layout, batch->order ? MR_ALL_SHARDS : batch->shards[i]);
   work->route = (MrRoute){
     .name = batch->map->service,
     .kind = MR_ROUTE_BATCH,
@@ -236,8 +102,7 @@
     .part_count = batch->shard_count,
     .parts = work->parts,
   };
-  layout->open++;
-  S_set_limits (layout, &batch->policy);
+  mr_layout_begin (layout, &batch->policy);
   mr_relay_set_pool (d->relay, batch->map->service, batch->policy.extra_calls,
                      batch->policy.hedge_quantile);
   return work;
@@ -249,7 +114,7 @@
   Work *work = data;
   MrDispatch *d = work->dispatch;
   mr_timers_set (d->timers, &work->tell, MR_NEVER);
-  work->layout->open--;
+  mr_layout_end (work->layout);
   mr_batch_free (work->batch);
   mr_merge_free (work->merge);
   if (work->reply)
@@ -274,7 +139,8 @@
       guint count = batch->order ? map->target_count : shard->replica_count;
       for (guint r = 0; r < count; r++)
         {
-          MrTargetState *target = work->layout->states[batch->order ? r : shard->replicas[r]];
+          guint index = batch->order ? r : shard->replicas[r];
+          MrTargetState *target = mr_layout_target (work->layout, index);
           if (mr_health_usable (&target->health) && g_hash_table_add (seen, target))
             capacity += mr_limit_calls (&target->limit);
         }
@@ -318,7 +184,7 @@
     if (!mr_merge_covers (work->merge, batch->shards[i]))
       return batch->map->shards[batch->shards[i]].replicas[0];
   for (guint i = 0; work->last && i < batch->map->target_count; i++)
-    if (work->layout->states[i] == work->last)
+    if (mr_layout_target (work->layout, i) == work->last)
       return i;
   return MR_NO_TARGET_INDEX;
 }
@@ -515,17 +381,14 @@
 void
 mr_dispatch_target_leaving (MrDispatch *d, MrTime now, const char *key, bool leaving)
 {
-  if (leaving)
-    g_hash_table_add (d->leaving, g_strdup (key));
-  else
-    g_hash_table_remove (d->leaving, key);
+  mr_layouts_set_leaving (d->layouts, key, leaving);
   mr_relay_target_leaving (d->relay, now, key, leaving);
 }
 
 MrTime
 mr_dispatch_tick (MrDispatch *d, MrTime now)
 {
-  S_release_old (d);
+  mr_layouts_release (d->layouts);
   MrTime next = mr_relay_tick (d->relay, now);
   for (MrTimer *timer = mr_timers_pop (d->timers, now); timer;
        timer = mr_timers_pop (d->timers, now))
@@ -556,9 +419,8 @@
   };
   d->host = host;
   d->relay = mr_relay_new (&d->relay_host, &info);
-  d->layouts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_layout_free);
+  d->layouts = mr_layouts_new (d->relay);
   d->works = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, S_work_free);
-  d->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   d->timers = mr_timers_new ();
   return d;
 }
@@ -569,9 +431,8 @@
   if (!d)
     return;
   g_hash_table_unref (d->works);
-  g_hash_table_unref (d->layouts);
+  mr_layouts_free (d->layouts);
   mr_relay_free (d->relay);
-  g_hash_table_unref (d->leaving);
   mr_timers_free (d->timers);
   g_free (d);
 }
@@ -597,7 +458,7 @@
 guint
 mr_dispatch_maps (const MrDispatch *d)
 {
-  return g_hash_table_size (d->layouts);
+  return mr_layouts_count (d->layouts);
 }
 
 void
--- a/src/relay.h
+++ b/src/relay.h
@@ -10,7 +10,8 @@
  *
  *   relay.c          ends of calls, verdicts
  *   relay_admit.c    admission, splits, who is turned away
- *   relay_place.c    choice of target, queues, starts, parts left out
+ *   relay_place.c    choice of target, queues, starts
+ *   relay_load.c     how loaded targets are, parts left out for it
  *   relay_time.c     what is due: second sends, soft and hard ends, silence
  *   relay_targets.c  what is known of targets
  *
--- /dev/null
+++ b/src/relay_load.c
@@ -0,0 +1,139 @@
+#include "relay_private.h"
+
+#include <math.h>
+
+/* Load of a shard, as the expected time of a call over the time that an answer
+ * has, from which its part is left out of some answers, and at which of most.
+ * On a site whose shards lose targets until one is asked for 110 % of its slots,
+ * everything sent makes every answer late (worth a tenth); each part left out
+ * costs its answer a fifth and brings the rest back in time.  Never all: without
+ * calls nobody would see that the load has gone. */
+static const double LEAVE_OUT_FROM = 0.45;
+static const double LEAVE_OUT_FULL = 1.1;
+static const double LEAVE_OUT_MOST = 0.85;
+
+/* Calls that are sent to a target beyond its slots wait there, in the order they
+ * came; what waits here goes by rank, is given up in time, and shows in the
+ * expected wait by which requests are refused.  The fleet together keeps each
+ * target's slots filled twice, one daemon two calls at least.  Three times the
+ * usual load, on the virtual clock: four calls a daemon where there are 5 slots
+ * and 6 daemons earn 0.84 and 0.36 of the worth of the two kinds of search, two
+ * calls 0.95 and 0.46; one call is too few on a calm day (0.98 for 1.00). */
+static const double SLOTS_FILLED = 2;
+static const double CALLS_MIN = 2;
+
+static double
+S_most_calls (const MrRelay *relay, const MrTargetState *target, double connections)
+{
+  double most = floor (connections * relay->shares.connections);
+  if (target->slots == 0)
+    return most;
+  double slots = ceil (target->slots * SLOTS_FILLED * relay->shares.slots);
+  return MIN (most, MAX (slots, CALLS_MIN));
+}
+
+void
+mr_relay_cap (const MrRelay *relay, const MrRelayWork *work, Service *service)
+{
+  if (!work->configuration)
+    return; /* its host sets the limits */
+  guint64 version = mr_configuration_version (work->configuration);
+  if (service->capped_version == version && service->capped_share == relay->shares.connections)
+    return;
+  const MrServiceInfo *info = mr_configuration_service (work->configuration, service->name);
+  service->capped_version = version;
+  service->capped_share = relay->shares.connections;
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      MrTargetState *target = g_ptr_array_index (service->targets, i);
+      double most = info ? info->most_connections : target->connections;
+      mr_limit_set_most (&target->limit, S_most_calls (relay, target, most));
+    }
+}
+
+guint
+mr_relay_usable (const Service *service, double *room)
+{
+  guint usable = 0;
+  *room = 0;
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const MrTargetState *target = g_ptr_array_index (service->targets, i);
+      if (!mr_health_usable (&target->health) && target->health.state != MR_HEALTH_SUSPECT)
+        continue;
+      usable++;
+      *room += mr_limit_calls (&target->limit);
+    }
+  return usable;
+}
+
+/* Time of one more call at @target. */
+static double
+S_expected_time (const MrTargetState *target, MrTime now, const Kind *kind)
+{
+  double expected = target->relative * kind->usual;
+  const Call *oldest = g_queue_peek_head (&((MrTargetState *) target)->open);
+  /* A queue that has just built up shows in the calls that are out before it
+   * shows in answers. */
+  if (oldest && oldest->job && target->health.answered_at < oldest->started)
+    expected = MAX (expected, (double) (now - oldest->started));
+  return expected;
+}
+
+MrTime
+mr_relay_expected_wait (const Job *job)
+{
+  double room = 0;
+  double ahead = 0;
+  for (const GList *link = job->service->waiting.head; link; link = link->next)
+    if (((const Job *) link->data)->work->route->rank <= job->work->route->rank)
+      ahead++;
+  mr_relay_usable (job->service, &room);
+  return ahead > 0 && room > 0 ? (MrTime) (ahead * job->work->kind->mean / room) : 0;
+}
+
+/* Expected time of the job over the time that an answer in time has; 0 if
+ * nothing is known to go by. */
+double
+mr_relay_job_load (const Job *job, MrTime now)
+{
+  const MrRelayWork *work = job->work;
+  double best = G_MAXDOUBLE;
+  for (guint i = 0; i < job->service->targets->len; i++)
+    {
+      const MrTargetState *target = g_ptr_array_index (job->service->targets, i);
+      if (mr_health_usable (&target->health))
+        best = MIN (best, S_expected_time (target, now, work->kind));
+    }
+  if (best == G_MAXDOUBLE)
+    return 0;
+  double expected = best + (double) mr_relay_expected_wait (job);
+  return expected / (double) MAX (work->soft_end - now, 1);
+}
+
+gboolean
+mr_relay_job_crowded (const Job *job)
+{
+  for (guint i = 0; i < job->service->targets->len; i++)
+    {
+      const MrTargetState *target = g_ptr_array_index (job->service->targets, i);
+      if (mr_health_usable (&target->health) && mr_target_state_free_slot (target))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+gboolean
+mr_relay_leave_out (MrRelay *relay, MrTime now, Job *job)
+{
+  MrRelayWork *work = job->work;
+  if (work->spare == 0)
+    return FALSE;
+  double load = mr_relay_job_load (job, now);
+  double share =
+      CLAMP ((load - LEAVE_OUT_FROM) / (LEAVE_OUT_FULL - LEAVE_OUT_FROM), 0, LEAVE_OUT_MOST);
+  if (g_rand_double (relay->random) >= share)
+    return FALSE;
+  work->spare--;
+  return TRUE;
+}
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -10,7 +10,6 @@
   STATUS_BAD_GATEWAY = 502,
   STATUS_UNAVAILABLE = 503,
   STATUS_GATEWAY_TIMEOUT = 504,
-  NOTES_LOGGED = 24,
 };
 
 /* A daemon that has just started knows its configuration within this. */
@@ -156,83 +155,6 @@
   mr_relay_probe_end (task->relay, mr_now (), target, answered);
 }
 
-/* Log lines of requests. */
-
-static void
-S_append_note (GString *out, const MrSendNote *note)
-{
-  g_string_append_printf (
-      out,
-      "%s{\"part\":%u,\"target\":\"%s\",\"why\":\"%s\",\"at_us\":%" G_GINT64_FORMAT
-      ",\"heard_us\":%" G_GINT64_FORMAT ",\"end\":\"%s\",\"took_us\":%" G_GINT64_FORMAT "}",
-      out->len > 1 ? "," : "", note->part, note->target, mr_send_reason_name (note->reason),
-      note->at, note->heard, note->ended ? mr_call_outcome_name (note->outcome) : "open",
-      note->took);
-}
-
-/* Calls that explain the outcome: second sends, and calls without an answer. */
-static GString *
-S_notes (const GArray *sends)
-{
-  GString *out = g_string_new ("[");
-  guint listed = 0;
-  for (guint i = 0; i < sends->len && listed < NOTES_LOGGED; i++)
-    {
-      const MrSendNote *note = &g_array_index (sends, MrSendNote, i);
-      gboolean plain = note->ended && note->outcome == MR_CALL_ANSWER &&
-                       note->reason == MR_SEND_FIRST && sends->len > 1;
-      if (plain)
-        continue;
-      S_append_note (out, note);
-      listed++;
-    }
-  return g_string_append_c (out, ']');
-}
-
-static gboolean
-S_is_plain (const MrRelayResult *result)
-{
-  return result->verdict <= MR_VERDICT_MERGE && result->missing == 0 &&
-         result->sends->len == result->part_count;
-}
-
-static void
-S_log_result (const Request *request, const MrRelayResult *result, int status, MrTime now)
-{
-  static const MrEvent events[] = {
-    [MR_VERDICT_ANSWER] = MR_EVENT_REQUEST_SERVED,   [MR_VERDICT_MERGE] = MR_EVENT_REQUEST_SERVED,
-    [MR_VERDICT_REFUSED] = MR_EVENT_REQUEST_REFUSED, [MR_VERDICT_FAILED] = MR_EVENT_REQUEST_FAILED,
-    [MR_VERDICT_TIMEOUT] = MR_EVENT_REQUEST_TIMEOUT,
-  };
-  if (S_is_plain (result) && request->task->served++ % MR_PLAIN_SAMPLE != 0)
-    return;
-  gboolean served = result->verdict <= MR_VERDICT_MERGE;
-  MrEvent event =
-      served && result->missing > 0 ? MR_EVENT_REQUEST_PARTIAL : events[result->verdict];
-  MrLogLine *line = mr_log_begin (served ? MR_LOG_INFO : MR_LOG_NOTICE, event);
-  if (!line)
-    return;
-  g_autoptr (GString) notes = S_notes (result->sends);
-  mr_log_text (line, "request", mr_text (request->id));
-  mr_log_text (line, "route", mr_text (request->route->name));
-  mr_log_number (line, "version", (gint64) mr_configuration_version (request->configuration));
-  mr_log_text (line, "verdict", mr_text (mr_verdict_name (result->verdict)));
-  mr_log_text (line, "cause", mr_text (mr_cause_name (result->cause)));
-  mr_log_number (line, "status", status);
-  mr_log_number (line, "took_us", now - request->began);
-  mr_log_number (line, "left_us", request->deadline - now);
-  mr_log_number (line, "parts", result->part_count);
-  mr_log_number (line, "missing", result->missing);
-  mr_log_number (line, "sends", result->sends->len);
-  if (result->verdict == MR_VERDICT_REFUSED)
-    {
-      mr_log_number (line, "expected_wait_us", result->expected_wait);
-      mr_log_number (line, "retry_after_us", result->retry_after);
-    }
-  mr_log_json (line, "calls", mr_text_of (notes));
-  mr_log_end (line);
-}
-
 /* Answers. */
 
 static void
@@ -333,7 +255,15 @@
     }
   if (status < 300)
     mr_histogram_add (&task->latency, now - request->began);
-  S_log_result (request, result, status, now);
+  MrRelayLine line = {
+    .id = request->id,
+    .route = request->route,
+    .version = mr_configuration_version (request->configuration),
+    .status = status,
+    .took = now - request->began,
+    .left = request->deadline - now,
+  };
+  mr_relay_log_result (task, &line, result);
   S_request_free (request);
 }
 
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -1,6 +1,7 @@
 /* Inside of the relay's task, shared by its files:
  *   relay_task.c     views, readiness, planned stop, the loop
  *   relay_request.c  a caller's request from its head to its answer
+ *   relay_log.c      log lines of what became of requests
  *   relay_pages.c    readiness, addresses, metrics */
 #pragma once
 
@@ -65,5 +66,18 @@
 /* TRUE if this daemon can serve what the operators have put in force. */
 gboolean mr_relay_task_ready (const MrRelayTask *task);
 
+/* What a request's log line says beside its result. */
+typedef struct
+{
+  const char *id;
+  const MrRoute *route;
+  guint64 version; /* of the configuration */
+  int status;
+  MrTime took;
+  MrTime left; /* until the caller's deadline */
+} MrRelayLine;
+
+void mr_relay_log_result (MrRelayTask *task, const MrRelayLine *about, const MrRelayResult *result);
+
 void mr_relay_request_init (MrRelayTask *task);
 void mr_relay_pages_init (MrRelayTask *task);
--- a/test/core.hpp
+++ b/test/core.hpp
@@ -7,6 +7,7 @@
 
 #include <cstdio>
 #include <string>
+#include <vector>
 
 extern "C"
 {
@@ -58,3 +59,27 @@
   std::printf ("without the safeguard '%s': NOT BROKEN\n", what);
   return false;
 }
+
+// One step of a history, with two numbers from 0 to 99 to choose by.
+struct Command
+{
+  int kind;
+  int a;
+  int b;
+};
+
+// @count steps of @kinds kinds, the same for the same seed.
+inline std::vector<Command>
+commands_of (guint32 seed, int count, int kinds)
+{
+  GRand *random = g_rand_new_with_seed (seed);
+  std::vector<Command> commands;
+  for (int i = 0; i < count; i++)
+    {
+      int kind = g_rand_int_range (random, 0, kinds);
+      int a = g_rand_int_range (random, 0, 100);
+      commands.push_back ({ kind, a, g_rand_int_range (random, 0, 100) });
+    }
+  g_rand_free (random);
+  return commands;
+}
--- a/test/platform/process_relay.sh
+++ b/test/platform/process_relay.sh
@@ -7,6 +7,26 @@
 trap stop_all EXIT
 start_platform 2
 
+# ask_own PREFIX COUNT: each answer belongs to its request.
+ask_own() {
+  local i
+  for i in $(seq 1 "$2"); do
+    [ "$(ask 1 /one/q "$1$i")" = 200 ] || fail "answer $1$i: $(cat "$LOGS/head")"
+    field X-Server-Stamp | grep -q "\.$1$i$" || fail "$1$i: the answer to another request"
+    grep -q "not yours" "$LOGS/body" && fail "$1$i: the body of another answer"
+  done
+  return 0
+}
+
+# ask_second PREFIX COUNT: each answer is the second searcher's.
+ask_second() {
+  local i
+  for i in $(seq 1 "$2"); do
+    [ "$(ask 1 /one/q "$1$i")" = 200 ] || fail "answer $1$i: $(cat "$LOGS/head")"
+    field X-Server-Stamp | grep -q "^i-2\.$1$i$" || fail "$1$i: an answer of the broken searcher"
+  done
+}
+
 # A merged answer names one signature a shard and holds the greatest records.
 [ "$(ask 1 /all/q r1)" = 200 ] || fail "merged answer: $(cat "$LOGS/head")"
 [ "$(field X-Missing-Parts)" = 0 ] || fail "parts are missing: $(cat "$LOGS/head")"
@@ -41,20 +61,13 @@
 # An answer that is cut short is not passed on; the request is asked elsewhere.
 mode "$(searcher_at 1)" cut
 mode "$(searcher_at 2)" ok
-for i in 1 2 3 4 5 6; do
-  [ "$(ask 1 /one/q "c$i")" = 200 ] || fail "cut answer $i: $(cat "$LOGS/head")"
-  field X-Server-Stamp | grep -q "^i-2\.c$i$" || fail "answer of the broken searcher passed on"
-done
+ask_second c 6
 mode "$(searcher_at 1)" ok
 
 # A second answer behind the first belongs to nobody.
 mode "$(searcher_at 1)" extra
 mode "$(searcher_at 2)" extra
-for i in $(seq 1 20); do
-  [ "$(ask 1 /one/q "e$i")" = 200 ] || fail "extra answer $i"
-  field X-Server-Stamp | grep -q "\.e$i$" || fail "the answer to another request"
-  grep -q "not yours" "$LOGS/body" && fail "the body of another answer"
-done
+ask_own e 20
 mode "$(searcher_at 1)" ok
 mode "$(searcher_at 2)" ok
 
@@ -62,11 +75,7 @@
 # is passed over, and the connection stays in use.
 mode "$(searcher_at 1)" late
 mode "$(searcher_at 2)" late
-for i in $(seq 1 20); do
-  [ "$(ask 1 /one/q "l$i")" = 200 ] || fail "late answer $i"
-  field X-Server-Stamp | grep -q "\.l$i$" || fail "the answer to the request before"
-  grep -q "not yours" "$LOGS/body" && fail "the body of a late answer"
-done
+ask_own l 20
 mode "$(searcher_at 1)" ok
 mode "$(searcher_at 2)" ok
 
@@ -84,10 +93,7 @@
 # ends: the caller gets another's in time, and the relay keeps neither.
 for bad in huge drip; do
   mode "$(searcher_at 1)" $bad
-  for i in 1 2 3 4 5 6; do
-    [ "$(ask 1 /one/q "$bad$i")" = 200 ] || fail "$bad answer $i: $(cat "$LOGS/head")"
-    field X-Server-Stamp | grep -q "^i-2\.$bad$i$" || fail "the answer of a searcher that is $bad"
-  done
+  ask_second $bad 6
 done
 mode "$(searcher_at 1)" ok
 held=$(awk '/^VmHWM/ { print $2 }' "/proc/${PIDS[r1]}/status")
--- a/test/prop_documents.cpp
+++ b/test/prop_documents.cpp
@@ -18,13 +18,6 @@
 constexpr int DAEMONS = 4;
 const char NAME[] = "shop";
 
-struct Command
-{
-  int kind;
-  int a;
-  int b;
-};
-
 struct Stored
 {
   guint64 version = 0;
@@ -363,18 +356,6 @@
   return true;
 }
 
-std::vector<Command>
-generate (guint32 seed)
-{
-  GRand *random = g_rand_new_with_seed (seed);
-  std::vector<Command> commands;
-  for (int i = 0; i < 80; i++)
-    commands.push_back ({ g_rand_int_range (random, 0, 11), g_rand_int_range (random, 0, 100),
-                          g_rand_int_range (random, 0, 100) });
-  g_rand_free (random);
-  return commands;
-}
-
 std::string
 run (const std::vector<Command> &commands)
 {
@@ -393,7 +374,7 @@
 std::string
 run_seed (guint32 seed)
 {
-  return run (generate (seed));
+  return run (commands_of (seed, 80, 11));
 }
 
 } // namespace
--- a/test/prop_membership.cpp
+++ b/test/prop_membership.cpp
@@ -12,13 +12,6 @@
 namespace
 {
 
-struct Command
-{
-  int kind;
-  int a;
-  int b;
-};
-
 struct World;
 
 struct Node
--- a/test/prop_orders.cpp
+++ b/test/prop_orders.cpp
@@ -39,13 +39,6 @@
   BEHAVIOURS,
 };
 
-struct Command
-{
-  int kind; // see apply ()
-  int a;
-  int b;
-};
-
 struct World;
 
 struct Pending // a call whose end has not been reported
@@ -378,22 +371,10 @@
   return w.broken;
 }
 
-std::vector<Command>
-generate (guint32 seed)
-{
-  GRand *random = g_rand_new_with_seed (seed);
-  std::vector<Command> commands;
-  for (int i = 0; i < 60; i++)
-    commands.push_back ({ g_rand_int_range (random, 0, 9), g_rand_int_range (random, 0, 100),
-                          g_rand_int_range (random, 0, 100) });
-  g_rand_free (random);
-  return commands;
-}
-
 std::string
 run_seed (guint32 seed)
 {
-  return run (generate (seed));
+  return run (commands_of (seed, 60, 9));
 }
 
 } // namespace
