--- a/src/ctl.h
+++ b/src/ctl.h
@@ -87,7 +87,7 @@
  * passed over, since collected logs hold others too.  @line is borrowed. */
 void ctl_read_lines (FILE *file, void (*add) (json_t *line, void *user), void *user);
 
-/* The text at @key of a log line; empty if it is not there. */
+/* The text at @key of a log line, or of what a daemon says; empty if it is not there. */
 const char *ctl_line_text (const json_t *line, const char *key);
 
 /* Requests that a relayed request's line stands for: plain answers are sampled. */
--- a/src/ctl_show.c
+++ b/src/ctl_show.c
@@ -2,19 +2,6 @@
 
 #include <stdio.h>
 
-static const char *
-S_string (const json_t *object, const char *key)
-{
-  const char *value = json_string_value (json_object_get (object, key));
-  return value ? value : "";
-}
-
-static json_int_t
-S_integer (const json_t *object, const char *key)
-{
-  return json_integer_value (json_object_get (object, key));
-}
-
 static gboolean
 S_true (const json_t *object, const char *key)
 {
@@ -43,90 +30,104 @@
   return list;
 }
 
-CtlExit
-ctl_status (const CtlOptions *options)
+/* Prints each object of @list, or the whole as JSON; takes @list. */
+static CtlExit
+S_show (const CtlOptions *options, json_t *list, void (*print) (const json_t *object))
 {
-  json_t *all = S_from_all (options, "/v1/status");
-  if (!all)
-    return CTL_FAILED;
   size_t i = 0;
-  size_t j = 0;
-  json_t *daemon = NULL;
-  json_t *service = NULL;
+  json_t *object = NULL;
+  if (!list)
+    return CTL_FAILED;
   if (options->json)
-    ctl_print_json (all);
+    ctl_print_json (list);
   else
-    json_array_foreach (all, i, daemon)
+    json_array_foreach (list, i, object)
     {
-      printf ("%-12s %-21s %-10s %s%s platform %s, %d members\n", S_string (daemon, "daemon"),
-              S_string (daemon, "address"), S_string (daemon, "domain"),
-              S_true (daemon, "ready") ? "ready" : "NOT READY",
-              S_true (daemon, "leaving") ? ", leaving," : ",",
-              S_true (daemon, "platform_up") ? "up" : "DOWN", (int) S_integer (daemon, "members"));
-      json_array_foreach (json_object_get (daemon, "services"), j, service)
-      {
-        printf ("    %-20s document %d, snapshot %s (generation %d), %d shards "
-                "on %d targets\n",
-                S_string (service, "service"), (int) S_integer (service, "document_version"),
-                S_string (service, "snapshot"), (int) S_integer (service, "generation"),
-                (int) S_integer (service, "shards"), (int) S_integer (service, "targets"));
-      }
+      print (object);
     }
-  json_decref (all);
+  json_decref (list);
   return CTL_OK;
 }
 
+static void
+S_print_service (const json_t *service)
+{
+  printf ("    %-20s document %d, snapshot %s (generation %d), %d shards on %d targets\n",
+          ctl_line_text (service, "service"), (int) ctl_line_number (service, "document_version"),
+          ctl_line_text (service, "snapshot"), (int) ctl_line_number (service, "generation"),
+          (int) ctl_line_number (service, "shards"), (int) ctl_line_number (service, "targets"));
+}
+
+static void
+S_print_daemon (const json_t *daemon)
+{
+  size_t i = 0;
+  json_t *service = NULL;
+  printf ("%-12s %-21s %-10s %s%s platform %s, %d members\n", ctl_line_text (daemon, "daemon"),
+          ctl_line_text (daemon, "address"), ctl_line_text (daemon, "domain"),
+          S_true (daemon, "ready") ? "ready" : "NOT READY",
+          S_true (daemon, "leaving") ? ", leaving," : ",",
+          S_true (daemon, "platform_up") ? "up" : "DOWN",
+          (int) ctl_line_number (daemon, "members"));
+  json_array_foreach (json_object_get (daemon, "services"), i, service)
+  {
+    S_print_service (service);
+  }
+}
+
+CtlExit
+ctl_status (const CtlOptions *options)
+{
+  return S_show (options, S_from_all (options, "/v1/status"), S_print_daemon);
+}
+
+static void
+S_print_member (const json_t *member)
+{
+  printf ("%-12s %s:%d %-10s %-10s %s%s\n", ctl_line_text (member, "name"),
+          ctl_line_text (member, "ip"), (int) ctl_line_number (member, "http_port"),
+          ctl_line_text (member, "domain"), ctl_line_text (member, "region"),
+          ctl_line_text (member, "state"), S_true (member, "busy") ? ", busy" : "");
+}
+
 CtlExit
 ctl_members_show (const CtlOptions *options)
 {
   json_t *root = ctl_get_json (options, options->entry, "/v1/members");
-  if (!root)
-    return CTL_FAILED;
-  size_t i = 0;
-  json_t *member = NULL;
-  if (options->json)
-    ctl_print_json (root);
-  else
-    json_array_foreach (json_object_get (root, "members"), i, member)
-    {
-      printf ("%-12s %s:%d %-10s %-10s %s%s\n", S_string (member, "name"), S_string (member, "ip"),
-              (int) S_integer (member, "http_port"), S_string (member, "domain"),
-              S_string (member, "region"), S_string (member, "state"),
-              S_true (member, "busy") ? ", busy" : "");
-    }
+  if (!root || options->json)
+    return S_show (options, root, NULL);
+  json_t *members = json_incref (json_object_get (root, "members"));
   json_decref (root);
-  return CTL_OK;
+  return S_show (options, members, S_print_member);
 }
 
-CtlExit
-ctl_targets (const CtlOptions *options)
+static void
+S_print_target (const json_t *target)
+{
+  printf ("    %-16s %-21s %-10s %-8s %2d in flight of %2d, %6.1f ms, %d calls, %d shed\n",
+          ctl_line_text (target, "id"), ctl_line_text (target, "address"),
+          ctl_line_text (target, "domain"), ctl_line_text (target, "state"),
+          (int) ctl_line_number (target, "in_flight"), (int) ctl_line_number (target, "limit"),
+          json_number_value (json_object_get (target, "latency_us")) / 1000,
+          (int) ctl_line_number (target, "calls"), (int) ctl_line_number (target, "shed"));
+}
+
+static void
+S_print_targets (const json_t *daemon)
 {
-  json_t *all = S_from_all (options, "/v1/targets");
-  if (!all)
-    return CTL_FAILED;
   size_t i = 0;
-  size_t j = 0;
-  json_t *daemon = NULL;
   json_t *target = NULL;
-  if (options->json)
-    ctl_print_json (all);
-  else
-    json_array_foreach (all, i, daemon)
-    {
-      printf ("seen by %s\n", S_string (daemon, "address"));
-      json_array_foreach (json_object_get (daemon, "targets"), j, target)
-      {
-        printf ("    %-16s %-21s %-10s %-8s %2d in flight of %2d, %6.1f ms, %d "
-                "calls, %d shed\n",
-                S_string (target, "id"), S_string (target, "address"), S_string (target, "domain"),
-                S_string (target, "state"), (int) S_integer (target, "in_flight"),
-                (int) S_integer (target, "limit"),
-                json_number_value (json_object_get (target, "latency_us")) / 1000,
-                (int) S_integer (target, "calls"), (int) S_integer (target, "shed"));
-      }
-    }
-  json_decref (all);
-  return CTL_OK;
+  printf ("seen by %s\n", ctl_line_text (daemon, "address"));
+  json_array_foreach (json_object_get (daemon, "targets"), i, target)
+  {
+    S_print_target (target);
+  }
+}
+
+CtlExit
+ctl_targets (const CtlOptions *options)
+{
+  return S_show (options, S_from_all (options, "/v1/targets"), S_print_targets);
 }
 
 CtlExit
@@ -144,11 +145,11 @@
     ctl_print_json (root);
   else
     {
-      printf ("keep for %d ms\n", (int) S_integer (root, "keep_ms"));
+      printf ("keep for %d ms\n", (int) ctl_line_number (root, "keep_ms"));
       json_array_foreach (json_object_get (root, "addresses"), i, address)
       {
-        printf ("%s:%d  %s\n", S_string (address, "ip"), (int) S_integer (address, "port"),
-                S_string (address, "domain"));
+        printf ("%s:%d  %s\n", ctl_line_text (address, "ip"),
+                (int) ctl_line_number (address, "port"), ctl_line_text (address, "domain"));
       }
     }
   gboolean any = json_array_size (json_object_get (root, "addresses")) > 0;
