What counts as loaded is the relay's policy; the reasons stand at their functions

Reading the change as a newcomer: the least median of a kind grew with each new batch (the aim of a batch is new each time) and so meant nothing for batches; it grows with readings of answers only now.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -28,6 +28,7 @@
   /* The document's bound is for second sends of both kinds. */
   .hedge_share = 1,
   .mean_first_share = 0.01,
+  .loaded = 0, /* owners share a target's slots exactly */
   /* Six times the 95 % quantile of a call whose time falls off exponentially. */
   .silent_factor = 18,
   .silent_min = 50 * MR_MS,
--- a/src/relay.h
+++ b/src/relay.h
@@ -137,6 +137,10 @@
   MrTime hedge_min;
   double hedge_share;      /* of the budget that second sends for slowness may use */
   double mean_first_share; /* of the aim, before anything is measured */
+  /* Median time of a kind's calls over the least of late, from which targets count
+   * as loaded: then a second send for slowness goes only to one that has half of
+   * its calls free.  0: never, since a free slot here is one at the target. */
+  double loaded;
   /* A call is doubted after this many times the mean, within bounds. */
   double silent_factor;
   MrTime silent_min;
--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -19,13 +19,7 @@
 static const double TURN_AWAY_FROM = 0.5;
 static const double TURN_AWAY_FULL = 0.9;
 static const double TURN_AWAY_MOST = 0.9;
-/* Requests that have more time for their answer than the most pressing ones of the
- * same service are turned away sooner than their own time asks for, by the square
- * root of the ratio: left to the others' queue, those with 80 ms would all be
- * refused before those with 200 ms saw any load.  Three times the usual load, on
- * the virtual clock: 0.95 and 0.46 of the worth of the two kinds without it, 0.88
- * and 0.68 with it.  By the ratio itself the less urgent kind came first where a
- * shard is over full (0.80 and 0.89). */
+/* A kind of request that nobody has made for this long is not the most pressing. */
 static const MrTime SHORTEST_KEPT = 10 * MR_SECOND;
 
 /* Smooth weighted round robin: shares are exact over every few requests, with
@@ -162,7 +156,14 @@
 /* Load of the shard that decides when the answer is ready: the worst one that may
  * not be left out.  A shard that is slow without being crowded counts for
  * nothing: refusing callers would not make it faster, and a late answer is better
- * than none. */
+ * than none.
+ *
+ * Requests that have more time than the most pressing ones of the service see more
+ * load, by the square root of the ratio: left to the others' queue, those with 80 ms
+ * would all be refused before those with 200 ms saw any.  Three times the usual load,
+ * on the virtual clock: 0.95 and 0.46 of the worth of the two kinds without it, 0.88
+ * and 0.68 with it.  By the ratio itself the less urgent kind came first where a shard
+ * is over full (0.80 and 0.89). */
 static double
 S_deciding_load (const MrRelayWork *work, MrTime now)
 {
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -13,14 +13,6 @@
  * much as one that fails none. */
 static const double FAILING_COST = 10;
 
-/* Median time of a kind's calls over the least of late, from which targets count
- * as loaded: then a second send for slowness goes only to one that has half of its
- * calls free, or it makes others slow.  Three times the usual load, on the virtual
- * clock: 0.89 and 0.69 of the worth of the two kinds without it, 0.90 and 0.71
- * with it, 0.91 and 0.75 without any second sends; on a calm day or with a few
- * slow targets nothing changes (0.01 to 0.03 less if it held always). */
-static const double LOADED = 1.2;
-
 static gboolean
 S_stalled (const MrTargetState *target, MrTime now)
 {
@@ -265,7 +257,8 @@
 static gboolean
 S_is_loaded (const Kind *kind)
 {
-  return kind->usual > LOADED * kind->unloaded;
+  double loaded = kind->policy->loaded;
+  return loaded > 0 && kind->usual > loaded * kind->unloaded;
 }
 
 static gboolean
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -9,6 +9,9 @@
 };
 
 static const double MEAN_WEIGHT = 0.05;
+/* Growth of a kind's least median with each reading: about 1 % a second at 600 calls
+ * a second, so that a kind that has become slower for good is learned. */
+static const double UNLOADED_DRIFT = 1.0005;
 
 static void
 S_probe (gpointer owner, const MrTargetState *target)
@@ -147,7 +150,10 @@
   if (kind->latency.total >= SAMPLES_DECAY)
     mr_histogram_decay (&kind->latency);
   if (kind->latency.total % SAMPLES_READ == 0)
-    mr_relay_measure (kind);
+    {
+      kind->unloaded *= UNLOADED_DRIFT;
+      mr_relay_measure (kind);
+    }
 }
 
 MrHealthAction
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -14,6 +14,11 @@
   /* What is left repairs calls that failed. */
   .hedge_share = 0.75,
   .mean_first_share = 0.2,
+  /* Or second sends make loaded targets slower.  Three times the usual load, on the
+   * virtual clock: 0.89 and 0.69 of the worth of the two kinds without it, 0.90 and
+   * 0.71 with it, 0.91 and 0.75 without any second sends; on a calm day or with a
+   * few slow targets nothing changes (0.01 to 0.03 less if it held always). */
+  .loaded = 1.2,
   /* A searcher's ordinary pause (250 ms) is not a reason to close its
    * connections. */
   .silent_factor = 8,
@@ -35,10 +40,6 @@
 /* Health of targets that are down is looked at this often. */
 static const MrTime HEALTH_GAP = 50 * MR_MS;
 
-/* Growth of the least median, one in 32 answers: about 1 % a second at 600 calls
- * a second, so that a kind that has become slower for good is learned. */
-static const double UNLOADED_DRIFT = 1.0005;
-
 void
 mr_relay_measure (Kind *kind)
 {
@@ -50,7 +51,6 @@
       kind->slow = mr_histogram_quantile (latency, kind->hedge_quantile);
       kind->usual = (double) mr_histogram_quantile (latency, 0.5);
     }
-  kind->unloaded *= UNLOADED_DRIFT;
   if (kind->unloaded == 0 || kind->usual < kind->unloaded)
     kind->unloaded = kind->usual;
   kind->slow = MAX (kind->slow, kind->policy->hedge_min);
