Targets that start again under their id; entries that others write

Cause: the users' store may hold an entry whose id has a new process behind it (a start time tells), writes of the old process that arrive late, and entries of other writers. Taken as they came, an old entry was the newest, a new address was ignored (the relay kept the state it had under the id), an unknown state read as leaving, slots of another type as one slot, and one entry that was no JSON failed the whole page at every reading.

Change: the registry keeps the newest start ever named under an id; an entry of an earlier process takes its version but not its body, at a version of its own, so that daemons that read the store at different moments agree. The relay gives the new process a fresh state and settles the calls to the old one as lost: searches are asked again, an order may have run. The adapter takes an entry only with all fields of a target; what can't be read is cut out of its page, and its name is given up if it can be read. A page of a listing with nothing to go on from begins the listing anew instead of taking the rest for gone.

Ruled out: ordering by the count that entries carry (starts anew with each process) or by arrival.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -255,7 +255,11 @@
   for (guint i = 0; i < result->objects->len; i++)
     S_on_relay_object (task, now, index, g_ptr_array_index (result->objects, i));
   watch->after[0] = '\0';
-  if (full && result->more && result->objects->len > 0)
+  /* More is to come, but nothing on this page tells from where: the listing begins
+   * anew, rather than taking what follows for gone. */
+  if (full && result->more && result->objects->len == 0)
+    return;
+  if (full && result->more)
     {
       const MrPlatformObject *last = g_ptr_array_index (result->objects, result->objects->len - 1);
       g_strlcpy (watch->after, last->name, sizeof watch->after);
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -134,10 +134,13 @@
   MrTargetRecord *record =
       mr_target_record_parse (mr_text (object->name), mr_text_of (object->body));
   if (record)
-    g_hash_table_replace (task->records, record->target.id, record);
-  else
-    mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_BAD, "targets/%s version %" G_GUINT64_FORMAT ": %s",
-            object->name, object->version, mr_status_message ());
+    {
+      g_hash_table_replace (task->records, record->target.id, record);
+      return;
+    }
+  g_hash_table_remove (task->records, object->name);
+  mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_BAD, "targets/%s version %" G_GUINT64_FORMAT ": %s",
+          object->name, object->version, mr_status_message ());
 }
 
 static void
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -42,6 +42,7 @@
   [MR_METRIC_PEER_STALE] = { "peer_stale", "answers to an earlier process of this name" },
   [MR_METRIC_PLATFORM_CALLS] = { "platform_calls", "calls to the platform" },
   [MR_METRIC_PLATFORM_FAILURES] = { "platform_failures", "of these, failed" },
+  [MR_METRIC_ENTRIES_UNUSABLE] = { "entries_unusable", "entries read that name no target" },
   [MR_METRIC_VIEWS] = { "views", "views published by the control task" },
 };
 
--- a/src/registry.c
+++ b/src/registry.c
@@ -1,6 +1,7 @@
 #include "registry.h"
 
 #include "safeguard.h"
+#include "target_record.h"
 #include <xxhash.h>
 
 struct _MrRegistry
@@ -61,6 +62,23 @@
   return XXH64 (key, strlen (key), version);
 }
 
+/* A target may start again under its id, and what its old process had under way to
+ * the platform may arrive after the new one's entry.  Taken for newer, it would
+ * point callers at a process that has ended until the next change.  The start
+ * that an entry names decides, whatever the order and whoever offers it.  An
+ * entry without a start, under an id that has named one, names nobody. */
+static gboolean
+S_is_of_earlier_process (const MrObject *known, MrText body, guint64 started)
+{
+  return known && body.len > 0 && started < known->started && MR_SAFEGUARD (MR_GUARD_INCARNATION);
+}
+
+static MrText
+S_body_in_place (const MrObject *known, guint64 started)
+{
+  return started == 0 ? (MrText){ 0 } : mr_text_of (known->body);
+}
+
 MrOffer
 mr_registry_offer (
     MrRegistry *registry, MrObjectKind kind, MrText name, guint64 version, MrText body)
@@ -80,6 +98,14 @@
       g_free (key);
       return MR_OFFER_OLD;
     }
+  guint64 started = kind == MR_OBJECT_TARGET ? mr_target_record_started (body) : 0;
+  MrOffer offer = MR_OFFER_NEW;
+  if (S_is_of_earlier_process (object, body, started))
+    {
+      offer = MR_OFFER_KEPT;
+      version |= MR_VERSION_KEPT;
+      body = S_body_in_place (object, started);
+    }
   if (object)
     registry->digest ^= S_fingerprint (key, object->version);
   registry->digest ^= S_fingerprint (key, version);
@@ -89,9 +115,10 @@
     .name = mr_text_dup (name),
     .version = version,
     .body = g_string_new_len (body.data, (gssize) body.len),
+    .started = MAX (started, object ? object->started : 0),
   };
   g_hash_table_replace (registry->objects, key, replacement);
-  return MR_OFFER_NEW;
+  return offer;
 }
 
 const MrObject *
--- a/src/registry.h
+++ b/src/registry.h
@@ -10,6 +10,19 @@
 
 typedef struct _MrRegistry MrRegistry;
 
+/* Versions of a platform's objects are multiples of MR_VERSIONS_APART, so that
+ * between two of them there is room for what this product makes of the first. */
+enum
+{
+  /* As at that version, but its body was passed over: it came from a process that
+   * has been replaced. */
+  MR_VERSION_KEPT = 1,
+  /* Removed.  A removal has no version that is sure to be its own: its event may
+   * carry that of the object's last change, which it follows. */
+  MR_VERSION_REMOVED = 2,
+  MR_VERSIONS_APART = 4,
+};
+
 typedef enum
 {
   MR_OBJECT_ACCEPTED = 1, /* a document in force */
@@ -25,6 +38,7 @@
   char *name;
   guint64 version;
   GString *body;
+  guint64 started; /* of a target: newest start ever named, Unix ms; 0: none */
 } MrObject;
 
 typedef enum
@@ -32,6 +46,7 @@
   MR_OFFER_NEW,  /* taken */
   MR_OFFER_SAME, /* known already */
   MR_OFFER_OLD,  /* older than what is known: not taken */
+  MR_OFFER_KEPT, /* the version is taken, the body not: an earlier process wrote it */
 } MrOffer;
 
 MrRegistry *mr_registry_new (void);
--- a/src/relay.h
+++ b/src/relay.h
@@ -114,7 +114,8 @@
   gboolean (*holds) (MrRelayHost *host, gpointer request, const MrTargetState *target, MrTime now);
   /* Connect once to see whether it lives; mr_relay_probe_end () tells. */
   void (*probe) (MrRelayHost *host, const MrTargetState *target);
-  /* Replace the idle connections of @target; all of them if it is gone. */
+  /* Replace the idle connections of @target; if it is gone, for good, with what is
+   * still being tried of it. */
   void (*renew) (MrRelayHost *host, const MrTargetState *target);
   /* The one verdict on a request; must not submit another from within. */
   void (*done) (MrRelayHost *host, gpointer request, const MrRelayResult *result);
@@ -212,7 +213,8 @@
 double mr_relay_mean (const MrRelay *relay, const char *kind);
 
 /* A target as it is known now, in @set besides the sets that it is in already;
- * @leaving ones get no new work. */
+ * @leaving ones get no new work.  With another start, or at another address, the id
+ * belongs to another process: calls to the one before end as broken. */
 MrTargetState *mr_relay_target (MrRelay *relay,
                                 MrTime now,
                                 const char *set,
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -132,7 +132,11 @@
 static void
 S_on_renew (MrRelayHost *host, const MrTargetState *target)
 {
-  mr_target_client_renew (RELAY_TASK_OF (host, relay_host)->client, target);
+  MrTargetClient *client = RELAY_TASK_OF (host, relay_host)->client;
+  if (target->health.state == MR_HEALTH_LEAVING)
+    mr_target_client_forget (client, target);
+  else
+    mr_target_client_renew (client, target);
 }
 
 static void
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -50,12 +50,65 @@
   return r->policy->by_address ? state->key : state->id;
 }
 
+/* Ends new work at @state, which no name leads to from now on. */
+static void
+S_take_out (MrRelay *r, MrTime now, MrTargetState *state)
+{
+  mr_health_on_leaving (&state->health, now);
+  state->health.leaving_at = now;
+  g_hash_table_remove (r->targets, S_name (r, state));
+  r->host->renew (r->host, state);
+  for (guint i = 0; i < state->sets->len; i++)
+    {
+      Service *service = g_ptr_array_index (state->sets, i);
+      g_ptr_array_remove (service->targets, state);
+      mr_relay_pump (r, now, service);
+    }
+  g_ptr_array_set_size (state->sets, 0);
+  g_ptr_array_add (r->retired, state);
+}
+
+/* The calls that are out to a process that has ended get no answer any more: they
+ * are settled now, as lost on the way, rather than when their connections time
+ * out.  What may not be repeated may have run. */
+static void
+S_lose_calls (MrRelay *r, MrTime now, MrTargetState *state)
+{
+  for (Call *call = g_queue_peek_head (&state->open); call; call = g_queue_peek_head (&state->open))
+    {
+      if (r->host->drop)
+        r->host->drop (r->host, call->id);
+      mr_relay_call_end (r, now, call->id, MR_CALL_BROKEN, NULL);
+    }
+}
+
+/* @state's process has ended and another has its id.  Nothing that was learned of
+ * the one holds for the other: not its address, health, limit or latency, nor that
+ * it was leaving. */
+static void
+S_end_process (MrRelay *r, MrTime now, MrTargetState *state, const MrTarget *next)
+{
+  mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_RESTARTED,
+          "target %s (%s) has started again, at %" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
+          ", on %s:%d: %u calls are lost",
+          state->id, state->key, next->started, state->started, next->ip, next->port,
+          state->open.length);
+  S_take_out (r, now, state);
+  S_lose_calls (r, now, state);
+}
+
 static MrTargetState *
 S_add_target (MrRelay *r, MrTime now, const char *set, const MrTarget *target, MrTime cold_for)
 {
   char key[64];
   g_snprintf (key, sizeof key, "%s:%d", target->ip, target->port);
   MrTargetState *state = g_hash_table_lookup (r->targets, r->policy->by_address ? key : target->id);
+  if (state && !r->policy->by_address &&
+      (state->started != target->started || !g_str_equal (state->key, key)))
+    {
+      S_end_process (r, now, state, target);
+      state = NULL;
+    }
   if (state)
     return state;
   state = mr_target_state_new (target, key);
@@ -117,18 +170,7 @@
     return;
   mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_LEAVING, "target %s (%s) leaves: no longer listed",
           state->id, state->key);
-  mr_health_on_leaving (&state->health, now);
-  state->health.leaving_at = now;
-  g_hash_table_remove (r->targets, S_name (r, state));
-  r->host->renew (r->host, state);
-  for (guint i = 0; i < state->sets->len; i++)
-    {
-      Service *service = g_ptr_array_index (state->sets, i);
-      g_ptr_array_remove (service->targets, state);
-      mr_relay_pump (r, now, service);
-    }
-  g_ptr_array_set_size (state->sets, 0);
-  g_ptr_array_add (r->retired, state);
+  S_take_out (r, now, state);
 }
 
 void
--- a/src/shardmap.h
+++ b/src/shardmap.h
@@ -24,6 +24,7 @@
   char domain[MR_NAME_MAX + 1];
   guint slots;       /* calls it serves at once */
   guint connections; /* connections it accepts in all */
+  guint64 started;   /* of the process that has the id now, Unix ms; 0: not told */
 } MrTarget;
 
 typedef struct
--- a/src/spread.c
+++ b/src/spread.c
@@ -93,9 +93,15 @@
             "%s/%.*s: version %" G_GUINT64_FORMAT " from %s is older than ours; passed over",
             mr_object_kind_name (kind), (int) name.len, name.data, version,
             from ? from : "the platform");
+  if (offer == MR_OFFER_KEPT)
+    mr_log (MR_LOG_NOTICE, MR_EVENT_ENTRY_UNUSABLE,
+            "%s/%.*s: version %" G_GUINT64_FORMAT
+            " from %s was written by an earlier process, or by nobody's; passed over",
+            mr_object_kind_name (kind), (int) name.len, name.data, version,
+            from ? from : "the platform");
   if (from)
     S_note_arrival (spread, kind, name);
-  if (offer != MR_OFFER_NEW)
+  if (offer != MR_OFFER_NEW && offer != MR_OFFER_KEPT)
     return offer;
   g_autofree char *key = mr_text_dup (name);
   const MrObject *object = mr_registry_get (spread->registry, kind, key);
--- a/src/target.c
+++ b/src/target.c
@@ -19,6 +19,7 @@
   state->domain = g_strdup (target->domain);
   state->connections = target->connections;
   state->slots = target->slots;
+  state->started = target->started;
   state->latency = LATENCY_FIRST;
   state->relative = 1;
   mr_limit_init (&state->limit, target->slots);
--- a/src/target.h
+++ b/src/target.h
@@ -16,6 +16,7 @@
   char *domain;
   guint connections; /* most that the target accepts in all */
   guint slots;       /* calls it serves at once; 0: not known */
+  guint64 started;   /* of its process, Unix ms; 0: not told */
   MrHealth health;
   MrLimit limit;
   guint in_flight;   /* calls whose slot may still be taken */
--- a/src/target_client.c
+++ b/src/target_client.c
@@ -503,6 +503,21 @@
     S_close (g_queue_peek_head (&pool->idle));
 }
 
+void
+mr_target_client_forget (MrTargetClient *client, const MrTargetState *target)
+{
+  const Pool *pool = S_pool (client, target->id);
+  GList *next = NULL;
+  mr_target_client_renew (client, target);
+  for (GList *link = client->connections.head; link; link = next)
+    {
+      Connection *c = link->data;
+      next = link->next;
+      if (c->pool == pool && c->probe)
+        S_close (c);
+    }
+}
+
 static void
 S_report_failed (MrTargetClient *client)
 {
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -53,6 +53,9 @@
 void mr_target_client_probe (MrTargetClient *client, MrTime now, const MrTargetState *target);
 /* Closes the idle connections to @target. */
 void mr_target_client_renew (MrTargetClient *client, const MrTargetState *target);
+/* Those, and the probes that are out, whose end is not reported: another process
+ * may have the id by then. */
+void mr_target_client_forget (MrTargetClient *client, const MrTargetState *target);
 
 /* Reports what ended at once, closes what has been idle or connecting for too
  * long; returns when to come back. */
--- a/src/target_record.c
+++ b/src/target_record.c
@@ -3,6 +3,13 @@
 #include "settings.h"
 #include <jansson.h>
 
+enum
+{
+  /* Bounds for what another writer may have put there. */
+  SLOTS_MAX = 10000,
+  COLD_MS_MAX = 600000,
+};
+
 MrTargetRecord *
 mr_target_record_ref (MrTargetRecord *record)
 {
@@ -19,6 +26,13 @@
   g_free (record);
 }
 
+static guint64
+S_started (const json_t *root)
+{
+  json_int_t started = json_integer_value (json_object_get (root, "started"));
+  return started > 0 ? (guint64) started : 0;
+}
+
 static MrStatus
 S_read (const json_t *root, MrTargetRecord *record)
 {
@@ -30,18 +44,33 @@
   g_autofree char *ip = NULL;
   if (mr_settings_split_address (address, &ip, &record->target.port) != MR_OK)
     return MR_ERROR_INVALID;
+  if (!g_hostname_is_ip_address (ip))
+    return mr_fail (MR_ERROR_INVALID, "target: address '%.60s' is no IP address", address);
   record->service = g_strdup (service);
   g_strlcpy (record->target.ip, ip, sizeof record->target.ip);
   g_strlcpy (record->target.domain, domain, sizeof record->target.domain);
-  record->target.slots =
-      (guint) CLAMP (json_integer_value (json_object_get (root, "slots")), 1, 10000);
+  const json_t *slots = json_object_get (root, "slots");
+  const json_t *leaving = json_object_get (root, "leaving");
+  const json_t *cold_ms = json_object_get (root, "cold_ms");
+  if (!json_is_integer (slots) || !json_is_boolean (leaving) || !json_is_integer (cold_ms))
+    return mr_fail (MR_ERROR_INVALID, "target: slots, leaving or cold_ms is of another type");
+  record->target.slots = (guint) CLAMP (json_integer_value (slots), 1, SLOTS_MAX);
   record->target.connections = record->target.slots;
-  record->leaving = json_is_true (json_object_get (root, "leaving"));
-  json_int_t cold_ms = json_integer_value (json_object_get (root, "cold_ms"));
-  record->cold_for = CLAMP (cold_ms, 0, 600000) * MR_MS;
+  record->target.started = S_started (root);
+  record->leaving = json_is_true (leaving);
+  record->cold_for = CLAMP (json_integer_value (cold_ms), 0, COLD_MS_MAX) * MR_MS;
   return MR_OK;
 }
 
+guint64
+mr_target_record_started (MrText json)
+{
+  json_t *root = json.len > 0 ? json_loadb (json.data, json.len, 0, NULL) : NULL;
+  guint64 started = S_started (root);
+  json_decref (root);
+  return started;
+}
+
 MrTargetRecord *
 mr_target_record_parse (MrText id, MrText json)
 {
@@ -68,10 +97,11 @@
 mr_target_record_write (const MrTargetRecord *record)
 {
   g_autofree char *address = g_strdup_printf ("%s:%d", record->target.ip, record->target.port);
-  json_t *root = json_pack ("{s:s, s:s, s:s, s:I, s:b, s:I}", "service", record->service, "address",
-                            address, "domain", record->target.domain, "slots",
+  json_t *root = json_pack ("{s:s, s:s, s:s, s:I, s:b, s:I, s:I}", "service", record->service,
+                            "address", address, "domain", record->target.domain, "slots",
                             (json_int_t) record->target.slots, "leaving", (int) record->leaving,
-                            "cold_ms", (json_int_t) (record->cold_for / MR_MS));
+                            "cold_ms", (json_int_t) (record->cold_for / MR_MS), "started",
+                            (json_int_t) record->target.started);
   char *text = json_dumps (root, JSON_COMPACT);
   char *copy = g_strdup (text);
   free (text);
--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -20,6 +20,15 @@
       \"slots\":5,\"state\":\"$4\",\"warmup_left_ms\":0,\"seq\":1}" >/dev/null
 }
 
+# The same with the time at which the searcher started, Unix ms, as a fifth argument.
+announce_started() {
+  http -X PUT "http://$STORE/objects/servers/$2" --data-binary \
+    "{\"service\":\"$3\",\"address\":\"$(searcher_at "$1")\",\"zone\":\"z1\",\"version\":\"v1\",
+      \"slots\":5,\"state\":\"$4\",\"warmup_left_ms\":0,\"seq\":1,\"born\":$5}" >/dev/null
+}
+
+announce_raw() { http -X PUT "http://$STORE/raw/servers/$1" --data-binary "$2" >/dev/null; } # ID BYTES
+
 withdraw() { http -X DELETE "http://$STORE/objects/servers/$1" >/dev/null; } # ID
 
 start_searcher() { # NUMBER ID SERVICE
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -2,7 +2,8 @@
  * `standin searcher PORT ID`.
  *
  * The store keeps objects by kind and name in memory, lists them in pages and
- * answers watches.  A searcher answers every request with its signature and the
+ * answers watches.  PUT /raw/KIND/NAME stores bytes as they are, JSON or not, as
+ * another writer may.  A searcher answers every request with its signature and the
  * caller's id.  Both take faults: PUT /mode/NAME. */
 
 #include "http_message.h"
@@ -87,15 +88,45 @@
   mr_stream_write (peer->stream, mr_text_of (out));
 }
 
+/* Content that is no JSON is kept as text behind this mark, in base 64. */
+static const char raw_mark[] = "\"@raw:";
+
+/* @text with the content that is no JSON put in. */
+static GString *
+S_with_raw (const char *text)
+{
+  GString *out = g_string_new (NULL);
+  for (const char *at = strstr (text, raw_mark); at; at = strstr (text, raw_mark))
+    {
+      const char *begin = at + strlen (raw_mark);
+      gsize len = strcspn (begin, "\"");
+      g_autofree char *encoded = g_strndup (begin, len);
+      gsize count = 0;
+      g_autofree guchar *bytes = g_base64_decode (encoded, &count);
+      g_string_append_len (out, text, at - text);
+      g_string_append_len (out, (const char *) bytes, (gssize) count);
+      text = begin + len + 1;
+    }
+  return g_string_append (out, text);
+}
+
 static void
 S_send_json (Peer *peer, int status, json_t *body)
 {
   char *text = json_dumps (body, JSON_COMPACT);
-  S_send (peer, status, "Content-Type: application/json\r\n", mr_text (text));
+  g_autoptr (GString) out = S_with_raw (text);
+  S_send (peer, status, "Content-Type: application/json\r\n", mr_text_of (out));
   free (text);
   json_decref (body);
 }
 
+static json_t *
+S_raw (MrText bytes)
+{
+  g_autofree char *encoded = g_base64_encode ((const guchar *) bytes.data, bytes.len);
+  return json_sprintf ("%s%s", raw_mark + 1, encoded);
+}
+
 /* The store. */
 
 static json_t *
@@ -223,8 +254,12 @@
   if (!g_str_equal (method, "GET"))
     {
       MrText body = mr_http_parser_body (peer->parser);
-      S_change (server, parts[2], parts[3],
-                g_str_equal (method, "PUT") ? json_loadb (body.data, body.len, 0, NULL) : NULL);
+      json_t *spec = NULL;
+      if (g_str_equal (parts[1], "raw"))
+        spec = S_raw (body);
+      else if (g_str_equal (method, "PUT"))
+        spec = json_loadb (body.data, body.len, 0, NULL);
+      S_change (server, parts[2], parts[3], spec);
       S_send (peer, 200, "", MR_TEXT ("{}"));
       return;
     }
--- a/test/platform/test_store.c
+++ b/test/platform/test_store.c
@@ -35,7 +35,8 @@
 
 #define SERVER(name, revision)                                                                     \
   "{\"meta\":{\"name\":\"" name "\",\"revision\":" revision "},\"spec\":{\"service\":\"s\","       \
-  "\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"slots\":5,\"state\":\"ready\"}}"
+  "\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\",\"slots\":5,"                     \
+  "\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":1}}"
 
 /* What callers see: a shard without a target for ten seconds.  A daemon that was
  * cut off reads old changes after it has learned newer ones from its peers: the
@@ -85,6 +86,138 @@
   mr_message_free (&result->base);
 }
 
+/* Entries by other writers: an entry names a target only if all that a target says
+ * of itself is there, each of its type. */
+static void
+test_entries (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *spec;
+    gboolean usable;
+  } cases[] = {
+#define REST "\"zone\":\"z\",\"version\":\"v1\",\"warmup_left_ms\":0,\"seq\":1"
+#define ADDRESS "\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+    { "whole", "{" ADDRESS REST ",\"slots\":5,\"state\":\"ready\"}", TRUE },
+    { "with a start", "{" ADDRESS REST ",\"slots\":5,\"state\":\"ready\",\"born\":1784833516001}",
+      TRUE },
+    { "leaving", "{" ADDRESS REST ",\"slots\":5,\"state\":\"draining\"}", TRUE },
+    { "unknown field", "{" ADDRESS REST ",\"slots\":5,\"state\":\"ready\",\"x\":[1]}", TRUE },
+    { "unknown state", "{" ADDRESS REST ",\"slots\":5,\"state\":\"asleep\"}", FALSE },
+    { "state of another type", "{" ADDRESS REST ",\"slots\":5,\"state\":1}", FALSE },
+    { "no state", "{" ADDRESS REST ",\"slots\":5}", FALSE },
+    { "no slots", "{" ADDRESS REST ",\"state\":\"ready\"}", FALSE },
+    { "slots as text", "{" ADDRESS REST ",\"slots\":\"5\",\"state\":\"ready\"}", FALSE },
+    { "slots as a fraction", "{" ADDRESS REST ",\"slots\":5.5,\"state\":\"ready\"}", FALSE },
+    { "slots null", "{" ADDRESS REST ",\"slots\":null,\"state\":\"ready\"}", FALSE },
+    { "no slot", "{" ADDRESS REST ",\"slots\":0,\"state\":\"ready\"}", FALSE },
+    { "no service", "{\"address\":\"10.0.0.1:80\"," REST ",\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
+    { "no address", "{\"service\":\"s\"," REST ",\"slots\":5,\"state\":\"ready\"}", FALSE },
+    { "address a list",
+      "{\"service\":\"s\",\"address\":[\"10.0.0.1:80\"]," REST ",\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
+    { "address a name",
+      "{\"service\":\"s\",\"address\":\"host.example:80\"," REST
+      ",\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
+    { "no port",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1\"," REST ",\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
+    { "no zone",
+      "{" ADDRESS "\"version\":\"v1\",\"warmup_left_ms\":0,\"seq\":1,\"slots\":5,"
+      "\"state\":\"ready\"}",
+      FALSE },
+    { "count as text",
+      "{" ADDRESS "\"zone\":\"z\",\"version\":\"v1\",\"warmup_left_ms\":0,"
+      "\"seq\":\"1\",\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
+    { "start as text", "{" ADDRESS REST ",\"slots\":5,\"state\":\"ready\",\"born\":\"1\"}", FALSE },
+    { "start as a fraction", "{" ADDRESS REST ",\"slots\":5,\"state\":\"ready\",\"born\":1.5}",
+      FALSE },
+    { "start null", "{" ADDRESS REST ",\"slots\":5,\"state\":\"ready\",\"born\":null}", FALSE },
+    { "start below zero", "{" ADDRESS REST ",\"slots\":5,\"state\":\"ready\",\"born\":-4}", FALSE },
+    { "empty", "{}", FALSE },
+    { "no object", "[]", FALSE },
+    { "text", "\"ready\"", FALSE },
+    { "null", "null", FALSE },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *body = g_strdup_printf (
+          "{\"store_revision\":3,\"has_more\":false,\"items\":[{\"meta\":{\"name\":\"i-1\","
+          "\"revision\":2},\"spec\":%s}]}",
+          cases[i].spec);
+      MrPlatformResult *result = S_read ("targets", 0, 200, body);
+      assert_int_equal (result->status, MR_OK);
+      assert_int_equal (result->objects->len, 1);
+      const MrPlatformObject *object = g_ptr_array_index (result->objects, 0);
+      MrTargetRecord *record =
+          mr_target_record_parse (mr_text (object->name), mr_text_of (object->body));
+      if ((record != NULL) != cases[i].usable)
+        fail_msg ("%s: %s", cases[i].name, record ? "names a target" : mr_status_message ());
+      mr_target_record_unref (record);
+      mr_message_free (&result->base);
+    }
+}
+
+/* What callers see: no target at all, for as long as one entry of the page can't
+ * be read.  Its neighbours are read all the same, and where its name can be read,
+ * what is known under that name is given up. */
+static void
+test_unreadable_entries (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *entry;
+    gboolean named;
+  } cases[] = {
+    { "raw bytes as content", "{\"meta\":{\"name\":\"x\",\"revision\":7},\"spec\":\xff\xfe\x80}",
+      TRUE },
+    { "not UTF-8", "{\"meta\":{\"name\":\"x\",\"revision\":7},\"spec\":{\"service\":\"\xc3(\"}}",
+      TRUE },
+    { "a bracket too many", "{\"meta\":{\"name\":\"x\",\"revision\":7},\"spec\":]}}", TRUE },
+    { "an open quote", "{\"meta\":{\"name\":\"x\",\"revision\":7},\"spec\":\"}", TRUE },
+    { "an open brace", "{\"meta\":{\"name\":\"x\",\"revision\":7},\"spec\":{", TRUE },
+    { "a number too large",
+      "{\"meta\":{\"name\":\"x\",\"revision\":7},\"spec\":{\"slots\":1" /* over 64 bits */
+      "00000000000000000000000}}",
+      TRUE },
+    { "broken name", "{\"meta\":{\"name\":\"\xff\",\"revision\":7},\"spec\":{}}", FALSE },
+    { "bytes only", "\x01\x02{{[[\"", FALSE },
+    { "a number", "17", FALSE },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases) * 2; i++)
+    {
+      gboolean watch = i % 2 == 1;
+      const char *before = watch ? "{\"deleted\":false,\"object\":" : "";
+      const char *after = watch ? "}" : "";
+      g_autofree char *body = g_strdup_printf (
+          "{\"%s\":[%s%s%s,%s%s%s,%s%s%s],\"has_more\":false,\"store_revision\":9}",
+          watch ? "events" : "items", before, SERVER ("i-1", "5"), after, before,
+          cases[i / 2].entry, after, before, SERVER ("i-2", "6"), after);
+      MrPlatformResult *result = S_read ("targets", watch ? 4 : 0, 200, body);
+      if (result->status != MR_OK)
+        fail_msg ("%s: the page is lost", cases[i / 2].name);
+      guint usable = 0;
+      guint named = 0;
+      for (guint n = 0; n < result->objects->len; n++)
+        {
+          const MrPlatformObject *object = g_ptr_array_index (result->objects, n);
+          usable += object->body->len > 0 ? 1 : 0;
+          named += g_str_equal (object->name, "x") && object->body->len == 0 ? 1 : 0;
+        }
+      if (usable != 2 || named != (cases[i / 2].named ? 1U : 0U))
+        fail_msg ("%s, %s: %u targets, %u given up", cases[i / 2].name, watch ? "watch" : "list",
+                  usable, named);
+      mr_message_free (&result->base);
+    }
+}
+
 typedef struct
 {
   const char *name;
@@ -184,9 +317,13 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_old_removal), cmocka_unit_test (test_removal_follows_change),
-    cmocka_unit_test (test_answers),     cmocka_unit_test (test_configuration),
+    cmocka_unit_test (test_old_removal),
+    cmocka_unit_test (test_removal_follows_change),
+    cmocka_unit_test (test_answers),
+    cmocka_unit_test (test_configuration),
     cmocka_unit_test (test_questions),
+    cmocka_unit_test (test_entries),
+    cmocka_unit_test (test_unreadable_entries),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -33,10 +33,11 @@
 typedef struct
 {
   pid_t pid;
-  MrTime disturbed; /* last signal, start or fault on its way */
-  MrTime back_at;   /* when it is continued or started again; 0: it runs */
-  gboolean stopped; /* by SIGSTOP */
-  guint generation; /* of a searcher */
+  MrTime disturbed;  /* last signal, start or fault on its way */
+  MrTime back_at;    /* when it is continued or started again; 0: it runs */
+  gboolean stopped;  /* by SIGSTOP */
+  guint generation;  /* of a searcher */
+  gint64 started_ms; /* of a searcher, since 1970 */
 } Child;
 
 /* What became of an order. */
--- a/test/soak/soak_processes.c
+++ b/test/soak/soak_processes.c
@@ -66,10 +66,12 @@
   waitpid (pid, NULL, 0);
 }
 
+/* Every second one keeps its id when it starts again. */
 static void
 S_searcher_id (const Soak *s, guint index, char *id)
 {
-  g_snprintf (id, ID_BYTES, "s%u-%u", index, s->searchers[index].generation);
+  guint generation = index % 2 == 0 ? 0 : s->searchers[index].generation;
+  g_snprintf (id, ID_BYTES, "s%u-%u", index, generation);
 }
 
 static void
@@ -80,9 +82,10 @@
   g_autofree char *path = g_strdup_printf ("/objects/servers/%s", id);
   g_autofree char *body = g_strdup_printf (
       "{\"service\":\"%c\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%u\",\"slots\":5,"
-      "\"state\":\"%s\",\"warmup_left_ms\":0}",
+      "\"state\":\"%s\",\"version\":\"v1\",\"warmup_left_ms\":0,\"seq\":1,"
+      "\"born\":%" G_GINT64_FORMAT "}",
       'a' + (int) (index / 2), soak_first_port + SEARCHER_PROXY + (int) index, index % RELAYS,
-      state);
+      state, s->searchers[index].started_ms);
   soak_tell (soak_first_port + STORE_PORT, state ? "PUT" : "DELETE", path, body);
 }
 
@@ -101,6 +104,7 @@
   char id[ID_BYTES];
   g_autofree char *log = g_strdup_printf ("searcher%u.log", index);
   s->searchers[index].generation++;
+  s->searchers[index].started_ms = g_get_real_time () / 1000;
   S_searcher_id (s, index, id);
   soak_start_standin (s, &s->searchers[index], "searcher",
                       soak_first_port + SEARCHER_PORT + (int) index, id, log);
--- /dev/null
+++ b/test/test_incarnation.c
@@ -0,0 +1,303 @@
+/* Targets that start again under their id. */
+
+#include "registry.h"
+#include "relay.h"
+#include "target_record.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+enum
+{
+  OLD = 1000, /* starts, Unix ms */
+  NEW = 2000,
+};
+
+static char *
+S_entry (guint64 started)
+{
+  MrTargetRecord record = { .service = "s",
+                            .target = { .ip = "10.0.0.1", .port = 80, .slots = 2 } };
+  record.target.started = started;
+  return mr_target_record_write (&record);
+}
+
+typedef struct
+{
+  guint revision; /* 0: the end */
+  guint64 started;
+  gboolean removed;
+} Offer;
+
+/* What callers see: a shard's calls go to an address where nothing answers, and
+ * its real process gets none.  A target starts again; a write of its old process,
+ * long under way, reaches the store after the new one's entry.  The newer start
+ * holds, in whatever order entries and removals are heard of. */
+static void
+test_order_of_entries (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    Offer offers[4];
+    guint64 started; /* of the entry that holds at the end; 0: none */
+  } cases[] = {
+    { "new after old", { { 1, OLD, FALSE }, { 2, NEW, FALSE } }, NEW },
+    { "old after new", { { 1, NEW, FALSE }, { 2, OLD, FALSE } }, NEW },
+    { "old after new, heard late", { { 2, OLD, FALSE }, { 1, NEW, FALSE } }, OLD },
+    { "new again", { { 1, NEW, FALSE }, { 2, OLD, FALSE }, { 3, NEW, FALSE } }, NEW },
+    { "old after the new one's removal",
+      { { 1, NEW, FALSE }, { 1, 0, TRUE }, { 2, OLD, FALSE } },
+      0 },
+    { "back after a removal", { { 1, NEW, FALSE }, { 1, 0, TRUE }, { 2, NEW, FALSE } }, NEW },
+    { "new after the old one's removal",
+      { { 1, OLD, FALSE }, { 2, NEW, FALSE }, { 1, 0, TRUE } },
+      NEW },
+    { "an entry without a start", { { 1, NEW, FALSE }, { 2, 0, FALSE } }, 0 },
+    { "a start where none was told", { { 1, 0, FALSE }, { 2, NEW, FALSE } }, NEW },
+    { "removed after all", { { 1, NEW, FALSE }, { 2, OLD, FALSE }, { 2, 0, TRUE } }, 0 },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      MrRegistry *registry = mr_registry_new ();
+      for (const Offer *offer = cases[i].offers; offer->revision != 0; offer++)
+        {
+          g_autofree char *body = offer->removed ? NULL : S_entry (offer->started);
+          guint64 version = MR_VERSIONS_APART * (guint64) offer->revision +
+                            (offer->removed ? MR_VERSION_REMOVED : 0);
+          mr_registry_offer (registry, MR_OBJECT_TARGET, MR_TEXT ("i-1"), version, mr_text (body));
+        }
+      const MrObject *object = mr_registry_get (registry, MR_OBJECT_TARGET, "i-1");
+      if (mr_target_record_started (mr_text_of (object->body)) != cases[i].started)
+        fail_msg ("%s: holds %s", cases[i].name, object->body->str);
+      mr_registry_free (registry);
+    }
+}
+
+/* Two daemons read the store at different moments: one saw the new entry and then
+ * the old one over it, the other the old one alone.  What the first holds is newer,
+ * so that the second takes it over. */
+static void
+test_daemons_agree (void **state)
+{
+  (void) state;
+  g_autofree char *old = S_entry (OLD);
+  g_autofree char *new = S_entry (NEW);
+  MrRegistry *saw_both = mr_registry_new ();
+  MrRegistry *saw_last = mr_registry_new ();
+  mr_registry_offer (saw_both, MR_OBJECT_TARGET, MR_TEXT ("i-1"), 4, mr_text (new));
+  assert_int_equal (
+      mr_registry_offer (saw_both, MR_OBJECT_TARGET, MR_TEXT ("i-1"), 8, mr_text (old)),
+      MR_OFFER_KEPT);
+  mr_registry_offer (saw_last, MR_OBJECT_TARGET, MR_TEXT ("i-1"), 8, mr_text (old));
+  assert_true (mr_registry_digest (saw_both) != mr_registry_digest (saw_last));
+  const MrObject *held = mr_registry_get (saw_both, MR_OBJECT_TARGET, "i-1");
+  assert_int_equal (mr_registry_offer (saw_last, MR_OBJECT_TARGET, MR_TEXT ("i-1"), held->version,
+                                       mr_text_of (held->body)),
+                    MR_OFFER_NEW);
+  assert_int_equal (mr_registry_digest (saw_both), mr_registry_digest (saw_last));
+  mr_registry_free (saw_both);
+  mr_registry_free (saw_last);
+}
+
+/* A host that keeps what it was asked for. */
+typedef struct
+{
+  MrRelayHost host;
+  guint calls;
+  guint64 last_call;
+  char last_target[MR_NAME_MAX + 1];
+  guint64 last_started; /* of that target */
+  guint drops;
+  guint done;
+  MrRelayResult result;
+} Host;
+
+static void
+S_on_call (MrRelayHost *host, const MrRelayCall *call)
+{
+  Host *h = (Host *) host;
+  h->calls++;
+  h->last_call = call->id;
+  g_strlcpy (h->last_target, call->target->id, sizeof h->last_target);
+  h->last_started = call->target->started;
+}
+
+static void
+S_on_drop (MrRelayHost *host, guint64 id)
+{
+  (void) id;
+  ((Host *) host)->drops++;
+}
+
+static void
+S_on_target (MrRelayHost *host, const MrTargetState *target)
+{
+  (void) host;
+  (void) target;
+}
+
+static void
+S_on_done (MrRelayHost *host, gpointer request, const MrRelayResult *result)
+{
+  Host *h = (Host *) host;
+  (void) request;
+  h->done++;
+  h->result = *result;
+}
+
+static MrRelay *
+S_relay (Host *host)
+{
+  *host = (Host){
+    .host = { .call = S_on_call,
+              .drop = S_on_drop,
+              .probe = S_on_target,
+              .renew = S_on_target,
+              .done = S_on_done,
+              .free_answer = g_free },
+  };
+  MrRelayInfo info = {
+    .policy = &mr_relay_policy,
+    .budget = { .window = 10 * MR_SECOND,
+                .ratio = 0.2,
+                .allowance = 50,
+                .margin = 1,
+                .born = -10 * MR_SECOND },
+    .seed = 1,
+  };
+  MrRelay *relay = mr_relay_new (&host->host, &info);
+  MrRelayShares shares = { .connections = 1, .slots = 1, .allowance = 1 };
+  mr_relay_set_shares (relay, &shares);
+  return relay;
+}
+
+static const MrSplitPart part = { .service = "s", .weight = 1 };
+
+static void
+S_add (MrRelay *relay, MrTime now, guint64 started, gboolean leaving)
+{
+  MrTarget target = { .id = "i-1", .ip = "10.0.0.1", .port = 80, .domain = "d", .slots = 4 };
+  target.connections = 4;
+  target.started = started;
+  mr_relay_target (relay, now, "s", &target, leaving, 0);
+}
+
+static MrRoute
+S_route (gboolean repeatable)
+{
+  return (MrRoute){
+    .name = "r",
+    .kind = MR_ROUTE_SERVICE,
+    .repeatable = repeatable,
+    .time_limit = 2 * MR_SECOND,
+    .aim = 400 * MR_MS,
+    .attempts = 2,
+    .parts = (MrSplitPart *) &part,
+    .part_count = 1,
+  };
+}
+
+/* What callers see: a search that waits for its deadline, and an order whose
+ * outcome is unknown only then.  The target ends with their calls in hand and
+ * starts again at the same address; no reset tells of it, the new entry does. */
+static void
+test_calls_in_flight (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    gboolean repeatable;
+    guint calls; /* in all */
+    guint verdicts;
+  } cases[] = {
+    { "a search is asked again", TRUE, 2, 0 },
+    { "an order may have run", FALSE, 1, 1 },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      Host host;
+      MrRelay *relay = S_relay (&host);
+      MrRoute route = S_route (cases[i].repeatable);
+      S_add (relay, 0, OLD, FALSE);
+      MrTarget other = { .id = "i-2", .ip = "10.0.0.2", .port = 80, .domain = "d", .slots = 4 };
+      other.connections = 4;
+      mr_relay_submit (relay, 10, &host, NULL, &route, 2 * MR_SECOND);
+      assert_int_equal (host.calls, 1);
+      mr_relay_target (relay, 15, "s", &other, FALSE, 0);
+      S_add (relay, 20, NEW, FALSE);
+      assert_int_equal (host.drops, 1);
+      if (host.calls != cases[i].calls || host.done != cases[i].verdicts)
+        fail_msg ("%s: %u calls, %u verdicts", cases[i].name, host.calls, host.done);
+      if (!cases[i].repeatable)
+        assert_int_equal (host.result.verdict, MR_VERDICT_FAILED);
+      mr_relay_free (relay);
+    }
+}
+
+/* What callers see: a shard that is refused for seconds although its target is
+ * back.  That it was leaving, down, slow or crowded was true of its old process. */
+static void
+test_nothing_holds (void **state)
+{
+  (void) state;
+  Host host;
+  MrRelay *relay = S_relay (&host);
+  MrRoute route = S_route (TRUE);
+  S_add (relay, 0, OLD, FALSE);
+  S_add (relay, 5, OLD, TRUE);
+  mr_relay_submit (relay, 10, &host, NULL, &route, 2 * MR_SECOND);
+  assert_int_equal (host.calls, 0); /* it leaves */
+  assert_int_equal (host.result.verdict, MR_VERDICT_REFUSED);
+  S_add (relay, 20, NEW, FALSE);
+  mr_relay_submit (relay, 30, &host, NULL, &route, 2 * MR_SECOND);
+  assert_int_equal (host.calls, 1);
+  assert_int_equal (host.last_started, NEW);
+  for (guint i = 0; i < 3; i++)
+    {
+      mr_relay_call_end (relay, 40 + i, host.last_call, MR_CALL_ERROR, NULL);
+      mr_relay_submit (relay, 40 + i, &host, NULL, &route, 2 * MR_SECOND);
+    }
+  guint before = host.calls;
+  mr_relay_submit (relay, 50, &host, NULL, &route, 2 * MR_SECOND);
+  assert_int_equal (host.calls, before); /* down, after three failures */
+  S_add (relay, 60, NEW + 1, FALSE);
+  mr_relay_submit (relay, 70, &host, NULL, &route, 2 * MR_SECOND);
+  assert_int_equal (host.calls, before + 1);
+  assert_int_equal (host.last_started, NEW + 1);
+  mr_relay_free (relay);
+}
+
+/* The same entry again, as after a lapse, changes nothing for calls in flight. */
+static void
+test_same_process (void **state)
+{
+  (void) state;
+  Host host;
+  MrRelay *relay = S_relay (&host);
+  MrRoute route = S_route (FALSE);
+  S_add (relay, 0, NEW, FALSE);
+  mr_relay_submit (relay, 10, &host, NULL, &route, 2 * MR_SECOND);
+  S_add (relay, 20, NEW, FALSE);
+  assert_int_equal (host.drops, 0);
+  assert_int_equal (host.done, 0);
+  mr_relay_call_end (relay, 30, host.last_call, MR_CALL_ANSWER, g_strdup ("x"));
+  assert_int_equal (host.result.verdict, MR_VERDICT_ANSWER);
+  mr_relay_free (relay);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_order_of_entries), cmocka_unit_test (test_daemons_agree),
+    cmocka_unit_test (test_calls_in_flight),  cmocka_unit_test (test_nothing_holds),
+    cmocka_unit_test (test_same_process),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
