The soft end of a search follows the round trip to its caller

Cause: a fixed 25 ms was kept back from a route's aim for the connection and the way, right for callers 6 ms away.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -38,9 +38,10 @@
   MrHttpParser *parser;
   GString *ahead; /* bytes behind the request that is being served */
   MrTimer timer;
-  MrTime began;   /* first byte of the request */
-  gboolean busy;  /* a request is with the host */
-  gboolean close; /* after what is being written */
+  MrTime began;      /* first byte of the request */
+  MrTime round_trip; /* 0: not asked for yet, or not known */
+  gboolean busy;     /* a request is with the host */
+  gboolean close;    /* after what is being written */
   gboolean continued;
   gpointer user;
 };
@@ -251,6 +252,14 @@
   S_await_request (c, mr_now ());
 }
 
+MrTime
+mr_caller_round_trip (MrCaller *caller)
+{
+  if (caller->round_trip == 0)
+    caller->round_trip = mr_stream_round_trip (caller->stream);
+  return caller->round_trip;
+}
+
 MrCallerServer *
 mr_caller_server_new (MrCallerServerHost *host, MrLoop *loop, const char *ip, int port)
 {
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -44,6 +44,9 @@
 void mr_caller_set_user (MrCaller *caller, gpointer user);
 gpointer mr_caller_user (const MrCaller *caller);
 
+/* Round trip to the caller, as measured when it connected; 0: not known. */
+MrTime mr_caller_round_trip (MrCaller *caller);
+
 /* @fields: whole header lines, each with its line end, without framing. */
 void mr_caller_answer (MrCaller *caller, int status, MrText fields, MrText body);
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -232,6 +232,7 @@
   const MrRoute *route;           /* lives as long as the request */
   MrTime arrived;                 /* from which its aim counts; 0: now */
   MrTime deadline;                /* as the caller said */
+  MrTime round_trip;              /* to the caller; 0: not known */
 } MrRelayRequest;
 
 /* Takes the request on; the verdict comes through done (), perhaps at once, in
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -328,6 +328,7 @@
     .route = route,
     .arrived = began,
     .deadline = request->deadline,
+    .round_trip = mr_caller_round_trip (caller),
   };
   MrRelayWork *work = mr_relay_submit (task->relay, mr_now (), &submitted);
   if (work)
--- a/src/stream.c
+++ b/src/stream.c
@@ -152,6 +152,16 @@
   return stream->out->len;
 }
 
+MrTime
+mr_stream_round_trip (const MrStream *stream)
+{
+  struct tcp_info info = { 0 };
+  socklen_t len = sizeof info;
+  if (stream->closed || getsockopt (stream->fd, IPPROTO_TCP, TCP_INFO, &info, &len) != 0)
+    return 0;
+  return (MrTime) info.tcpi_rtt;
+}
+
 /* The wsi is closed by the loop and not here: it may be the one whose callback
  * is running. */
 void
--- a/src/stream.h
+++ b/src/stream.h
@@ -6,6 +6,7 @@
  * (docs/design/platform.md).  A stream never calls back after it was closed. */
 #pragma once
 
+#include "clock.h"
 #include "loop.h"
 #include "text.h"
 
@@ -44,6 +45,9 @@
 guint64 mr_stream_sent (const MrStream *stream);
 gsize mr_stream_unsent (const MrStream *stream);
 
+/* Round trip to the peer, as the kernel has measured it; 0: not known. */
+MrTime mr_stream_round_trip (const MrStream *stream);
+
 /* Closes; buffered bytes are dropped. */
 void mr_stream_close (MrStream *stream);
 
