Work leaves targets that refuse; one that refused may be asked again

Cause: where half of the targets refuse 60 % of their calls, 29 % of all arrivals were refused, as if nobody steered: the share of failures weighed less than distance and two calls in flight. And a part that two targets had refused ended its request in its first milliseconds ('attempts', a third of the failures there), though neither had run it.

Change: the weight of failures is 60 for 10.

--- a/src/relay.c
+++ b/src/relay.c
@@ -437,6 +437,7 @@
   if (job)
     {
       S_note_end (call, now, outcome);
+      mr_relay_note_tried (job, target, outcome);
       for (guint i = 0; i < CALLS_OF_JOB; i++)
         if (job->calls[i] == call)
           job->calls[i] = NULL;
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -9,9 +9,11 @@
 static const double STALLED_FACTOR = 2.5;
 static const MrTime STALLED_MIN = 15 * MR_MS;
 static const double STALLED_COST = 50;
-/* Weight of failures: a target that fails half of its calls costs six times as
- * much as one that fails none. */
-static const double FAILING_COST = 10;
+/* Weight of failures: a target that fails half of its calls costs 31 times as much
+ * as one that fails none, so that it gets what the others have no room for.  Second
+ * sends repair a fifth of all calls; with a weight of 10, as good as a far target or a
+ * busy one, 29 % were refused where half of the targets refused 45 %. */
+static const double FAILING_COST = 60;
 
 static gboolean
 S_stalled (const MrTargetState *target, MrTime now)
@@ -36,21 +38,85 @@
   return cost;
 }
 
+static Tried *
+S_find_tried (Job *job, const MrTargetState *target)
+{
+  for (guint i = 0; i < job->tried_count; i++)
+    if (job->tried[i].target == target)
+      return &job->tried[i];
+  return NULL;
+}
+
+/* Targets that the job was sent to, as the bound counts them. */
+static guint
+S_count_seen (const Job *job)
+{
+  guint count = 0;
+  for (guint i = 0; i < job->tried_count; i++)
+    count += job->tried[i].seen || job->tried[i].state == TRIED_SENT ? 1 : 0;
+  return count;
+}
+
 static gboolean
-S_tried (const Job *job, const MrTargetState *target)
+S_has_refused (const Job *job)
 {
   for (guint i = 0; i < job->tried_count; i++)
-    if (job->tried[i] == target)
+    if (job->tried[i].state == TRIED_REFUSED)
       return TRUE;
   return FALSE;
 }
 
+/* The bound is on targets that one request may be sent to, so that one that has
+ * refused may be asked again: it costs a second send, as another would. */
+static gboolean
+S_may_try (const Job *job, const MrTargetState *target)
+{
+  const MrRelayWork *work = job->work;
+  const Tried *tried = S_find_tried ((Job *) job, target);
+  if (tried)
+    return tried->state == TRIED_REFUSED && work->kind->policy->asks_again;
+  return S_count_seen (job) < work->route->attempts && job->tried_count < TRIED_OF_JOB;
+}
+
+gboolean
+mr_relay_may_try_more (const Job *job)
+{
+  const MrRelayWork *work = job->work;
+  return S_count_seen (job) < work->route->attempts ||
+         (S_has_refused (job) && work->kind->policy->asks_again);
+}
+
+static void
+S_set_tried (Job *job, const MrTargetState *target, TriedState state)
+{
+  Tried *tried = S_find_tried (job, target);
+  if (!tried && job->tried_count == TRIED_OF_JOB)
+    return;
+  if (!tried)
+    tried = &job->tried[job->tried_count++];
+  tried->target = target;
+  tried->state = state;
+}
+
+void
+mr_relay_note_tried (Job *job, const MrTargetState *target, MrCallOutcome outcome)
+{
+  Tried *tried = S_find_tried (job, target);
+  if (!tried)
+    return;
+  tried->seen |= outcome == MR_CALL_SHED;
+  if (outcome == MR_CALL_NOT_CONNECTED)
+    tried->state = tried->seen ? TRIED_REFUSED : TRIED_UNSEEN;
+  if (outcome == MR_CALL_SHED)
+    tried->state = TRIED_REFUSED;
+}
+
 /* TRUE if the job may go to @target once that is usable and has room. */
 static gboolean
 S_may_go (const MrRelay *relay, MrTime now, const Job *job, const MrTargetState *target)
 {
   MrRelayHost *host = relay->host;
-  if (S_tried (job, target))
+  if (!S_may_try (job, target))
     return FALSE;
   return !host->holds || host->holds (host, job->work->request, target, now);
 }
@@ -126,8 +192,7 @@
   call->timer.owner = call;
   call->link.data = call;
   *S_free_place (job) = call;
-  if (job->tried_count < TRIED_OF_JOB)
-    job->tried[job->tried_count++] = target;
+  S_set_tried (job, target, TRIED_SENT);
   job->sends++;
   g_queue_push_tail_link (&target->open, &call->link);
   target->in_flight++;
@@ -213,7 +278,7 @@
 {
   if (reason == MR_SEND_FIRST)
     return TRUE;
-  if (job->sends >= job->work->route->attempts)
+  if (!mr_relay_may_try_more (job))
     {
       *cause = MR_CAUSE_ATTEMPTS;
       return FALSE;
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -72,6 +72,21 @@
   guint note; /* index in the work's sends */
 } Call;
 
+/* What a job's call to a target has come to. */
+typedef enum
+{
+  TRIED_UNSEEN,  /* never connected: the target has not seen it */
+  TRIED_REFUSED, /* seen, and not run by the target's word */
+  TRIED_SENT,    /* out, or may have run */
+} TriedState;
+
+typedef struct
+{
+  const MrTargetState *target;
+  TriedState state;
+  gboolean seen; /* it has refused one of the job's calls, whatever came of the latest */
+} Tried;
+
 /* One part of a request. */
 struct _Job
 {
@@ -84,7 +99,7 @@
   MrSendReason reason; /* of the send it waits for */
   guint sends;         /* that may have reached a target */
   guint tried_count;
-  const MrTargetState *tried[TRIED_OF_JOB];
+  Tried tried[TRIED_OF_JOB];
   Call *calls[CALLS_OF_JOB];
   MrTime hedge_at;
   gpointer failure; /* last answer that tells a failure */
@@ -166,6 +181,11 @@
 /* Time until a job that is queued now gets room, from the queue before it. */
 MrTime mr_relay_expected_wait (const Job *job);
 
+/* TRUE if the bound on targets leaves one that the job may still be sent to. */
+gboolean mr_relay_may_try_more (const Job *job);
+/* The job's call to @target has ended so. */
+void mr_relay_note_tried (Job *job, const MrTargetState *target, MrCallOutcome outcome);
+
 /* A second send beside one that is under way; FALSE if none may go out now. */
 gboolean mr_relay_hedge (MrRelay *relay, MrTime now, Job *job);
 
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -31,6 +31,7 @@
    * the same credit; at five it is overrun (credit 0.956 against 0.978 on a calm
    * day of 71 VMs). */
   .far_cost = 2.5,
+  .asks_again = TRUE,
 };
 
 /* A second send that found no target is tried again after this. */
@@ -122,7 +123,7 @@
   for (guint i = 0; i < work->part_count; i++)
     {
       const Job *job = &work->jobs[i];
-      if (!job->ended && !job->waiting && job->hedge_at < due && job->sends < work->route->attempts)
+      if (!job->ended && !job->waiting && job->hedge_at < due && mr_relay_may_try_more (job))
         due = job->hedge_at;
     }
   mr_timers_set (relay->timers, &work->timer, due);
--- a/test/prop_relay.cpp
+++ b/test/prop_relay.cpp
@@ -137,6 +137,14 @@
   mr_log_set_level ((MrLogLevel) 0);
   guint64 asked = 0;
   guint64 extra = 0;
+  // A target refuses, is asked again and can't be reached: forgotten as never sent
+  // to, it let the request go to one target more than allowed.
+  for (guint32 i = 0; i < 10; i++)
+    if (broken_rules (run (schedule (402038341 + i))) > 0)
+      {
+        std::printf ("schedule %u is broken\n", 402038341 + i);
+        return 1;
+      }
   bool ok = rc::check ("the relay's promises hold under generated troubles", [&] {
     // Ten schedules a case: 10,000 a run at RapidCheck's 1,000 cases.
     auto base = *rc::gen::inRange<guint32> (0, 1U << 30);
--- a/test/test_relay_load.c
+++ b/test/test_relay_load.c
@@ -50,6 +50,24 @@
   /* A third of the targets shed half of their calls: refusals are retried
    * elsewhere within the budget, and targets that refuse are given less. */
   { "shedding", { SITE, .events = { { WORLD_SHEDS, 0, 29, 3, 3000, 0, 0.45 } } }, { 0.90, 0.90 } },
+  { "another site, calm", { QUICK_SITE }, { 0.97, 0.96 } },
+  /* Every second target refuses 60 % of its calls, so that one shard in eight has none
+   * that does not.  Work goes to those that do not refuse, though they are farther or
+   * busier; and where all do, a refused call is asked for again at one of the two that
+   * a request may go to: 0.957 and 0.864 of the two kinds' worth, 0.912 and 0.862
+   * without both. */
+  { "half shed",
+    { QUICK_SITE, .events = { { WORLD_SHEDS, 0, 29, 2, 3000, 0, 0.6 } } },
+    { 0.93, 0.82 } },
+  /* All targets of eight shards do, and the bound on second sends repairs a quarter of
+   * it: what is served is served whole, with each second send where it may help. */
+  { "most shed",
+    { QUICK_SITE, .events = { { WORLD_SHEDS, 0, 23, 1, 3000, 0, 0.6 } } },
+    { 0.13, 0.19 } },
+  /* Most targets lose 40 % of their answers after the work was done. */
+  { "most break",
+    { QUICK_SITE, .events = { { WORLD_BREAKS, 0, 25, 1, 3000, 0, 0.4 } } },
+    { 0.30, 0.43 } },
   { "a sixth slow", { SITE, .events = { { WORLD_SLOW, 0, 29, 6, 3000, 0, 8 } } }, { 0.90, 0.90 } },
 };
 
