--- a/src/entry_plan.c
+++ b/src/entry_plan.c
@@ -123,18 +123,6 @@
   return plan;
 }
 
-/* After a loss of all VMs each takes itself for alone until it hears of the others.
- * With all of each target's connections and slots for itself, six of them sent three
- * times what the targets hold while callers came back, and opened what the targets
- * then reset (659 connections on a day of 84 VMs). */
-void
-mr_entry_plan_hold_back (MrEntryPlan *plan)
-{
-  const double most = 1.0 / MR_ENTRIES_MIN;
-  plan->slots = MIN (plan->slots, most);
-  plan->connections = MIN (plan->connections, most / OVERLAP);
-}
-
 void
 mr_entry_plan_clear (MrEntryPlan *plan)
 {
--- a/src/entry_plan.h
+++ b/src/entry_plan.h
@@ -34,7 +34,4 @@
 } MrEntryPlan;
 
 MrEntryPlan mr_entry_plan (const MrMemberList *members, const char *self);
-/* Of a daemon that has just started and may not have heard of the others yet: no
- * more than if it were one of MR_ENTRIES_MIN. */
-void mr_entry_plan_hold_back (MrEntryPlan *plan);
 void mr_entry_plan_clear (MrEntryPlan *plan);
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -12,9 +12,6 @@
 static const guint32 LOAD_STEP = 16;
 static const double LOAD_DOWN = 0.35;
 static const MrTime LOAD_GAP = 2 * MR_SECOND;
-/* Members that live are heard of within this after a start: heartbeats go out once
- * a second. */
-static const MrTime HEAR_OF_OTHERS = 2 * MR_SECOND;
 
 gboolean
 mr_relay_task_ready (const MrRelayTask *task)
@@ -82,44 +79,18 @@
   mr_mailbox_post (task->control, &message->base);
 }
 
-/* Who takes callers, and this daemon's shares of what the fleet has in common. */
 static void
-S_take_members (MrRelayTask *task, const MrMemberList *members)
+S_on_view (MrRelayTask *task, MrView *view)
 {
+  MrTime now = mr_now ();
   mr_entry_plan_clear (&task->plan);
-  task->plan = mr_entry_plan (members, task->settings->base.name);
-  if (task->holds_back)
-    mr_entry_plan_hold_back (&task->plan);
+  task->plan = mr_entry_plan (view->members, task->settings->base.name);
   MrRelayShares shares = {
     .connections = task->plan.connections,
     .slots = task->plan.slots,
     .allowance = task->plan.allowance,
   };
   mr_relay_set_shares (task->relay, &shares);
-}
-
-/* Ends the time in which others may be unheard of. */
-static void
-S_check_start (MrRelayTask *task, MrTime now, MrTime *next)
-{
-  MrTime end = task->started + HEAR_OF_OTHERS;
-  if (!task->holds_back)
-    return;
-  if (now < end)
-    {
-      *next = MIN (*next, end);
-      return;
-    }
-  task->holds_back = FALSE;
-  if (task->view)
-    S_take_members (task, task->view->members);
-}
-
-static void
-S_on_view (MrRelayTask *task, MrView *view)
-{
-  MrTime now = mr_now ();
-  S_take_members (task, view->members);
   S_take_configuration (task, view);
   S_take_targets (task, now, view);
   mr_view_unref (task->view);
@@ -210,7 +181,6 @@
   next = MIN (next, mr_target_client_tick (task->client, now));
   mr_relay_request_release (task, now, &next);
   next = MIN (next, mr_relay_tick (task->relay, now));
-  S_check_start (task, now, &next);
   S_measure_load (task, now, &next);
   S_tick_stop (task, now, &next);
   return next;
@@ -252,9 +222,7 @@
   task->user = info->user;
   task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          (GDestroyNotify) mr_target_record_unref);
-  task->started = mr_now ();
-  task->holds_back = TRUE;
-  task->early = mr_start_queue_new (task->started);
+  task->early = mr_start_queue_new (mr_now ());
   mr_relay_request_init (task);
   mr_relay_pages_init (task);
   task->loop = mr_loop_new (&task->loop_host, (guint) settings->max_descriptors);
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -49,8 +49,6 @@
   gboolean announced;  /* told the others that this daemon takes callers */
   MrStartQueue *early; /* requests that came before this daemon was ready */
   guint64 early_count; /* of them, ever */
-  MrTime started;
-  gboolean holds_back; /* it has just started, and others may be unheard of */
   MrTime stop_at;      /* when the planned stop began; 0: none */
   gboolean stopped;
   void (*on_stopped) (void *user);
