The relay's choice of a target and its verdicts have files of their own

The choice is now relay_choice.c (functions of what is known), verdicts are relay_end.c. The operations of a target with one caller each (MrTargetOps, a flag that nobody read) are gone.

--- a/src/relay.h
+++ b/src/relay.h
@@ -8,9 +8,11 @@
  * argument, calls go out through a vtable, and an answer is an opaque pointer of
  * the host's.
  *
- *   relay.c          ends of calls, verdicts
+ *   relay.c          pools, sets, names
+ *   relay_end.c      ends of calls, verdicts
  *   relay_admit.c    admission, splits, who is turned away
- *   relay_place.c    choice of target, queues, starts
+ *   relay_choice.c   choice of a target
+ *   relay_place.c    queues, starts, second sends
  *   relay_load.c     how loaded targets are, parts left out for it
  *   relay_time.c     what is due: second sends, soft and hard ends, silence
  *   relay_targets.c  what is known of targets
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -154,6 +154,8 @@
 };
 
 Service *mr_relay_service (MrRelay *relay, const char *name);
+/* Frees the work with its answers; its calls have been let go. */
+void mr_relay_work_free (MrRelay *relay, MrRelayWork *work);
 void mr_relay_split_free (gpointer split);
 
 /* What an answer says of its kind of request and its target, and what the end of
@@ -162,6 +164,24 @@
 MrHealthAction mr_relay_note_target (
     MrRelay *relay, MrTime now, MrTargetState *target, MrCallOutcome outcome, MrTime started);
 
+/* Choice of a target (relay_choice.c): functions of what is known, without effect on
+ * it. */
+
+/* Best target that the job may be sent to now; NULL if there is none.  @hope is set if
+ * one may have room later. */
+MrTargetState *mr_relay_pick (MrRelay *relay, MrTime now, const Job *job, gboolean *hope);
+/* TRUE if the job may go to @target once that is usable and has room. */
+gboolean
+mr_relay_may_go (const MrRelay *relay, MrTime now, const Job *job, const MrTargetState *target);
+/* TRUE if @target's oldest call has gone unanswered for much longer than usual. */
+gboolean mr_relay_stalled (const MrTargetState *target, MrTime now);
+/* TRUE if the bound on targets leaves one that the job may still be sent to. */
+gboolean mr_relay_may_try_more (const Job *job);
+
+/* What the job has tried: a call is sent, a call has ended. */
+void mr_relay_note_sent (Job *job, const MrTargetState *target);
+void mr_relay_note_tried (Job *job, const MrTargetState *target, MrCallOutcome outcome);
+
 /* Carries out what a target's health asks for. */
 void mr_relay_act (MrRelay *relay, MrTime now, MrTargetState *target, MrHealthAction action);
 
@@ -182,11 +202,6 @@
 /* Time until a job that is queued now gets room, from the queue before it. */
 MrTime mr_relay_expected_wait (const Job *job);
 
-/* TRUE if the bound on targets leaves one that the job may still be sent to. */
-gboolean mr_relay_may_try_more (const Job *job);
-/* The job's call to @target has ended so. */
-void mr_relay_note_tried (Job *job, const MrTargetState *target, MrCallOutcome outcome);
-
 /* A second send beside one that is under way; FALSE if none may go out now. */
 gboolean mr_relay_hedge (MrRelay *relay, MrTime now, Job *job);
 
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -14,25 +14,42 @@
 static const double UNLOADED_DRIFT = 1.0005;
 
 static void
-S_probe (gpointer owner, const MrTargetState *target)
+S_log_probe (const MrTargetState *target, MrTime now)
 {
-  MrRelayHost *host = ((MrRelay *) owner)->host;
-  host->probe (host, target);
+  g_autofree char *heard = target->health.answered_at == 0
+                               ? g_strdup ("no answer yet")
+                               : g_strdup_printf ("last answer %" G_GINT64_FORMAT " ms ago",
+                                                  (now - target->health.answered_at) / MR_MS);
+  mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_SUSPECT, "target %s (%s) is probed, state %s, %s",
+          target->id, target->key, mr_health_name (target->health.state), heard);
 }
 
+/* Carries out what a target's health asks for. */
 static void
-S_renew (gpointer owner, const MrTargetState *target)
+S_carry_out (MrRelay *r, MrTargetState *target, MrTime now, MrHealthAction action)
 {
-  MrRelayHost *host = ((MrRelay *) owner)->host;
-  host->renew (host, target);
+  switch (action)
+    {
+    case MR_HEALTH_PROBE:
+      S_log_probe (target, now);
+      r->host->probe (r->host, target);
+      break;
+    case MR_HEALTH_RENEW:
+      r->host->renew (r->host, target);
+      break;
+    case MR_HEALTH_COLD:
+      mr_limit_on_cold (&target->limit);
+      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_UP, "target %s (%s) is back", target->id, target->key);
+      break;
+    case MR_HEALTH_NOTHING:
+      break;
+    }
 }
 
-static const MrTargetOps target_ops = { .probe = S_probe, .renew = S_renew };
-
 void
 mr_relay_act (MrRelay *r, MrTime now, MrTargetState *target, MrHealthAction action)
 {
-  mr_target_state_act (target, now, action, &target_ops, r);
+  S_carry_out (r, target, now, action);
   r->some_down |= target->health.state == MR_HEALTH_DOWN;
   if (mr_health_usable (&target->health))
     {
@@ -177,9 +194,8 @@
 mr_relay_probe_end (MrRelay *r, MrTime now, const char *id, gboolean answered)
 {
   MrTargetState *target = g_hash_table_lookup (r->targets, id);
-  gboolean down = FALSE;
   if (target)
-    mr_relay_act (r, now, target, mr_target_state_probed (target, now, answered, &down));
+    mr_relay_act (r, now, target, mr_target_state_probed (target, now, answered));
 }
 
 void
--- a/src/target.c
+++ b/src/target.c
@@ -84,49 +84,12 @@
   target->failing += FAILING_WEIGHT * ((failed ? 1.0 : 0.0) - target->failing);
 }
 
-static void
-S_log_probe (const MrTargetState *target, MrTime now)
-{
-  g_autofree char *heard = target->health.answered_at == 0
-                               ? g_strdup ("no answer yet")
-                               : g_strdup_printf ("last answer %" G_GINT64_FORMAT " ms ago",
-                                                  (now - target->health.answered_at) / MR_MS);
-  mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_SUSPECT, "target %s (%s) is probed, state %s, %s",
-          target->id, target->key, mr_health_name (target->health.state), heard);
-}
-
-void
-mr_target_state_act (MrTargetState *target,
-                     MrTime now,
-                     MrHealthAction action,
-                     const MrTargetOps *ops,
-                     gpointer owner)
-{
-  switch (action)
-    {
-    case MR_HEALTH_PROBE:
-      S_log_probe (target, now);
-      ops->probe (owner, target);
-      break;
-    case MR_HEALTH_RENEW:
-      ops->renew (owner, target);
-      break;
-    case MR_HEALTH_COLD:
-      mr_limit_on_cold (&target->limit);
-      mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_UP, "target %s (%s) is back", target->id, target->key);
-      break;
-    case MR_HEALTH_NOTHING:
-      break;
-    }
-}
-
 MrHealthAction
-mr_target_state_probed (MrTargetState *target, MrTime now, gboolean answered, gboolean *down)
+mr_target_state_probed (MrTargetState *target, MrTime now, gboolean answered)
 {
   MrHealthState before = target->health.state;
   MrHealthAction action = mr_health_on_probe (&target->health, answered, now);
-  *down = target->health.state == MR_HEALTH_DOWN && before != MR_HEALTH_DOWN;
-  if (*down)
+  if (target->health.state == MR_HEALTH_DOWN && before != MR_HEALTH_DOWN)
     mr_log (MR_LOG_WARNING, MR_EVENT_TARGET_DOWN, "target %s (%s) is down", target->id,
             target->key);
   return action;
--- a/src/target.h
+++ b/src/target.h
@@ -35,23 +35,8 @@
 MrTargetState *mr_target_state_new (const MrTarget *target, const char *key);
 void mr_target_state_free (MrTargetState *target);
 
-/* How a target's owner carries out what its health asks for. */
-typedef struct
-{
-  void (*probe) (gpointer owner, const MrTargetState *target);
-  void (*renew) (gpointer owner, const MrTargetState *target);
-} MrTargetOps;
-
-void mr_target_state_act (MrTargetState *target,
-                          MrTime now,
-                          MrHealthAction action,
-                          const MrTargetOps *ops,
-                          gpointer owner);
-
-/* A probe has ended; returns what to do.  @down is set if the target has just
- * gone down. */
-MrHealthAction
-mr_target_state_probed (MrTargetState *target, MrTime now, gboolean answered, gboolean *down);
+/* A probe has ended; returns what to do. */
+MrHealthAction mr_target_state_probed (MrTargetState *target, MrTime now, gboolean answered);
 
 /* Calls @visit with each MrTargetState that is a value of @targets. */
 void mr_target_state_foreach (GHashTable *targets,
