Route times of a request that was slow to arrive count from its end, as before

With the start queue they had come to count from the first byte: a caller who takes long to send a body would have lost that time. Only the wait for a daemon that starts counts now, from when the whole request was there. A log line in plainer words.

--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -296,8 +296,10 @@
   S_refuse (task, caller, in, STATUS_UNAVAILABLE, "not-ready");
 }
 
+/* @arrived: from which the route's times count; 0: now, so that a caller who was slow
+ * to send has them all the same. */
 static void
-S_begin (MrRelayTask *task, MrCaller *caller, const MrHttpParser *in, MrTime began)
+S_begin (MrRelayTask *task, MrCaller *caller, const MrHttpParser *in, MrTime began, MrTime arrived)
 {
   MrConfiguration *configuration = task->view->configuration;
   const MrRoute *route = mr_configuration_match (
@@ -326,7 +328,7 @@
     .request = request,
     .configuration = configuration,
     .route = route,
-    .arrived = began,
+    .arrived = arrived,
     .deadline = request->deadline,
     .round_trip = mr_caller_round_trip (caller),
   };
@@ -339,11 +341,12 @@
 S_on_request (MrCallerServerHost *host, MrCaller *caller, const MrHttpParser *in, MrTime began)
 {
   MrRelayTask *task = RELAY_TASK_OF (host, caller_host);
-  MrWaitingRequest early = { .caller = caller, .request = in, .began = began };
+  MrTime now = mr_now ();
+  MrWaitingRequest early = { .caller = caller, .request = in, .began = began, .came = now };
   /* Without a configuration nobody can tell an unknown route from a known one. */
   if (mr_relay_task_ready (task))
-    S_begin (task, caller, in, began);
-  else if (mr_start_queue_add (task->early, mr_now (), &early))
+    S_begin (task, caller, in, began, 0);
+  else if (mr_start_queue_add (task->early, now, &early))
     task->early_count++;
   else
     S_refuse_not_ready (task, caller, in);
@@ -366,7 +369,7 @@
           count, ready ? "begun" : "refused, neither the store nor a peer has answered");
   while (mr_start_queue_take (task->early, &early))
     if (ready)
-      S_begin (task, early.caller, early.request, early.began);
+      S_begin (task, early.caller, early.request, early.began, early.came);
     else
       S_refuse_not_ready (task, early.caller, early.request);
 }
--- a/src/spread.c
+++ b/src/spread.c
@@ -96,7 +96,7 @@
   if (offer == MR_OFFER_KEPT)
     mr_log (MR_LOG_NOTICE, MR_EVENT_ENTRY_UNUSABLE,
             "%s/%.*s: version %" G_GUINT64_FORMAT
-            " from %s was written by an earlier process, or by nobody's; passed over",
+            " from %s was written by an earlier process or tells no start; passed over",
             mr_object_kind_name (kind), (int) name.len, name.data, version,
             from ? from : "the platform");
   if (from)
--- a/src/start_queue.h
+++ b/src/start_queue.h
@@ -26,7 +26,8 @@
 {
   gpointer caller;
   gconstpointer request; /* borrowed from the caller until it is answered */
-  MrTime began;
+  MrTime began;          /* its first byte */
+  MrTime came;           /* the whole of it */
 } MrWaitingRequest;
 
 /* @started: of this process. */
