--- a/test/platform/process_entries.sh
+++ b/test/platform/process_entries.sh
@@ -62,7 +62,9 @@
 
 # An entry that names nobody under the id of a good one ends new work there.
 announce 2 i-2 a ready
+mode "$(searcher_at 1)" shed # or i-2 might not be asked at all
 until_true 5 both served_by i-2 || fail "i-2 is not back"
+mode "$(searcher_at 1)" ok
 announce_raw i-2 '{"service":7}'
 gone() { grep -q '"event":"E1403".*i-2 .*no longer listed' "$LOGS/r$1.log"; }
 until_true 5 both gone || fail "an entry that names nobody ends no work"
