--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	libcmocka-dev librapidcheck-dev libxxhash-dev libglib2.0-dev \
 	libhttp-parser-dev curl
 
-C_FILES = $(wildcard src/*.[ch] platform/*.[ch] demo/*.[ch] bench/*.[ch] test/*.[ch] test/platform/*.[ch] test/soak/*.[ch] test/*.cpp test/*.hpp)
+C_FILES = $(wildcard src/*.[ch] platform/*.[ch] demo/*.[ch] bench/*.[ch] test/*.[ch] test/platform/*.[ch] test/soak/*.[ch] test/*.cpp test/*.hpp test/platform/*.cpp)
 
 .PHONY: all deps packages test demo up bench slopes soak soak-documents format check-format lint sanitize clean
 
--- a/test/platform/prop_store.cpp
+++ b/test/platform/prop_store.cpp
@@ -17,9 +17,10 @@
 std::string
 good_entry (int number)
 {
-  return "{\"meta\":{\"name\":\"i-" + std::to_string (number) + "\",\"revision\":" +
-         std::to_string (number + 1) +
-         "},\"spec\":{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":\"v1\","
+  return "{\"meta\":{\"name\":\"i-" + std::to_string (number) +
+         "\",\"revision\":" + std::to_string (number + 1) +
+         "},\"spec\":{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"version\":"
+         "\"v1\","
          "\"slots\":5,\"state\":\"ready\",\"warmup_left_ms\":0,\"seq\":1}}";
 }
 
