--- a/src/ctl_plot.c
+++ b/src/ctl_plot.c
@@ -184,77 +184,99 @@
   return most;
 }
 
+/* A row of bars, one a second, made of pieces on top of each other. */
+typedef struct
+{
+  int base; /* y of its foot */
+  guint pieces;
+  /* Height of one piece as a share of the panel's; @most requests are the whole. */
+  double (*share) (const Second *second, guint piece, guint most);
+  const char *(*color) (guint piece);
+  const char *(*name) (guint piece);
+} Bars;
+
 static double
-S_second_width (const CtlPlot *plot)
+S_outcome_share (const Second *second, guint piece, guint most)
 {
-  return (double) (WIDTH - 2 * LEFT) / (double) (plot->last - plot->first + 1);
+  return (double) second->counts[piece] / most;
 }
 
-/* A piece of a bar, on top of those before it; @top is moved to its upper end. */
-static void
-S_add_piece (GString *out, double x, double *top, double height, double width, const char *color)
+static const char *
+S_outcome_color (guint piece)
+{
+  return outcomes[piece].color;
+}
+
+static const char *
+S_outcome_name (guint piece)
+{
+  return outcomes[piece].name;
+}
+
+static double
+S_loss_share (const Second *second, guint piece, guint most)
+{
+  (void) most;
+  return second->lost[piece] / MAX (second->requests, 1);
+}
+
+static const char *
+S_loss_color (guint piece)
 {
-  *top -= height;
-  if (height > 0)
-    g_string_append_printf (out, "<rect x='%.2f' y='%.2f' width='%.2f' height='%.2f' fill='%s'/>\n",
-                            x, *top, MAX (width - 0.5, 0.5), height, color);
+  return loss_colors[piece];
+}
+
+static const char *
+S_loss_name (guint piece)
+{
+  return ctl_loss_name ((CtlLossKind) piece);
 }
 
-/* One bar a second: what of its requests' worth was lost, by kind. */
 static void
-S_add_losses (const CtlPlot *plot, GString *out)
+S_add_bar (const Bars *bars, GString *out, const Second *second, guint most, double x, double width)
 {
-  const int base = TOP + 3 * PANEL + 2 * GAP;
-  double step = S_second_width (plot);
-  GHashTableIter iter;
-  gpointer key = NULL;
-  gpointer item = NULL;
-  g_hash_table_iter_init (&iter, plot->seconds);
-  while (g_hash_table_iter_next (&iter, &key, &item))
+  double y = bars->base;
+  for (guint i = 0; i < bars->pieces; i++)
     {
-      const Second *second = item;
-      double x = LEFT + (double) (*(gint64 *) key - plot->first) * step;
-      double y = base;
-      for (guint i = 0; i < CTL_LOSSES; i++)
-        S_add_piece (out, x, &y, second->lost[i] * PANEL / MAX (second->requests, 1), step,
-                     loss_colors[i]);
+      double height = bars->share (second, i, most) * PANEL;
+      y -= height;
+      if (height > 0)
+        g_string_append_printf (out,
+                                "<rect x='%.2f' y='%.2f' width='%.2f' height='%.2f' fill='%s'/>\n",
+                                x, y, MAX (width - 0.5, 0.5), height, bars->color (i));
     }
-  g_string_append_printf (out,
-                          "<text x='%d' y='%d'>share of each second's worth that was lost"
-                          "</text>\n",
-                          LEFT, base - PANEL - 12);
-  for (guint i = 0; i < CTL_LOSSES; i++)
-    g_string_append_printf (out, "<text x='%u' y='%d' fill='%s'>%s</text>\n", LEFT + i * 200,
-                            base + 24, loss_colors[i], ctl_loss_name ((CtlLossKind) i));
 }
 
-/* One bar a second, outcomes on top of each other. */
 static void
-S_add_bars (const CtlPlot *plot, GString *out)
+S_add_bars (const CtlPlot *plot, GString *out, const Bars *bars, const char *title)
 {
-  const int base = TOP + 2 * PANEL + GAP;
   guint most = S_most_in_a_second (plot);
-  double step = S_second_width (plot);
+  double step = (double) (WIDTH - 2 * LEFT) / (double) (plot->last - plot->first + 1);
   GHashTableIter iter;
   gpointer key = NULL;
   gpointer item = NULL;
   g_hash_table_iter_init (&iter, plot->seconds);
   while (g_hash_table_iter_next (&iter, &key, &item))
-    {
-      const Second *second = item;
-      double x = LEFT + (double) (*(gint64 *) key - plot->first) * step;
-      double y = base;
-      for (guint i = 0; i < OUTCOMES; i++)
-        S_add_piece (out, x, &y, (double) second->counts[i] * PANEL / most, step,
-                     outcomes[i].color);
-    }
-  g_string_append_printf (out,
-                          "<text x='%d' y='%d'>requests a second, about (%u at most), over "
-                          "%" G_GINT64_FORMAT " s</text>\n",
-                          LEFT, base - PANEL - 12, most, plot->last - plot->first + 1);
-  for (guint i = 0; i < OUTCOMES; i++)
+    S_add_bar (bars, out, item, most, LEFT + (double) (*(gint64 *) key - plot->first) * step, step);
+  g_string_append_printf (out, "<text x='%d' y='%d'>%s</text>\n", LEFT, bars->base - PANEL - 12,
+                          title);
+  for (guint i = 0; i < bars->pieces; i++)
     g_string_append_printf (out, "<text x='%u' y='%d' fill='%s'>%s</text>\n", LEFT + i * 200,
-                            base + 24, outcomes[i].color, outcomes[i].name);
+                            bars->base + 24, bars->color (i), bars->name (i));
+}
+
+static void
+S_add_seconds (const CtlPlot *plot, GString *out)
+{
+  static const Bars served = { TOP + 2 * PANEL + GAP, OUTCOMES, S_outcome_share, S_outcome_color,
+                               S_outcome_name };
+  static const Bars lost = { TOP + 3 * PANEL + 2 * GAP, CTL_LOSSES, S_loss_share, S_loss_color,
+                             S_loss_name };
+  g_autofree char *title =
+      g_strdup_printf ("requests a second, about (%u at most), over %" G_GINT64_FORMAT " s",
+                       S_most_in_a_second (plot), plot->last - plot->first + 1);
+  S_add_bars (plot, out, &served, title);
+  S_add_bars (plot, out, &lost, "share of each second's worth that was lost");
 }
 
 CtlExit
@@ -270,10 +292,7 @@
   S_add_latency_axis (out);
   g_string_append_len (out, plot->curves->str, (gssize) plot->curves->len);
   if (g_hash_table_size (plot->seconds) > 0)
-    {
-      S_add_bars (plot, out);
-      S_add_losses (plot, out);
-    }
+    S_add_seconds (plot, out);
   g_string_append (out, "</svg>\n");
   if (!g_file_set_contents (path, out->str, (gssize) out->len, &error))
     return ctl_fail (CTL_FAILED, "%s", error->message);
--- a/test/platform/process_explain.sh
+++ b/test/platform/process_explain.sh
@@ -42,6 +42,15 @@
 grep -Eq "all +parts missing, soft-end +1 +0.6" "$LOGS/report.txt" || fail "what a partial answer lost: $(cat "$LOGS/report.txt")"
 grep -Eq "one +refused, attempts +1 +1.0" "$LOGS/report.txt" || fail "what a refusal lost: $(cat "$LOGS/report.txt")"
 grep -q "share of each second's worth that was lost" "$LOGS/report.svg" || fail "no plot of what was lost"
+# Lines stand for what they were sampled from and for those left out before them: one
+# late answer without half of its parts, with three more left out, beside a plain one.
+cat >"$LOGS/sampled.txt" <<'LINES'
+{"time":1000,"event":"E1701","route":"x","verdict":"merge","cause":"soft-end","status":200,"took_us":500000,"aim_us":400000,"parts":2,"missing":1,"sends":2,"left_out":3}
+{"time":2000,"event":"E1700","route":"x","verdict":"merge","cause":"none","status":200,"took_us":1000,"aim_us":400000,"parts":2,"missing":0,"sends":2}
+LINES
+"$BUILD/merlinringctl" report "$LOGS/sampled.txt" >"$LOGS/sampled-report.txt"
+grep -q "lost, of 54 requests" "$LOGS/sampled-report.txt" || fail "weights: $(cat "$LOGS/sampled-report.txt")"
+grep -Eq "x +late, soft-end +4 +3.9 +7.22%" "$LOGS/sampled-report.txt" || fail "late: $(cat "$LOGS/sampled-report.txt")"
 grep -q "refused attempts" "$LOGS/report.txt" || fail "report: $(cat "$LOGS/report.txt")"
 grep -q "failed broken" "$LOGS/report.txt" || fail "report: $(cat "$LOGS/report.txt")"
 explain nobody >/dev/null 2>&1 && fail "an unknown id is explained"
