--- a/src/ctl.h
+++ b/src/ctl.h
@@ -96,6 +96,9 @@
 /* The number at @key; 0 if it is not there. */
 json_int_t ctl_line_number (const json_t *line, const char *key);
 
+/* Adds @count to what @table (text -> count) holds at @key. */
+void ctl_count (GHashTable *table, const char *key, guint count);
+
 /* Reads standard input if @files is empty. */
 CtlExit
 ctl_read_files (int count, char **files, void (*add) (json_t *line, void *user), void *user);
--- a/src/ctl_log.c
+++ b/src/ctl_log.c
@@ -36,6 +36,13 @@
   return CTL_OK;
 }
 
+void
+ctl_count (GHashTable *table, const char *key, guint count)
+{
+  guint sum = GPOINTER_TO_UINT (g_hash_table_lookup (table, key)) + count;
+  g_hash_table_replace (table, g_strdup (key), GUINT_TO_POINTER (sum));
+}
+
 const char *
 ctl_line_text (const json_t *line, const char *key)
 {
--- a/src/ctl_loss.c
+++ b/src/ctl_loss.c
@@ -27,32 +27,21 @@
   double lost[CTL_LOSSES];
 } Second;
 
-typedef struct
-{
-  char *route;
-  guint requests;
-} Asked;
-
 struct _CtlLoss
 {
   GHashTable *items;   /* "route cause" -> Item */
   GHashTable *seconds; /* second -> Second */
-  GHashTable *routes;  /* route -> Asked */
+  GHashTable *routes;  /* route -> count of its requests */
   gint64 first;
   guint requests;
 };
 
-const char *
-ctl_loss_name (CtlLossKind kind)
-{
-  static const char *const names[CTL_LOSSES] = {
-    [CTL_LOSS_PARTIAL] = "parts missing",
-    [CTL_LOSS_LATE] = "late",
-    [CTL_LOSS_REFUSED] = "refused",
-    [CTL_LOSS_FAILED] = "failed",
-  };
-  return names[kind];
-}
+const char *const ctl_loss_names[CTL_LOSSES] = {
+  [CTL_LOSS_PARTIAL] = "parts missing",
+  [CTL_LOSS_LATE] = "late",
+  [CTL_LOSS_REFUSED] = "refused",
+  [CTL_LOSS_FAILED] = "failed",
+};
 
 static double
 S_earned (const json_t *line, gboolean late)
@@ -93,21 +82,13 @@
   g_free (item);
 }
 
-static void
-S_asked_free (gpointer data)
-{
-  Asked *asked = data;
-  g_free (asked->route);
-  g_free (asked);
-}
-
 CtlLoss *
 ctl_loss_new (void)
 {
   CtlLoss *loss = g_new0 (CtlLoss, 1);
   loss->items = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, S_item_free);
   loss->seconds = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  loss->routes = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_asked_free);
+  loss->routes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   loss->first = G_MAXINT64;
   return loss;
 }
@@ -149,18 +130,6 @@
   return second;
 }
 
-static Asked *
-S_asked (CtlLoss *loss, const char *route)
-{
-  Asked *asked = g_hash_table_lookup (loss->routes, route);
-  if (asked)
-    return asked;
-  asked = g_new0 (Asked, 1);
-  asked->route = g_strdup (route);
-  g_hash_table_insert (loss->routes, asked->route, asked);
-  return asked;
-}
-
 void
 ctl_loss_add (CtlLoss *loss, const json_t *line)
 {
@@ -169,18 +138,19 @@
   if (!ctl_line_loss (line, &part))
     return;
   const char *route = ctl_line_text (line, "route");
+  route = *route ? route : "(none)";
   gint64 at = ctl_line_number (line, "time") / 1000;
   Second *second = S_second (loss, at);
   second->requests += part.requests;
   second->lost[part.kind] += part.lost * part.requests;
   loss->requests += part.requests;
   loss->first = MIN (loss->first, at);
-  S_asked (loss, *route ? route : "(none)")->requests += part.requests;
+  ctl_count (loss->routes, route, part.requests);
   if (part.lost <= 0)
     return;
-  g_snprintf (cause, sizeof cause, "%s, %s", ctl_loss_name (part.kind),
+  g_snprintf (cause, sizeof cause, "%s, %s", ctl_loss_names[part.kind],
               ctl_line_text (line, "cause"));
-  Item *item = S_item (loss, *route ? route : "(none)", cause);
+  Item *item = S_item (loss, route, cause);
   item->requests += part.requests;
   item->lost += part.lost * part.requests;
 }
@@ -219,9 +189,9 @@
   for (const GList *link = items; link; link = link->next)
     {
       const Item *item = link->data;
-      const Asked *asked = g_hash_table_lookup (loss->routes, item->route);
+      guint asked = GPOINTER_TO_UINT (g_hash_table_lookup (loss->routes, item->route));
       printf ("  %-16s %-28s %9u %9.1f %8.2f%%\n", item->route, item->cause, item->requests,
-              item->lost, 100 * item->lost / MAX (asked->requests, 1));
+              item->lost, 100 * item->lost / MAX (asked, 1));
     }
 }
 
@@ -235,7 +205,7 @@
           "the second\n");
   printf ("  %-8s %9s", "second", "requests");
   for (guint i = 0; i < CTL_LOSSES; i++)
-    printf (" %14s", ctl_loss_name ((CtlLossKind) i));
+    printf (" %14s", ctl_loss_names[i]);
   printf ("\n");
   for (const GList *link = seconds; link && shown < SECONDS_SHOWN; link = link->next, shown++)
     {
--- a/src/ctl_loss.h
+++ b/src/ctl_loss.h
@@ -27,7 +27,7 @@
   double lost; /* of each, 0 to 1 */
 } CtlLineLoss;
 
-const char *ctl_loss_name (CtlLossKind kind);
+extern const char *const ctl_loss_names[CTL_LOSSES];
 
 /* FALSE if the line is of no request that a caller was owed an answer to. */
 gboolean ctl_line_loss (const json_t *line, CtlLineLoss *loss);
--- a/src/ctl_plot.c
+++ b/src/ctl_plot.c
@@ -27,15 +27,18 @@
   OUTCOMES,
 } Outcome;
 
-static const struct
-{
-  const char *name;
-  const char *color;
-} outcomes[OUTCOMES] = {
-  [OUTCOME_SERVED] = { "served", "#4c9f70" },
-  [OUTCOME_PARTIAL] = { "served in part or repeated", "#e0b13c" },
-  [OUTCOME_REFUSED] = { "refused", "#d9793a" },
-  [OUTCOME_FAILED] = { "failed or timed out", "#b23a48" },
+static const char *const outcome_names[OUTCOMES] = {
+  [OUTCOME_SERVED] = "served",
+  [OUTCOME_PARTIAL] = "served in part or repeated",
+  [OUTCOME_REFUSED] = "refused",
+  [OUTCOME_FAILED] = "failed or timed out",
+};
+
+static const char *const outcome_colors[OUTCOMES] = {
+  [OUTCOME_SERVED] = "#4c9f70",
+  [OUTCOME_PARTIAL] = "#e0b13c",
+  [OUTCOME_REFUSED] = "#d9793a",
+  [OUTCOME_FAILED] = "#b23a48",
 };
 
 static const char *const loss_colors[CTL_LOSSES] = {
@@ -191,8 +194,8 @@
   guint pieces;
   /* Height of one piece as a share of the panel's; @most requests are the whole. */
   double (*share) (const Second *second, guint piece, guint most);
-  const char *(*color) (guint piece);
-  const char *(*name) (guint piece);
+  const char *const *colors;
+  const char *const *names;
 } Bars;
 
 static double
@@ -201,18 +204,6 @@
   return (double) second->counts[piece] / most;
 }
 
-static const char *
-S_outcome_color (guint piece)
-{
-  return outcomes[piece].color;
-}
-
-static const char *
-S_outcome_name (guint piece)
-{
-  return outcomes[piece].name;
-}
-
 static double
 S_loss_share (const Second *second, guint piece, guint most)
 {
@@ -220,18 +211,6 @@
   return second->lost[piece] / MAX (second->requests, 1);
 }
 
-static const char *
-S_loss_color (guint piece)
-{
-  return loss_colors[piece];
-}
-
-static const char *
-S_loss_name (guint piece)
-{
-  return ctl_loss_name ((CtlLossKind) piece);
-}
-
 static void
 S_add_bar (const Bars *bars, GString *out, const Second *second, guint most, double x, double width)
 {
@@ -243,7 +222,7 @@
       if (height > 0)
         g_string_append_printf (out,
                                 "<rect x='%.2f' y='%.2f' width='%.2f' height='%.2f' fill='%s'/>\n",
-                                x, y, MAX (width - 0.5, 0.5), height, bars->color (i));
+                                x, y, MAX (width - 0.5, 0.5), height, bars->colors[i]);
     }
 }
 
@@ -262,16 +241,26 @@
                           title);
   for (guint i = 0; i < bars->pieces; i++)
     g_string_append_printf (out, "<text x='%u' y='%d' fill='%s'>%s</text>\n", LEFT + i * 200,
-                            bars->base + 24, bars->color (i), bars->name (i));
+                            bars->base + 24, bars->colors[i], bars->names[i]);
 }
 
 static void
 S_add_seconds (const CtlPlot *plot, GString *out)
 {
-  static const Bars served = { TOP + 2 * PANEL + GAP, OUTCOMES, S_outcome_share, S_outcome_color,
-                               S_outcome_name };
-  static const Bars lost = { TOP + 3 * PANEL + 2 * GAP, CTL_LOSSES, S_loss_share, S_loss_color,
-                             S_loss_name };
+  static const Bars served = {
+    .base = TOP + 2 * PANEL + GAP,
+    .pieces = OUTCOMES,
+    .share = S_outcome_share,
+    .colors = outcome_colors,
+    .names = outcome_names,
+  };
+  static const Bars lost = {
+    .base = TOP + 3 * PANEL + 2 * GAP,
+    .pieces = CTL_LOSSES,
+    .share = S_loss_share,
+    .colors = loss_colors,
+    .names = ctl_loss_names,
+  };
   g_autofree char *title =
       g_strdup_printf ("requests a second, about (%u at most), over %" G_GINT64_FORMAT " s",
                        S_most_in_a_second (plot), plot->last - plot->first + 1);
--- a/src/ctl_report.c
+++ b/src/ctl_report.c
@@ -40,13 +40,6 @@
   g_free (route);
 }
 
-static void
-S_count (GHashTable *table, const char *key, guint count)
-{
-  guint sum = GPOINTER_TO_UINT (g_hash_table_lookup (table, key)) + count;
-  g_hash_table_replace (table, g_strdup (key), GUINT_TO_POINTER (sum));
-}
-
 static Route *
 S_route (Report *report, const char *name)
 {
@@ -77,7 +70,7 @@
     {
       g_autofree char *key =
           g_strdup_printf ("%s %s", ctl_line_text (line, "verdict"), ctl_line_text (line, "cause"));
-      S_count (report->causes, key, 1);
+      ctl_count (report->causes, key, 1);
       return;
     }
   route->partial += ctl_line_number (line, "missing") > 0;
@@ -112,7 +105,7 @@
   report->lines++;
   report->left_out += (guint64) ctl_line_number (line, "left_out");
   report->dropped += (guint64) ctl_line_number (line, "dropped");
-  S_count (report->events, event, 1);
+  ctl_count (report->events, event, 1);
   ctl_loss_add (report->loss, line);
   if (json_object_get (line, "route"))
     S_add_request (report, line);
