A target that starts again is replaced before its old process's queue is looked at

Cause: the old process was taken out, and the requests that waited for it looked at, before the new one was in. Where it was a shard's only target they were refused (no-target) although the new process could run them.

--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -67,10 +67,12 @@
   return r->policy->by_address ? state->key : state->id;
 }
 
-/* Ends new work at @state, which no name leads to from now on. */
-static void
+/* Ends new work at @state, which no name leads to from now on.  Returns the sets that
+ * it was in; what waits in them is for the caller to look at. */
+static GPtrArray *
 S_take_out (MrRelay *r, MrTime now, MrTargetState *state)
 {
+  GPtrArray *sets = g_ptr_array_new ();
   mr_health_on_leaving (&state->health, now);
   state->health.leaving_at = now;
   g_hash_table_remove (r->targets, S_name (r, state));
@@ -79,10 +81,18 @@
     {
       Service *service = g_ptr_array_index (state->sets, i);
       g_ptr_array_remove (service->targets, state);
-      mr_relay_pump (r, now, service);
+      g_ptr_array_add (sets, service);
     }
   g_ptr_array_set_size (state->sets, 0);
   g_ptr_array_add (r->retired, state);
+  return sets;
+}
+
+static void
+S_pump_sets (MrRelay *r, MrTime now, const GPtrArray *sets)
+{
+  for (guint i = 0; i < sets->len; i++)
+    mr_relay_pump (r, now, g_ptr_array_index (sets, i));
 }
 
 /* The calls that are out to a process that has ended get no answer any more: they
@@ -99,36 +109,46 @@
     }
 }
 
-/* @state's process has ended and another has its id.  Nothing that was learned of
- * the one holds for the other: not its address, health, limit or latency, nor that
- * it was leaving. */
+/* "ip:port"; new. */
+static char *
+S_address (const MrTarget *target)
+{
+  return g_strdup_printf ("%s:%d", target->ip, target->port);
+}
+
+/* TRUE if @target is another process than @state, under its id.  Nothing that was
+ * learned of the one holds for the other: not its address, health, limit or latency,
+ * nor that it was leaving. */
+static gboolean
+S_is_replaced (const MrRelay *r, const MrTargetState *state, const MrTarget *target)
+{
+  g_autofree char *key = S_address (target);
+  return !r->policy->by_address &&
+         (state->started != target->started || !g_str_equal (state->key, key));
+}
+
 static void
-S_end_process (MrRelay *r, MrTime now, MrTargetState *state, const MrTarget *next)
+S_log_restart (const MrTargetState *state, const MrTarget *next)
 {
   mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_RESTARTED,
           "target %s (%s) has started again, at %" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
           ", on %s:%d: %u calls are lost",
           state->id, state->key, next->started, state->started, next->ip, next->port,
           state->open.length);
-  S_take_out (r, now, state);
-  S_lose_calls (r, now, state);
+}
+
+static MrTargetState *
+S_find_target (const MrRelay *r, const MrTarget *target)
+{
+  g_autofree char *key = S_address (target);
+  return g_hash_table_lookup (r->targets, r->policy->by_address ? key : target->id);
 }
 
 static MrTargetState *
 S_add_target (MrRelay *r, MrTime now, const char *set, const MrTarget *target, MrTime cold_for)
 {
-  char key[64];
-  g_snprintf (key, sizeof key, "%s:%d", target->ip, target->port);
-  MrTargetState *state = g_hash_table_lookup (r->targets, r->policy->by_address ? key : target->id);
-  if (state && !r->policy->by_address &&
-      (state->started != target->started || !g_str_equal (state->key, key)))
-    {
-      S_end_process (r, now, state, target);
-      state = NULL;
-    }
-  if (state)
-    return state;
-  state = mr_target_state_new (target, key);
+  g_autofree char *key = S_address (target);
+  MrTargetState *state = mr_target_state_new (target, key);
   state->cold_until = now + cold_for;
   g_hash_table_insert (r->targets, (gpointer) S_name (r, state), state);
   mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_KNOWN, "target %s (%s) of %s in %s, slow for %d ms yet",
@@ -155,7 +175,18 @@
                  gboolean leaving,
                  MrTime cold_for)
 {
-  MrTargetState *state = S_add_target (r, now, set, target, cold_for);
+  MrTargetState *state = S_find_target (r, target);
+  MrTargetState *ended = NULL;
+  g_autoptr (GPtrArray) sets = NULL;
+  if (state && S_is_replaced (r, state, target))
+    {
+      S_log_restart (state, target);
+      ended = state;
+      sets = S_take_out (r, now, ended);
+      state = NULL;
+    }
+  if (!state)
+    state = S_add_target (r, now, set, target, cold_for);
   Service *service = mr_relay_service (r, set);
   if (!g_ptr_array_find (state->sets, service, NULL))
     {
@@ -166,6 +197,13 @@
   if (leaving)
     S_list_as_leaving (r, now, state);
   mr_relay_pump (r, now, service);
+  /* Only now: requests that waited for the old process, a shard's only target, would
+   * be refused while there is none. */
+  if (ended)
+    {
+      S_pump_sets (r, now, sets);
+      S_lose_calls (r, now, ended);
+    }
   return state;
 }
 
@@ -187,7 +225,8 @@
     return;
   mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_LEAVING, "target %s (%s) leaves: no longer listed",
           state->id, state->key);
-  S_take_out (r, now, state);
+  g_autoptr (GPtrArray) sets = S_take_out (r, now, state);
+  S_pump_sets (r, now, sets);
 }
 
 void
--- a/test/test_incarnation.c
+++ b/test/test_incarnation.c
@@ -114,6 +114,7 @@
   guint64 last_started; /* of that target */
   guint drops;
   guint done;
+  guint refused;
   MrRelayResult result;
 } Host;
 
@@ -147,6 +148,7 @@
   Host *h = (Host *) host;
   (void) request;
   h->done++;
+  h->refused += result->verdict == MR_VERDICT_REFUSED;
   h->result = *result;
 }
 
@@ -280,6 +282,33 @@
   mr_relay_free (relay);
 }
 
+/* What callers see: requests that are refused although the shard's only target is
+ * back and idle.  They wait for a slot when the target starts again; the old process
+ * must not be out, with nobody left to wait for, before the new one is in. */
+static void
+test_waiting_for_the_only_target (void **state)
+{
+  enum
+  {
+    REQUESTS = 6,
+  };
+  (void) state;
+  Host host;
+  MrRelay *relay = S_relay (&host);
+  MrRoute route = S_route (TRUE);
+  S_add (relay, 0, OLD, FALSE);
+  for (guint i = 0; i < REQUESTS; i++)
+    S_submit (relay, 10, &host, &route);
+  guint begun = host.calls;
+  assert_true (begun < REQUESTS);
+  assert_int_equal (host.done, 0);
+  S_add (relay, 20, NEW, FALSE);
+  assert_int_equal (host.refused, 0);
+  assert_true (host.calls > begun);
+  assert_int_equal (host.last_started, NEW);
+  mr_relay_free (relay);
+}
+
 /* The same entry again, as after a lapse, changes nothing for calls in flight. */
 static void
 test_same_process (void **state)
@@ -302,8 +331,11 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_order_of_entries), cmocka_unit_test (test_daemons_agree),
-    cmocka_unit_test (test_calls_in_flight),  cmocka_unit_test (test_nothing_holds),
+    cmocka_unit_test (test_order_of_entries),
+    cmocka_unit_test (test_daemons_agree),
+    cmocka_unit_test (test_calls_in_flight),
+    cmocka_unit_test (test_nothing_holds),
+    cmocka_unit_test (test_waiting_for_the_only_target),
     cmocka_unit_test (test_same_process),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
