--- a/src/ctl_plot.c
+++ b/src/ctl_plot.c
@@ -1,6 +1,7 @@
 #include "ctl_plot.h"
 
 #include "ctl_loss.h"
+#include "ctl_traffic.h"
 
 #include <math.h>
 
@@ -11,7 +12,7 @@
   LEFT = 60,
   TOP = 40,
   GAP = 70, /* between the plots, with room for the axis */
-  PAGE_HEIGHT = 3 * PANEL + 2 * GAP + TOP + 60,
+  PAGE_HEIGHT = 4 * PANEL + 3 * GAP + TOP + 60,
   CURVE_STEPS = 120,
 };
 
@@ -48,6 +49,13 @@
   [CTL_LOSS_FAILED] = "#b23a48",
 };
 
+static const char *const traffic_colors[MR_TRAFFIC_KINDS] = {
+  [MR_TRAFFIC_HEARTBEAT] = "#2d6a9f", [MR_TRAFFIC_MEMBERS] = "#8e5ea2",
+  [MR_TRAFFIC_NEWS] = "#4c9f70",      [MR_TRAFFIC_COMPARE] = "#e0b13c",
+  [MR_TRAFFIC_GET] = "#d9793a",       [MR_TRAFFIC_OBJECTS] = "#b23a48",
+  [MR_TRAFFIC_SEARCH] = "#555555",    [MR_TRAFFIC_ORDER] = "#999999",
+};
+
 static const char *const route_colors[] = { "#2d6a9f", "#b23a48", "#4c9f70",
                                             "#8e5ea2", "#d9793a", "#555555" };
 
@@ -56,6 +64,7 @@
   guint counts[OUTCOMES];
   guint requests; /* with those of lines left out */
   double lost[CTL_LOSSES];
+  double sent[MR_TRAFFIC_KINDS]; /* bytes to other failure domains */
 } Second;
 
 struct _CtlPlot
@@ -98,18 +107,34 @@
   return ctl_line_weight (line) == 1 ? OUTCOME_PARTIAL : OUTCOME_SERVED;
 }
 
-void
-ctl_plot_add (CtlPlot *plot, const json_t *line)
+static Second *
+S_second_of (CtlPlot *plot, const json_t *line)
 {
   gint64 at = ctl_line_number (line, "time") / 1000;
   Second *second = g_hash_table_lookup (plot->seconds, &at);
-  if (!second)
-    {
-      gint64 *key = g_new (gint64, 1);
-      *key = at;
-      second = g_new0 (Second, 1);
-      g_hash_table_insert (plot->seconds, key, second);
-    }
+  plot->first = MIN (plot->first, at);
+  plot->last = MAX (plot->last, at);
+  if (second)
+    return second;
+  gint64 *key = g_new (gint64, 1);
+  *key = at;
+  second = g_new0 (Second, 1);
+  g_hash_table_insert (plot->seconds, key, second);
+  return second;
+}
+
+void
+ctl_plot_add_traffic (CtlPlot *plot, const json_t *line)
+{
+  Second *second = S_second_of (plot, line);
+  for (int kind = 0; kind < MR_TRAFFIC_KINDS; kind++)
+    second->sent[kind] += ctl_line_sent (line, (MrTrafficKind) kind, FALSE);
+}
+
+void
+ctl_plot_add (CtlPlot *plot, const json_t *line)
+{
+  Second *second = S_second_of (plot, line);
   second->counts[S_outcome (line)] += ctl_line_weight (line);
   CtlLineLoss loss;
   if (ctl_line_loss (line, &loss))
@@ -117,8 +142,6 @@
       second->requests += loss.requests;
       second->lost[loss.kind] += loss.lost * loss.requests;
     }
-  plot->first = MIN (plot->first, at);
-  plot->last = MAX (plot->last, at);
 }
 
 static double
@@ -170,20 +193,34 @@
                             TOP + PANEL - tenth * PANEL / 10, tenth / 10.0);
 }
 
-static guint
-S_most_in_a_second (const CtlPlot *plot)
+static double
+S_requests_in (const Second *second)
 {
-  guint most = 1;
+  guint sum = 0;
+  for (guint i = 0; i < OUTCOMES; i++)
+    sum += second->counts[i];
+  return sum;
+}
+
+static double
+S_sent_in (const Second *second)
+{
+  double sum = 0;
+  for (guint i = 0; i < MR_TRAFFIC_KINDS; i++)
+    sum += second->sent[i];
+  return sum;
+}
+
+/* The most that @amount gives for one second, but at least 1. */
+static double
+S_most (const CtlPlot *plot, double (*amount) (const Second *second))
+{
+  double most = 1;
   GHashTableIter iter;
   gpointer item = NULL;
   g_hash_table_iter_init (&iter, plot->seconds);
   while (g_hash_table_iter_next (&iter, NULL, &item))
-    {
-      guint sum = 0;
-      for (guint i = 0; i < OUTCOMES; i++)
-        sum += ((const Second *) item)->counts[i];
-      most = MAX (most, sum);
-    }
+    most = MAX (most, amount (item));
   return most;
 }
 
@@ -192,32 +229,39 @@
 {
   int base; /* y of its foot */
   guint pieces;
-  /* Height of one piece as a share of the panel's; @most requests are the whole. */
-  double (*share) (const Second *second, guint piece, guint most);
+  /* Height of one piece as a share of the panel's; @most is the whole. */
+  double (*share) (const Second *second, guint piece, double most);
+  double most;
   const char *const *colors;
   const char *const *names;
 } Bars;
 
 static double
-S_outcome_share (const Second *second, guint piece, guint most)
+S_outcome_share (const Second *second, guint piece, double most)
 {
   return (double) second->counts[piece] / most;
 }
 
 static double
-S_loss_share (const Second *second, guint piece, guint most)
+S_loss_share (const Second *second, guint piece, double most)
 {
   (void) most;
   return second->lost[piece] / MAX (second->requests, 1);
 }
 
+static double
+S_sent_share (const Second *second, guint piece, double most)
+{
+  return second->sent[piece] / most;
+}
+
 static void
-S_add_bar (const Bars *bars, GString *out, const Second *second, guint most, double x, double width)
+S_add_bar (const Bars *bars, GString *out, const Second *second, double x, double width)
 {
   double y = bars->base;
   for (guint i = 0; i < bars->pieces; i++)
     {
-      double height = bars->share (second, i, most) * PANEL;
+      double height = bars->share (second, i, bars->most) * PANEL;
       y -= height;
       if (height > 0)
         g_string_append_printf (out,
@@ -229,43 +273,61 @@
 static void
 S_add_bars (const CtlPlot *plot, GString *out, const Bars *bars, const char *title)
 {
-  guint most = S_most_in_a_second (plot);
   double step = (double) (WIDTH - 2 * LEFT) / (double) (plot->last - plot->first + 1);
   GHashTableIter iter;
   gpointer key = NULL;
   gpointer item = NULL;
   g_hash_table_iter_init (&iter, plot->seconds);
   while (g_hash_table_iter_next (&iter, &key, &item))
-    S_add_bar (bars, out, item, most, LEFT + (double) (*(gint64 *) key - plot->first) * step, step);
+    S_add_bar (bars, out, item, LEFT + (double) (*(gint64 *) key - plot->first) * step, step);
   g_string_append_printf (out, "<text x='%d' y='%d'>%s</text>\n", LEFT, bars->base - PANEL - 12,
                           title);
   for (guint i = 0; i < bars->pieces; i++)
-    g_string_append_printf (out, "<text x='%u' y='%d' fill='%s'>%s</text>\n", LEFT + i * 200,
-                            bars->base + 24, bars->colors[i], bars->names[i]);
+    g_string_append_printf (out, "<text x='%u' y='%d' fill='%s'>%s</text>\n",
+                            LEFT + i * (WIDTH - 2 * LEFT) / bars->pieces, bars->base + 24,
+                            bars->colors[i], bars->names[i]);
 }
 
 static void
 S_add_seconds (const CtlPlot *plot, GString *out)
 {
-  static const Bars served = {
+  const Bars served = {
     .base = TOP + 2 * PANEL + GAP,
     .pieces = OUTCOMES,
     .share = S_outcome_share,
+    .most = S_most (plot, S_requests_in),
     .colors = outcome_colors,
     .names = outcome_names,
   };
-  static const Bars lost = {
+  const Bars lost = {
     .base = TOP + 3 * PANEL + 2 * GAP,
     .pieces = CTL_LOSSES,
     .share = S_loss_share,
+    .most = 1,
     .colors = loss_colors,
     .names = ctl_loss_names,
   };
-  g_autofree char *title =
-      g_strdup_printf ("requests a second, about (%u at most), over %" G_GINT64_FORMAT " s",
-                       S_most_in_a_second (plot), plot->last - plot->first + 1);
-  S_add_bars (plot, out, &served, title);
+  const char *kinds[MR_TRAFFIC_KINDS];
+  const Bars sent = {
+    .base = TOP + 4 * PANEL + 3 * GAP,
+    .pieces = MR_TRAFFIC_KINDS,
+    .share = S_sent_share,
+    .most = S_most (plot, S_sent_in),
+    .colors = traffic_colors,
+    .names = kinds,
+  };
+  for (int kind = 0; kind < MR_TRAFFIC_KINDS; kind++)
+    kinds[kind] = mr_traffic_kind_name ((MrTrafficKind) kind);
+  g_autofree char *requests =
+      g_strdup_printf ("requests a second, about (%.0f at most), over %" G_GINT64_FORMAT " s",
+                       served.most, plot->last - plot->first + 1);
+  g_autofree char *bytes =
+      g_strdup_printf ("control and searches sent to other failure domains, as their log lines came"
+                       " (%.0f kB in one second at most)",
+                       sent.most / 1000);
+  S_add_bars (plot, out, &served, requests);
   S_add_bars (plot, out, &lost, "share of each second's worth that was lost");
+  S_add_bars (plot, out, &sent, bytes);
 }
 
 CtlExit
--- a/src/ctl_report.c
+++ b/src/ctl_report.c
@@ -1,5 +1,6 @@
 #include "ctl_loss.h"
 #include "ctl_plot.h"
+#include "ctl_traffic.h"
 
 #include <stdio.h>
 
@@ -25,6 +26,7 @@
   GHashTable *causes;  /* "event cause" -> count, of what was not served */
   GHashTable *events;  /* event -> count */
   GHashTable *version; /* relay's time of a version in force: version -> times */
+  CtlTraffic traffic;
   CtlLoss *loss;
   CtlPlot *plot; /* NULL: not asked for */
   guint64 left_out;
@@ -97,6 +99,14 @@
     }
 }
 
+static void
+S_add_traffic (Report *report, const json_t *line)
+{
+  ctl_traffic_add (&report->traffic, line);
+  if (report->plot)
+    ctl_plot_add_traffic (report->plot, line);
+}
+
 static void
 S_add (json_t *line, void *user)
 {
@@ -111,6 +121,8 @@
     S_add_request (report, line);
   else if (g_str_equal (event, "E1206"))
     S_add_version (report, line);
+  else if (g_str_equal (event, "E1106"))
+    S_add_traffic (report, line);
 }
 
 static int
@@ -209,6 +221,7 @@
       S_print_counts ("not served, by verdict and cause", report.causes);
       S_print_counts ("events", report.events);
       S_print_versions (&report);
+      ctl_traffic_print (&report.traffic);
       if (options->svg)
         result = S_write_plots (&report, options->svg);
     }
--- a/test/platform/process_explain.sh
+++ b/test/platform/process_explain.sh
@@ -41,6 +41,8 @@
 "$BUILD/merlinringctl" report --svg "$LOGS/none/x.svg" "$LOGS"/r*.log >/dev/null 2>&1 && fail "a file that can't be written is no error"
 grep -Eq "all +parts missing, soft-end +1 +0.6" "$LOGS/report.txt" || fail "what a partial answer lost: $(cat "$LOGS/report.txt")"
 grep -Eq "one +refused, attempts +1 +1.0" "$LOGS/report.txt" || fail "what a refusal lost: $(cat "$LOGS/report.txt")"
+grep -Eq "^heartbeat +[0-9.]+ +[0-9.]+$" "$LOGS/report.txt" || fail "no table of what daemons sent: $(cat "$LOGS/report.txt")"
+grep -q "sent to other failure domains" "$LOGS/report.svg" || fail "no plot of what daemons sent"
 grep -q "share of each second's worth that was lost" "$LOGS/report.svg" || fail "no plot of what was lost"
 # Lines stand for what they were sampled from and for those left out before them: one
 # late answer without half of its parts, with three more left out, beside a plain one.
