--- a/test/prop_wire.cpp
+++ b/test/prop_wire.cpp
@@ -4,10 +4,13 @@
 #include "core.hpp"
 #include <cstdio>
 #include <string>
+#include <vector>
 
 namespace
 {
 
+constexpr int KINDS = 13; // that any_message makes
+
 MrMember
 member (int n)
 {
@@ -72,6 +75,18 @@
   news[0].kind = MR_OBJECT_ACCEPTED;
   news[0].version = (guint64) n;
   news[1].kind = MR_OBJECT_VM;
+  constexpr guint MANY = 60; // enough that it pays to compress them
+  std::vector<MrNews> many (MANY, news[0]);
+  MrRange range = { (guint64) n << 40, 10 };
+  guint64 digests[MR_RANGE_PARTS] = { (guint64) n, 1 };
+  char name[] = "shop";
+  GString *body = g_string_new ("{\"a\":1}");
+  MrObject object = {};
+  object.kind = MR_OBJECT_TARGET;
+  object.name = name;
+  object.version = (guint64) n;
+  object.body = body;
+  const MrObject *objects[2] = { &object, &object };
   MrWireOrder order = {};
   order.body = mr_text ("{\"a\":1}");
   g_strlcpy (order.ticket, "t", sizeof order.ticket);
@@ -84,7 +99,7 @@
   batch->shards[1] = 1;
   g_string_assign (batch->query, "ripe round");
   std::string out;
-  switch (kind % 8)
+  switch (kind % KINDS)
     {
     case 0:
       h.from = member (n);
@@ -111,10 +126,30 @@
     case 6:
       out = take (mr_wire_order ("d1", &order));
       break;
+    case 7:
+      out = take (mr_wire_list ("d1", range, news, 2));
+      break;
+    case 8:
+      out = take (mr_wire_ranges ("d1", range, digests));
+      break;
+    case 9:
+      out = take (mr_wire_objects ("d1", objects, 2));
+      break;
+    case 10:
+      h.from = member (n);
+      h.list = TRUE;
+      h.updates = updates;
+      h.update_count = 3;
+      out = take (mr_wire_heartbeat ("d1", &h));
+      break;
+    case 11:
+      out = take (mr_wire_deflate ("d1", mr_wire_news ("d1", many.data (), MANY)));
+      break;
     default:
       out = take (mr_wire_order_result ("d1", &result));
       break;
     }
+  g_string_free (body, TRUE);
   mr_batch_free (batch);
   mr_shard_map_unref (m);
   return out;
@@ -127,7 +162,7 @@
   MrWireMessage m;
   if (mr_wire_decode ({ bytes.data (), bytes.size () }, &m) != MR_OK)
     return false;
-  RC_ASSERT (m.type >= MR_WIRE_HEARTBEAT && m.type <= MR_WIRE_ORDER_RESULT);
+  RC_ASSERT (m.type >= MR_WIRE_HEARTBEAT && m.type < MR_WIRE_DEFLATED);
   RC_ASSERT (m.batch.shard_count <= (guint) MR_SHARDS_MAX);
   RC_ASSERT (strlen (m.sender) <= (size_t) MR_NAME_MAX);
   mr_wire_message_clear (&m);
@@ -140,7 +175,7 @@
 main ()
 {
   bool ok = rc::check ("messages survive their own encoding", [] {
-    int kind = *rc::gen::inRange (0, 8);
+    int kind = *rc::gen::inRange (0, KINDS);
     int n = *rc::gen::inRange (0, 30000);
     RC_ASSERT (decodes (any_message (kind, n)));
   });
@@ -162,10 +197,33 @@
                     mr_wire_message_clear (&m);
                   }) &&
        ok;
+  ok = rc::check ("a compressed message is the one that it was made of",
+                  [] {
+                    std::vector<MrNews> news (*rc::gen::inRange (30, 400));
+                    for (auto &n : news)
+                      {
+                        n.kind = MR_OBJECT_TARGET;
+                        n.version = *rc::gen::arbitrary<guint64> ();
+                      }
+                    GString *plain = mr_wire_news ("d1", news.data (), (guint) news.size ());
+                    gsize len = plain->len;
+                    GString *bytes = mr_wire_deflate ("d1", plain);
+                    MrWireMessage m;
+                    RC_ASSERT (len < 600 || mr_wire_type (bytes) == MR_WIRE_DEFLATED);
+                    RC_ASSERT (bytes->len <= len);
+                    RC_ASSERT (mr_wire_decode (mr_text_of (bytes), &m) == MR_OK);
+                    RC_ASSERT (m.type == MR_WIRE_NEWS);
+                    RC_ASSERT (m.news_count == news.size ());
+                    for (guint i = 0; i < m.news_count; i++)
+                      RC_ASSERT (m.news[i].version == news[i].version);
+                    mr_wire_message_clear (&m);
+                    g_string_free (bytes, TRUE);
+                  }) &&
+       ok;
   ok = rc::check ("cut messages are refused",
                   [] {
                     std::string bytes =
-                        any_message (*rc::gen::inRange (0, 8), *rc::gen::inRange (0, 30000));
+                        any_message (*rc::gen::inRange (0, KINDS), *rc::gen::inRange (0, 30000));
                     auto len = *rc::gen::inRange<size_t> (0, bytes.size ());
                     RC_ASSERT (!decodes (bytes.substr (0, len)));
                   }) &&
@@ -173,7 +231,7 @@
   ok = rc::check ("changed messages do no harm",
                   [] {
                     std::string bytes =
-                        any_message (*rc::gen::inRange (0, 8), *rc::gen::inRange (0, 30000));
+                        any_message (*rc::gen::inRange (0, KINDS), *rc::gen::inRange (0, 30000));
                     int changes = *rc::gen::inRange (1, 6);
                     for (int i = 0; i < changes; i++)
                       bytes[*rc::gen::inRange<size_t> (0, bytes.size ())] =
--- a/test/test_control.c
+++ b/test/test_control.c
@@ -65,7 +65,7 @@
   print_message ("%.0f bytes a heartbeat, %.0f a second and VM, %.0f of them across domains\n",
                  (double) bytes / (double) messages, (double) bytes / LARGE / SECONDS,
                  (double) fleet_bytes (fleet, FALSE) / LARGE / SECONDS);
-  assert_true (bytes <= messages * HEARTBEAT_MOST);
+  assert_true (bytes <= messages * (guint64) HEARTBEAT_MOST);
   /* At most two links of four, in both directions, leave the domain. */
   assert_true (fleet->messages[MR_TRAFFIC_HEARTBEAT][0] <= messages / 2);
   fleet_free (fleet);
