--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -158,15 +158,6 @@
     fleet_kill (fleet, SEEDS + 2 + i * DOMAINS < fleet->layout.count ? SEEDS + 2 + i * DOMAINS : 1);
 }
 
-static void
-S_cut_region (Fleet *fleet, gboolean cut)
-{
-  for (guint a = 0; a < DOMAINS; a++)
-    for (guint b = 0; b < DOMAINS; b++)
-      if (a % REGIONS != b % REGIONS)
-        fleet_cut (fleet, a, b, cut);
-}
-
 static void
 S_day (guint count)
 {
@@ -186,9 +177,9 @@
   S_lose_rack (fleet);
   MrTime rack = fleet_run_until (fleet, fleet_members_agree, WAIT_MOST);
   fleet_run (fleet, 20 * MR_SECOND);
-  S_cut_region (fleet, TRUE);
+  fleet_cut_regions (fleet, TRUE);
   fleet_run (fleet, 30 * MR_SECOND);
-  S_cut_region (fleet, FALSE);
+  fleet_cut_regions (fleet, FALSE);
   MrTime healed = fleet_run_until (fleet, fleet_agrees, WAIT_MOST);
   fleet_run (fleet, 20 * MR_SECOND);
   double each = count * S_seconds (fleet->now - begin);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -246,6 +246,16 @@
   *S_cut (fleet, b, a) = cut;
 }
 
+void
+fleet_cut_regions (Fleet *fleet, gboolean cut)
+{
+  const FleetLayout *layout = &fleet->layout;
+  for (guint a = 0; a < layout->domains; a++)
+    for (guint b = 0; b < a; b++)
+      if (a % layout->regions != b % layout->regions)
+        fleet_cut (fleet, a, b, cut);
+}
+
 void
 fleet_cut_domain (Fleet *fleet, guint domain, gboolean store, gboolean cut)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -79,6 +79,8 @@
 void fleet_cut_one_way (Fleet *fleet, guint from, guint to, gboolean cut);
 /* Cuts or heals all links between domains @a and @b, both ways. */
 void fleet_cut (Fleet *fleet, guint a, guint b, gboolean cut);
+/* All links between domains of different regions. */
+void fleet_cut_regions (Fleet *fleet, gboolean cut);
 /* The domain from all others and, with @store, from the store. */
 void fleet_cut_domain (Fleet *fleet, guint domain, gboolean store, gboolean cut);
 
--- a/test/test_control.c
+++ b/test/test_control.c
@@ -193,14 +193,9 @@
 static void
 S_halves (Fleet *fleet)
 {
-  for (int cut = 1; cut >= 0; cut--)
-    {
-      for (guint a = 0; a < DOMAINS; a++)
-        for (guint b = 0; b < DOMAINS; b++)
-          if (a % 2 != b % 2)
-            fleet_cut (fleet, a, b, cut);
-      fleet_run (fleet, cut ? 30 * MR_SECOND : 0);
-    }
+  fleet_cut_regions (fleet, TRUE);
+  fleet_run (fleet, 30 * MR_SECOND);
+  fleet_cut_regions (fleet, FALSE);
 }
 
 static void
@@ -261,9 +256,12 @@
   (void) state;
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      const FleetLayout layout = {
-        .count = MIDDLE, .domains = DOMAINS, .seeds = 3, .strong_each = 2, .lone = cases[i].lone
-      };
+      const FleetLayout layout = { .count = MIDDLE,
+                                   .domains = DOMAINS,
+                                   .regions = 2,
+                                   .seeds = 3,
+                                   .strong_each = 2,
+                                   .lone = cases[i].lone };
       Fleet *fleet = S_running (&layout);
       cases[i].begin (fleet);
       MrTime took = fleet_run_until (fleet, fleet_agrees, MOST);
