One of the watching relays finds out when the store does not answer its watch

Ruled out: keep-alive probes (the connections stand), short watches for all (each call is paid for).

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -9,6 +9,11 @@
   /* A relay's: each call is paid for, and dead connections are found by
    * keep-alive probes rather than by short watches. */
   RELAY_WATCH_WAIT_MS = 28000,
+  /* Of the first of all relays that watch.  A watch that the store took while it
+   * answered nobody is never answered; where a change ended all watches at such a
+   * moment no relay heard of the next one for half a minute.  So one of them finds it
+   * within 6 s, for 11 calls more a kind and 45 s. */
+  FIRST_WATCH_WAIT_MS = 4000,
 };
 
 static const MrTime VMS_PAUSE = 1 * MR_SECOND;
@@ -88,6 +93,15 @@
   return FALSE;
 }
 
+static int
+S_watch_wait_ms (const MrControlTask *task)
+{
+  if (!task->relay)
+    return WATCH_WAIT_MS;
+  return mr_watch_first (task->members, task->settings->name) ? FIRST_WATCH_WAIT_MS
+                                                              : RELAY_WATCH_WAIT_MS;
+}
+
 void
 mr_control_platform_tick (MrControlTask *task, MrTime now, MrTime *next)
 {
@@ -112,7 +126,7 @@
       request->since = watch->since;
       g_strlcpy (request->after, watch->after, sizeof request->after);
       if (watcher && watch->done && watch->gap == 0 && watch->since > 0)
-        request->wait_ms = task->relay ? RELAY_WATCH_WAIT_MS : WATCH_WAIT_MS;
+        request->wait_ms = S_watch_wait_ms (task);
       watch->busy = TRUE;
       S_request (task, request);
     }
--- a/src/watch.c
+++ b/src/watch.c
@@ -65,6 +65,18 @@
   return before < most;
 }
 
+bool
+mr_watch_first (const MrMemberList *members, const char *self)
+{
+  const MrMember *own = mr_member_list_find (members, self);
+  if (!own)
+    return true;
+  for (guint i = 0; i < members->count; i++)
+    if (S_can_watch (&members->members[i]) && S_score (&members->members[i]) > S_score (own))
+      return false;
+  return true;
+}
+
 MrTime
 mr_watch_read_gap (guint readers)
 {
--- a/src/watch.h
+++ b/src/watch.h
@@ -27,6 +27,10 @@
  * domains than MR_RELAY_WATCHERS. */
 bool mr_watch_relay (const MrMemberList *members, const char *self);
 
+/* TRUE if @self is the first of all that watch: the one whose watches are short, so
+ * that it finds out for all when the platform does not answer them any more. */
+bool mr_watch_first (const MrMemberList *members, const char *self);
+
 /* One repeated call to the platform. */
 typedef struct
 {
--- a/test/test_fleet_shares.c
+++ b/test/test_fleet_shares.c
@@ -328,6 +328,38 @@
   mr_timers_free (timers);
 }
 
+/* The operators' change is not in force for half a minute: all watches were taken by a
+ * store that answered nobody then.  Just one of those that reach the store asks anew
+ * every few seconds, and another as soon as that one says that it does not reach it. */
+static void
+test_first_watcher (void **state)
+{
+  enum
+  {
+    MEMBERS = 9
+  };
+  (void) state;
+  MrMember members[MEMBERS];
+  for (guint m = 0; m < MEMBERS; m++)
+    members[m] = S_member (m, 3, 250);
+  for (guint cut = 0; cut < MEMBERS; cut++)
+    {
+      MrMemberList *list = mr_member_list_new (members, MEMBERS);
+      guint firsts = 0;
+      guint first = 0;
+      for (guint m = 0; m < MEMBERS; m++)
+        if (!members[m].cut_off && mr_watch_first (list, members[m].name))
+          {
+            firsts++;
+            first = m;
+          }
+      assert_int_equal (firsts, 1);
+      assert_true (mr_watch_relay (list, members[first].name));
+      members[first].cut_off = TRUE;
+      mr_member_list_unref (list);
+    }
+}
+
 int
 main (void)
 {
@@ -338,6 +370,7 @@
     cmocka_unit_test (test_entries_spread),
     cmocka_unit_test (test_entries_at_a_start),
     cmocka_unit_test (test_relay_watchers),
+    cmocka_unit_test (test_first_watcher),
     cmocka_unit_test (test_merge),
     cmocka_unit_test (test_timers),
   };
