One restart of a whole fleet and one set of equal members for the tests of control

Found on reading the whole change: bench_control and test_control each killed and started all by a loop of their own, and two tests of watchers made the same members. fleet_restart_all () and S_equal_members () serve both.

--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -130,15 +130,6 @@
 
 /* A day. */
 
-static void
-S_kill_all (Fleet *fleet)
-{
-  for (guint i = 0; i < fleet->layout.count; i++)
-    fleet_kill (fleet, i);
-  fleet_run (fleet, MR_SECOND);
-  fleet_start_all (fleet, 300 * MR_MS, TRUE);
-}
-
 static void
 S_replace_targets (Fleet *fleet)
 {
@@ -167,7 +158,7 @@
   MrTime begin = fleet->now;
   fleet->reads = 0;
   fleet_clear_counts (fleet);
-  S_kill_all (fleet);
+  fleet_restart_all (fleet, 300 * MR_MS, TRUE);
   MrTime ready = fleet_run_until (fleet, fleet_all_ready, WAIT_MOST);
   MrTime started = fleet_run_until (fleet, fleet_agrees, WAIT_MOST);
   fleet_run (fleet, 20 * MR_SECOND);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -414,6 +414,15 @@
     S_step (fleet);
 }
 
+void
+fleet_restart_all (Fleet *fleet, MrTime spread, gboolean seeds_last)
+{
+  for (guint i = 0; i < fleet->layout.count; i++)
+    fleet_kill (fleet, i);
+  fleet_run (fleet, MR_SECOND);
+  fleet_start_all (fleet, spread, seeds_last);
+}
+
 static gboolean
 S_sees_the_living (const Fleet *fleet, const FleetNode *node)
 {
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -70,6 +70,8 @@
 
 /* A daemon ends at once; what is under way to it is lost. */
 void fleet_kill (Fleet *fleet, guint index);
+/* All end, and start again a second later as fleet_start_all () has it. */
+void fleet_restart_all (Fleet *fleet, MrTime spread, gboolean seeds_last);
 /* Starts @index at @at, as a new process under its name. */
 void fleet_start_at (Fleet *fleet, guint index, MrTime at);
 /* Starts all within @spread of now; with @seeds_last the seeds after all others. */
--- a/test/test_control.c
+++ b/test/test_control.c
@@ -201,17 +201,13 @@
 static void
 S_all_killed (Fleet *fleet)
 {
-  for (guint i = 0; i < fleet->layout.count; i++)
-    fleet_kill (fleet, i);
-  fleet_run (fleet, MR_SECOND);
-  fleet_start_all (fleet, 300 * MR_MS, FALSE);
+  fleet_restart_all (fleet, 300 * MR_MS, FALSE);
 }
 
 static void
 S_all_killed_seeds_last (Fleet *fleet)
 {
-  S_all_killed (fleet);
-  fleet_start_all (fleet, 300 * MR_MS, TRUE);
+  fleet_restart_all (fleet, 300 * MR_MS, TRUE);
 }
 
 static void
--- a/test/test_fleet_shares.c
+++ b/test/test_fleet_shares.c
@@ -241,6 +241,14 @@
     }
 }
 
+/* @count of a quarter core each, in three failure domains. */
+static void
+S_equal_members (MrMember *members, guint count)
+{
+  for (guint m = 0; m < count; m++)
+    members[m] = S_member (m, 3, 250);
+}
+
 /* The operators' change is not in force for seconds: all who watch are cut off
  * from the store at once, and nobody else asks it.  Each who loses it says so,
  * and the next in rank watches. */
@@ -253,8 +261,7 @@
   };
   (void) state;
   MrMember members[MEMBERS];
-  for (guint m = 0; m < MEMBERS; m++)
-    members[m] = S_member (m, 3, 250);
+  S_equal_members (members, MEMBERS);
   for (guint cut = 0; cut < MEMBERS; cut++)
     {
       MrMemberList *list = mr_member_list_new (members, MEMBERS);
@@ -340,8 +347,7 @@
   };
   (void) state;
   MrMember members[MEMBERS];
-  for (guint m = 0; m < MEMBERS; m++)
-    members[m] = S_member (m, 3, 250);
+  S_equal_members (members, MEMBERS);
   for (guint cut = 0; cut < MEMBERS; cut++)
     {
       MrMemberList *list = mr_member_list_new (members, MEMBERS);
