Sight: fingerprints of requests, and which of them ran on a target that ended

The logs could not tell two hypotheses of the incident apart: attempts of one request have ids of their own, and a target that is gone was connected with no call. Now each line of a request's end (E1700 to E1704) has `content`, a keyed hash of 128 bits of method, host, path and body, and a target that breaks calls and takes no new connection gives a line (E1409) with the fingerprints of the calls that broke, and counts (relay_targets_ended_total).

Nothing is decided by it yet. The key is a hash of the platform's address: all daemons of a deployment have it, also after a start.

--- a/src/relay.h
+++ b/src/relay.h
@@ -16,6 +16,7 @@
  *   relay_load.c     how loaded targets are, parts left out for it
  *   relay_time.c     what is due: second sends, soft and hard ends, silence
  *   relay_targets.c  what is known of targets
+ *   relay_crash.c    targets that end while requests run there
  *
  * What is measured and what was ruled out: docs/design/platform.md. */
 #pragma once
@@ -23,6 +24,7 @@
 #include "budget.h"
 #include "call.h"
 #include "configuration.h"
+#include "fingerprint.h"
 #include "target.h"
 
 typedef struct _MrRelay MrRelay;
@@ -189,6 +191,7 @@
   guint64 timeouts;
   guint64 silent;
   guint64 expired; /* waiting parts given up, too late to be served */
+  guint64 ended;   /* targets that ended while calls from here ran there */
 } MrRelayCounts;
 
 MrRelay *mr_relay_new (MrRelayHost *host, const MrRelayInfo *info);
@@ -238,6 +241,7 @@
   MrTime arrived;                 /* from which its aim counts; 0: now */
   MrTime deadline;                /* as the caller said */
   MrTime round_trip;              /* to the caller; 0: not known */
+  MrFingerprint fingerprint;      /* of what it asks for; not set: not known */
 } MrRelayRequest;
 
 /* Takes the request on; the verdict comes through done (), perhaps at once, in
--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -142,6 +142,7 @@
     .route = route,
     .arrived = arrived,
     .deadline = request->deadline,
+    .fingerprint = request->fingerprint,
     .soft_end = shards ? arrived + S_patience (request) : MR_NEVER,
     .hard_end = MIN (request->deadline - reserve, arrived + route->time_limit),
     .part_count = route->kind >= MR_ROUTE_SHARDS ? route->part_count : 1,
--- a/src/relay_end.c
+++ b/src/relay_end.c
@@ -224,6 +224,7 @@
   Job *job = call->job;
   MrTargetState *target = call->target;
   MrTime started = call->started;
+  MrFingerprint fingerprint = call->fingerprint;
   if (outcome == MR_CALL_ANSWER)
     mr_relay_note_latency (call->kind, target, now - started);
   if (job)
@@ -236,6 +237,8 @@
     }
   mr_relay_call_free (r, call);
   MrHealthAction action = mr_relay_note_target (r, now, target, outcome, started);
+  if (outcome == MR_CALL_BROKEN)
+    mr_relay_note_broken (r, target, fingerprint);
   if (job && outcome == MR_CALL_ANSWER)
     S_take_answer (r, now, job, answer);
   else if (job)
--- a/src/relay_log.c
+++ b/src/relay_log.c
@@ -62,7 +62,10 @@
   if (!line)
     return;
   g_autoptr (GString) notes = S_notes (result->sends);
+  char content[MR_FINGERPRINT_DIGITS + 1];
+  mr_fingerprint_write (about->fingerprint, content);
   mr_log_text (line, "request", mr_text (about->id));
+  mr_log_text (line, "content", mr_text (content));
   mr_log_text (line, "route", mr_text (about->route->name));
   mr_log_number (line, "version", (gint64) about->version);
   mr_log_text (line, "verdict", mr_text (mr_verdict_name (result->verdict)));
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -78,6 +78,7 @@
     { "relay_failed_total", counts->failed },
     { "relay_timeouts_total", counts->timeouts },
     { "relay_silent_total", counts->silent },
+    { "relay_targets_ended_total", counts->ended },
     { "relay_early_requests_total", task->early_count },
     { "relay_connections_total", client->connections },
     { "relay_reused_total", client->reused },
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -37,6 +37,7 @@
     .kind = work->kind,
     .started = now,
     .note = S_note (work, job, now, target, reason),
+    .fingerprint = work->fingerprint,
   };
   call->timer.owner = call;
   call->link.data = call;
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -70,6 +70,7 @@
   Kind *kind;
   MrTime started;
   guint note; /* index in the work's sends */
+  MrFingerprint fingerprint;
 } Call;
 
 /* What a job's call to a target has come to. */
@@ -118,8 +119,9 @@
   MrTime soft_end; /* from then on, enough shards are answered with */
   MrTime hard_end;
   MrTime deadline; /* as the caller said */
-  gboolean ran;    /* a target may have begun on it */
-  MrCause cause;   /* of the part that failed last */
+  MrFingerprint fingerprint;
+  gboolean ran;  /* a target may have begun on it */
+  MrCause cause; /* of the part that failed last */
   guint part_count;
   guint open;   /* parts not ended */
   guint have;   /* parts with an answer */
@@ -164,6 +166,12 @@
 MrHealthAction mr_relay_note_target (
     MrRelay *relay, MrTime now, MrTargetState *target, MrCallOutcome outcome, MrTime started);
 
+/* The connection of a call of @fingerprint to @target has broken; its health has been
+ * told. */
+void mr_relay_note_broken (MrRelay *relay, MrTargetState *target, MrFingerprint fingerprint);
+/* Whether @target still accepts connections has turned out. */
+void mr_relay_note_probed (MrRelay *relay, MrTargetState *target, gboolean answered);
+
 /* Choice of a target (relay_choice.c): functions of what is known, without effect on
  * it. */
 
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -25,6 +25,7 @@
   MrTime began;
   MrTime deadline;
   char *id;
+  MrFingerprint fingerprint;
   gboolean bodiless;
   GString *head; /* request line and fields that are passed on */
   GString *body;
@@ -86,6 +87,22 @@
   return began + route->time_limit;
 }
 
+/* What the request asks for, whoever asks, under whatever id and deadline. */
+static MrFingerprint
+S_fingerprint (const MrRelayTask *task, const MrHttpParser *in)
+{
+  MrText host_field = mr_http_parser_find (in, "Host", NULL);
+  g_autofree char *host =
+      g_ascii_strdown (host_field.data ? host_field.data : "", (gssize) host_field.len);
+  const MrText texts[] = {
+    mr_http_parser_method (in),
+    mr_text (host),
+    mr_http_parser_target (in),
+    mr_http_parser_body (in),
+  };
+  return mr_fingerprint (texts, G_N_ELEMENTS (texts), task->content_key);
+}
+
 static void
 S_on_call (MrRelayHost *host, const MrRelayCall *call)
 {
@@ -261,6 +278,7 @@
     mr_histogram_add (&task->latency, now - request->began);
   MrRelayLine line = {
     .id = request->id,
+    .fingerprint = request->fingerprint,
     .route = request->route,
     .version = mr_configuration_version (request->configuration),
     .status = status,
@@ -319,6 +337,7 @@
     .began = began,
     .deadline = S_deadline (task->dialect, in, route, began),
     .id = mr_text_dup (mr_http_parser_find (in, task->dialect->request_id, NULL)),
+    .fingerprint = S_fingerprint (task, in),
     .bodiless = mr_text_equal (mr_http_parser_method (in), MR_TEXT ("HEAD")),
     .head = S_copy_head (task->dialect, in),
     .body = g_string_new_len (body.data, (gssize) body.len),
@@ -331,6 +350,7 @@
     .arrived = arrived,
     .deadline = request->deadline,
     .round_trip = mr_caller_round_trip (caller),
+    .fingerprint = request->fingerprint,
   };
   MrRelayWork *work = mr_relay_submit (task->relay, mr_now (), &submitted);
   if (work)
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -233,8 +233,11 @@
 mr_relay_probe_end (MrRelay *r, MrTime now, const char *id, gboolean answered)
 {
   MrTargetState *target = g_hash_table_lookup (r->targets, id);
-  if (target)
-    mr_relay_act (r, now, target, mr_target_state_probed (target, now, answered));
+  if (!target)
+    return;
+  MrHealthAction action = mr_target_state_probed (target, now, answered);
+  mr_relay_note_probed (r, target, answered);
+  mr_relay_act (r, now, target, action);
 }
 
 void
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -48,6 +48,7 @@
   GHashTable *records; /* target id -> MrTargetRecord as told to the relay */
   gboolean announced;  /* told the others that this daemon takes callers */
   MrStartQueue *early; /* requests that came before this daemon was ready */
+  guint64 content_key; /* of fingerprints: the deployment's */
   guint64 early_count; /* of them, ever */
   MrTime stop_at;      /* when the planned stop began; 0: none */
   gboolean stopped;
@@ -73,6 +74,7 @@
 typedef struct
 {
   const char *id;
+  MrFingerprint fingerprint;
   const MrRoute *route;
   guint64 version; /* of the configuration */
   int status;
--- a/src/target.c
+++ b/src/target.c
@@ -24,6 +24,7 @@
   state->relative = 1;
   mr_limit_init (&state->limit, target->slots);
   state->sets = g_ptr_array_new ();
+  state->broken = g_array_new (FALSE, FALSE, sizeof (MrFingerprint));
   g_queue_init (&state->open);
   return state;
 }
@@ -38,6 +39,7 @@
   g_free (state->ip);
   g_free (state->domain);
   g_ptr_array_unref (state->sets);
+  g_array_unref (state->broken);
   g_free (state);
 }
 
--- a/src/target.h
+++ b/src/target.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "batch.h"
+#include "fingerprint.h"
 #include "health.h"
 #include "limit.h"
 
@@ -30,6 +31,7 @@
   guint64 lacks;     /* generation that it said it does not hold */
   MrTime lacks_until;
   GPtrArray *sets; /* that it is in; kept by the relay */
+  GArray *broken;  /* MrFingerprint of the calls that broke since it last took a connection */
 };
 
 MrTargetState *mr_target_state_new (const MrTarget *target, const char *key);
--- /dev/null
+++ b/test/test_fingerprint.c
@@ -0,0 +1,71 @@
+/* Fingerprints: what tells two requests apart, and how they are written. */
+
+#include "fingerprint.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+typedef struct
+{
+  const char *name;
+  MrText texts[3];
+  guint64 key;
+  gboolean same; /* as the first case */
+} Case;
+
+static const Case cases[] = {
+  { "the first", { MR_TEXT ("GET"), MR_TEXT ("/a"), MR_TEXT ("body") }, 1, TRUE },
+  { "once more", { MR_TEXT ("GET"), MR_TEXT ("/a"), MR_TEXT ("body") }, 1, TRUE },
+  { "another path", { MR_TEXT ("GET"), MR_TEXT ("/b"), MR_TEXT ("body") }, 1, FALSE },
+  { "another body", { MR_TEXT ("GET"), MR_TEXT ("/a"), MR_TEXT ("bodx") }, 1, FALSE },
+  { "the same bytes, divided elsewhere",
+    { MR_TEXT ("GET/"), MR_TEXT ("a"), MR_TEXT ("body") },
+    1,
+    FALSE },
+  { "no body", { MR_TEXT ("GET"), MR_TEXT ("/a"), { 0 } }, 1, FALSE },
+  { "another deployment", { MR_TEXT ("GET"), MR_TEXT ("/a"), MR_TEXT ("body") }, 2, FALSE },
+};
+
+static void
+test_what_counts (void **state)
+{
+  (void) state;
+  MrFingerprint first = mr_fingerprint (cases[0].texts, 3, cases[0].key);
+  assert_true (mr_fingerprint_is_set (first));
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      MrFingerprint f = mr_fingerprint (cases[i].texts, 3, cases[i].key);
+      if (mr_fingerprint_equal (f, first) != cases[i].same)
+        fail_msg ("%s", cases[i].name);
+    }
+}
+
+static void
+test_writing (void **state)
+{
+  static const char *const wrong[] = { "", "0123", "0123456789abcdef0123456789abcdeg",
+                                       "0123456789ABCDEF0123456789abcdef",
+                                       "0123456789abcdef0123456789abcdef0" };
+  (void) state;
+  char text[MR_FINGERPRINT_DIGITS + 1];
+  MrFingerprint f = mr_fingerprint (cases[0].texts, 3, 1);
+  MrFingerprint read = { 0 };
+  mr_fingerprint_write (f, text);
+  assert_true (mr_fingerprint_read (mr_text (text), &read));
+  assert_true (mr_fingerprint_equal (f, read));
+  for (gsize i = 0; i < G_N_ELEMENTS (wrong); i++)
+    assert_false (mr_fingerprint_read (mr_text (wrong[i]), &read));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_what_counts),
+    cmocka_unit_test (test_writing),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
