Known red: a request that ends each target that begins it

The incident, brought about on the virtual clock (test_quarantine: the shape of the small site, a content that ends its targets and comes again, its caller repeating) and in whole processes (process_quarantine: searchers whose process ends, relays, a store).

Bounds are the aim's: three calls after the news; what is in flight at the first end, and one that makes certain.

--- /dev/null
+++ b/test/platform/process_quarantine.sh
@@ -0,0 +1,111 @@
+#!/usr/bin/env bash
+# A request that ends each searcher that begins it, as separate processes.
+#
+# What callers saw: for seconds hardly any search was answered, again and again, since
+# up to thirty targets of all shards had ended at once.  One caller's request, the same
+# each time, ended every target that began it; the relay took each end for the target's
+# own, sent the part to the next one, and met the caller's repeat, at any relay, as a
+# request that it had never seen.  Proof: the ends follow this request wherever it is
+# sent, one by one, some 40 ms after it was begun, and nothing else.
+set -u
+BUILD=$1
+. "$(dirname "$0")/lib.sh"
+trap stop_all EXIT
+start_platform 3
+
+SERVICES=([1]=a [2]=a [3]=b [4]=c)
+# Calls of such requests that reached searchers in all, and targets that they ended.
+REACHED=0
+ENDED=0
+GENERATION=0
+
+lives() { http "http://$(searcher_at "$1")/runs/x" >/dev/null 2>&1; } # NUMBER
+
+# Counts what has happened since the last time, and starts anew, under another id, each
+# searcher that has ended.
+revive() {
+  local i
+  GENERATION=$((GENERATION + 1))
+  for i in 1 2 3 4; do
+    REACHED=$((REACHED + $(grep -c '^run crash' "$LOGS/s$i.log")))
+    lives $i && sed -i '/^run crash/d' "$LOGS/s$i.log" && continue
+    ENDED=$((ENDED + 1))
+    wait "${PIDS[s$i]}" 2>/dev/null
+    withdraw "${IDS[$i]}"
+    IDS[i]="i-$i-$GENERATION"
+    start_searcher $i "${IDS[$i]}" "${SERVICES[$i]}"
+  done
+}
+IDS=([1]=i-1 [2]=i-2 [3]=i-3 [4]=i-4)
+
+whole() { [ "$(ask "$1" /all/q "q$RANDOM")" = 200 ] && [ "$(field X-Missing-Parts)" = 0 ]; }
+all_whole() { whole 1 && whole 2 && whole 3; }
+
+# crash RELAY PATH ID [CURL ARGUMENTS]: such a request; it is never answered with success.
+crash() {
+  local status
+  status=$(ask "$@")
+  case "$status" in
+    5??) ;;
+    *) fail "$3 at relay $1 is answered $status" ;;
+  esac
+}
+
+# The wide search, and its caller's one repeat at another relay at once.  Ten parts were
+# sent twenty times; here it is three, and four searchers are all that there are.
+crash 1 /all/crash crash1
+crash 2 /all/crash crash2
+sleep 0.3
+revive
+say "a wide search and its repeat: $REACHED calls reached searchers, $ENDED ended"
+[ $ENDED -le 4 ] || fail "$ENDED searchers ended under one search and its repeat"
+until_true 10 all_whole || fail "searches are not whole again"
+
+# Later than any time that news may take the same comes again, at every relay: it
+# reaches at most three searchers ever again, and nobody else is disturbed.
+sleep 4.5
+REACHED=0
+ENDED=0
+for i in 1 2 3 4 5 6; do
+  crash $((i % 3 + 1)) /all/crash "crash-again$i"
+  whole $(((i + 1) % 3 + 1)) || fail "another search is disturbed: $(cat "$LOGS/head")"
+done
+sleep 0.3
+revive
+say "later, six times: $REACHED calls reached searchers, $ENDED ended"
+[ $REACHED -le 3 ] || fail "$REACHED calls of a request that had ended three reached searchers"
+
+# A request to one service, and an order, which is never sent twice: the third end is
+# the last.
+REACHED=0
+for i in 1 2 3 4 5 6; do
+  crash $((i % 3 + 1)) /one/crash "crash-one$i"
+  sleep 0.2
+  revive
+  until_true 10 all_whole || fail "searches are not whole again"
+done
+say "one service, six times: $REACHED calls reached searchers"
+[ $REACHED -le 4 ] || fail "$REACHED calls of a request to one service reached searchers"
+REACHED=0
+for i in 1 2 3 4 5 6; do
+  crash $((i % 3 + 1)) /order/crash "crash-order$i" -X POST -d same
+  sleep 0.2
+  revive
+  until_true 10 all_whole || fail "searches are not whole again"
+done
+say "an order, six times: $REACHED calls reached searchers"
+[ $REACHED -le 4 ] || fail "$REACHED calls of an order reached searchers"
+
+# All relays are killed at once: what is left is in the store.
+for r in 1 2 3; do stop r$r KILL; done
+for r in 1 2 3; do start_relay $r "z$r"; done
+for r in 1 2 3; do until_true 10 relay_ready $r || fail "relay $r is not ready"; done
+until_true 10 all_whole || fail "searches are not whole after the relays' start"
+REACHED=0
+crash 1 /all/crash crash-after1
+crash 2 /all/crash crash-after2
+crash 3 /one/crash crash-after3
+sleep 0.3
+revive
+[ $REACHED = 0 ] || fail "after all relays were killed $REACHED calls reached searchers"
+say "quarantine: ok"
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -4,7 +4,9 @@
  * The store keeps objects by kind and name in memory, lists them in pages and
  * answers watches.  PUT /raw/KIND/NAME stores bytes as they are, JSON or not, as
  * another writer may.  A searcher answers every request with its signature and the
- * caller's id.  Both take faults: PUT /mode/NAME. */
+ * caller's id; its process ends some moments after it has begun a request whose path
+ * has "crash" in it, unless the connection closes first.  Both take faults: PUT
+ * /mode/NAME. */
 
 #include "http_message.h"
 #include "log.h"
@@ -26,6 +28,9 @@
   HUGE_PIECE = 16 * 1024 * 1024,
 };
 
+/* From the begin of a request that ends its searcher to that end. */
+static const MrTime CRASH_AFTER = 40 * MR_MS;
+
 typedef enum
 {
   MODE_OK,
@@ -60,7 +65,8 @@
   char *last_id; /* of the request answered before */
   MrTimer timer; /* of an answer that waits */
   gboolean dripping;
-  char *kind; /* of a watch that waits */
+  gboolean crashing; /* the process ends with the timer */
+  char *kind;        /* of a watch that waits */
   gint64 since;
 } Peer;
 
@@ -404,6 +410,12 @@
       return;
     }
   S_note_run (server, id);
+  if (strstr (target, "crash"))
+    {
+      peer->crashing = TRUE;
+      mr_timers_set (server->timers, &peer->timer, mr_now () + CRASH_AFTER);
+      return;
+    }
   if (server->mode == MODE_RESET)
     {
       mr_stream_close (peer->stream);
@@ -501,6 +513,8 @@
        timer = mr_timers_pop (server->timers, now))
     {
       Peer *peer = timer->owner;
+      if (peer->crashing)
+        exit (EXIT_SUCCESS);
       if (peer->dripping)
         S_drip (peer);
       else if (server->id)
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -13,6 +13,7 @@
   ALLOWANCE = 52,
   WINDOW_US = 10000000,
   SLACK_US = 500000,
+  CRASHER_CONTENT = 1, /* its fingerprint; those of others are above */
 };
 
 typedef struct World World;
@@ -29,6 +30,9 @@
   EVENT_TROUBLE,
   EVENT_GIVE_UP,
   EVENT_PROBED,
+  EVENT_CRASHER, /* comes once more */
+  EVENT_CRASH,   /* the target of the call ends */
+  EVENT_BACK,    /* a target that had ended takes connections again */
 } EventType;
 
 typedef struct
@@ -73,6 +77,7 @@
   gboolean dropped;
   gboolean running;
   gboolean ran;
+  gboolean lost; /* its target has ended */
 };
 
 struct Ask
@@ -85,7 +90,9 @@
   MrTime gone_at; /* 0: it waits */
   MrRelayWork *work;
   gboolean ended;
-  guint ran;     /* calls that ran, of an unsafe request */
+  guint ran; /* calls that ran, of an unsafe request */
+  gboolean crasher;
+  guint repeats; /* that its caller has left */
   guint8 *sends; /* a part */
   /* A part, a bit for each target of its shard: those that were sent to, and of them
    * those that have not refused. */
@@ -118,6 +125,7 @@
   GPtrArray *calls;
   GHashTable *by_id[WORLD_DAEMONS_MAX]; /* call id -> Call */
   GPtrArray *asks;
+  MrTime third_crash; /* 0: not yet */
 };
 
 static gint
@@ -165,7 +173,11 @@
   call->ran = TRUE;
   call->ask->ran++;
   MrTime begin = MAX (w->now, target->paused_until);
-  S_at (w, begin + S_ms (work), EVENT_FINISH, call, 0);
+  if (call->ask->crasher)
+    S_at (w, begin + S_ms (w->plan->crasher.crash_ms * (0.5 + g_rand_double (w->random))),
+          EVENT_CRASH, call, 0);
+  else
+    S_at (w, begin + S_ms (work), EVENT_FINISH, call, 0);
 }
 
 static guint64
@@ -183,6 +195,31 @@
   S_at (w, w->now + ONE_WAY_US, EVENT_REPLY, call, 0);
 }
 
+/* All connections of the target's process end with it. */
+static void
+S_on_crash (World *w, Call *cause)
+{
+  Target *target = cause->target;
+  if (cause->lost || cause->dropped)
+    return;
+  target->trouble = WORLD_REFUSES;
+  for (guint i = 0; i < w->calls->len; i++)
+    {
+      Call *call = g_ptr_array_index (w->calls, i);
+      gboolean queued = g_queue_remove (&target->queue, call);
+      if (call->target != target || call->lost || !(call->running || queued))
+        continue;
+      call->lost = TRUE;
+      call->running = FALSE;
+      if (!call->dropped)
+        S_reply (w, call, MR_CALL_BROKEN);
+    }
+  target->busy = 0;
+  if (++w->result->crashed == 3)
+    w->third_crash = w->now;
+  S_at (w, w->now + S_ms (w->plan->crasher.back_ms), EVENT_BACK, NULL, target->index);
+}
+
 static void
 S_note_pause (World *w, Target *target)
 {
@@ -199,6 +236,12 @@
 {
   Ask *ask = call->ask;
   guint shard = call->target->shard;
+  if (ask->crasher)
+    {
+      w->result->crasher_calls++;
+      if (w->third_crash && w->now > w->third_crash + S_ms (WORLD_NEWS_MS))
+        w->result->crasher_late++;
+    }
   if (call->target->index % DOMAINS != call->daemon->index % DOMAINS)
     w->result->far_calls++;
   if (ask->sends[shard]++ > 0)
@@ -241,7 +284,7 @@
 }
 
 static void
-S_on_finish (World *w, Call *call)
+S_free_slot (World *w, Call *call)
 {
   Target *target = call->target;
   target->busy--;
@@ -252,6 +295,15 @@
       if (!next->dropped)
         S_start_work (w, target, next);
     }
+}
+
+static void
+S_on_finish (World *w, Call *call)
+{
+  const Target *target = call->target;
+  if (call->lost)
+    return;
+  S_free_slot (w, call);
   if (call->dropped || target->trouble == WORLD_DARK)
     return;
   gboolean bad = g_rand_double (w->random) < target->factor;
@@ -301,6 +353,9 @@
   Daemon *daemon = (Daemon *) host;
   Call *call = g_hash_table_lookup (daemon->world->by_id[daemon->index], &id);
   call->dropped = TRUE;
+  /* A target drops the work of a connection that closes. */
+  if (call->ask->crasher && call->running)
+    S_free_slot (daemon->world, call);
 }
 
 static void
@@ -320,10 +375,26 @@
   (void) target;
 }
 
+/* The crasher earns nothing and isn't missed; its caller may come again at once. */
+static void
+S_note_crasher (Ask *ask, const MrRelayResult *result)
+{
+  World *w = ask->world;
+  if (result->verdict <= MR_VERDICT_MERGE)
+    w->result->crasher_served++;
+  else if (ask->repeats > 0)
+    S_at (w, w->now + 2 * ONE_WAY_US, EVENT_CRASHER, NULL, ask->repeats - 1);
+}
+
 static void
 S_score (Ask *ask, const MrRelayResult *result)
 {
   World *w = ask->world;
+  if (ask->crasher)
+    {
+      S_note_crasher (ask, result);
+      return;
+    }
   WorldKind *kind = &w->result->kinds[ask->route];
   const WorldRoute *route = &w->plan->routes[ask->route];
   MrTime took = w->now - ask->arrived;
@@ -380,36 +451,35 @@
   S_at (w, w->now + (MrTime) gap, EVENT_ARRIVE, NULL, route);
 }
 
-static void
-S_on_arrive (World *w, guint index)
+static Ask *
+S_ask_new (World *w, guint route)
 {
-  const WorldRoute *route = &w->plan->routes[index];
-  if (w->now >= w->end)
-    return;
-  S_next_arrival (w, index);
   Ask *ask = g_new0 (Ask, 1);
-  *ask = (Ask){
-    .world = w,
-    .daemon = &w->daemons[g_rand_int_range (w->random, 0, (gint32) w->plan->daemons)],
-    .route = index,
-    .arrived = w->now,
-    .deadline = w->now + S_ms (route->deadline_ms),
-    .sends = g_new0 (guint8, w->plan->shards),
-    .seen = g_new0 (guint64, w->plan->shards),
-    .held = g_new0 (guint64, w->plan->shards),
-  };
+  ask->world = w;
+  ask->route = route;
+  ask->daemon = &w->daemons[g_rand_int_range (w->random, 0, (gint32) w->plan->daemons)];
+  return ask;
+}
+
+static void
+S_submit (World *w, Ask *ask)
+{
+  const WorldRoute *route = &w->plan->routes[ask->route];
+  ask->arrived = w->now;
+  ask->deadline = w->now + S_ms (route->deadline_ms);
+  ask->sends = g_new0 (guint8, w->plan->shards);
+  ask->seen = g_new0 (guint64, w->plan->shards);
+  ask->held = g_new0 (guint64, w->plan->shards);
   g_ptr_array_add (w->asks, ask);
-  w->result->kinds[index].asked++;
   guint parts = route->least_share > 0 ? w->plan->shards : 1;
   for (guint i = 0; i < parts; i++)
     g_array_append_val (w->ledgers[i].requests, w->now);
-  if (g_rand_double (w->random) < w->plan->give_up)
-    S_at (w, w->now + S_ms (route->aim_ms / 2), EVENT_GIVE_UP, ask, 0);
   MrRelayRequest request = {
     .request = ask,
     .configuration = w->configuration,
-    .route = w->routes[index],
+    .route = w->routes[ask->route],
     .deadline = ask->deadline,
+    .fingerprint = { .high = ask->crasher ? CRASHER_CONTENT : CRASHER_CONTENT + w->asks->len },
   };
   MrRelayWork *work = mr_relay_submit (ask->daemon->relay, w->now, &request);
   if (work && !ask->ended)
@@ -417,6 +487,29 @@
   S_wake (ask->daemon, w->now);
 }
 
+static void
+S_on_arrive (World *w, guint index)
+{
+  const WorldRoute *route = &w->plan->routes[index];
+  if (w->now >= w->end)
+    return;
+  S_next_arrival (w, index);
+  Ask *ask = S_ask_new (w, index);
+  w->result->kinds[index].asked++;
+  if (g_rand_double (w->random) < w->plan->give_up)
+    S_at (w, w->now + S_ms (route->aim_ms / 2), EVENT_GIVE_UP, ask, 0);
+  S_submit (w, ask);
+}
+
+static void
+S_on_crasher (World *w, guint repeats)
+{
+  Ask *ask = S_ask_new (w, w->plan->crasher.route);
+  ask->crasher = TRUE;
+  ask->repeats = repeats;
+  S_submit (w, ask);
+}
+
 static void
 S_on_give_up (World *w, Ask *ask)
 {
@@ -565,6 +658,16 @@
     }
 }
 
+static void
+S_plan_crasher (World *w)
+{
+  const WorldCrasher *crasher = &w->plan->crasher;
+  for (guint i = 0; i < crasher->count; i++)
+    for (guint copy = 0; copy < MAX (crasher->copies, 1); copy++)
+      S_at (w, S_ms (crasher->from_ms + i * crasher->gap_ms), EVENT_CRASHER, NULL,
+            crasher->repeats);
+}
+
 static void
 S_on_event (World *w, const Event *event)
 {
@@ -601,6 +704,15 @@
     case EVENT_GIVE_UP:
       S_on_give_up (w, event->subject);
       break;
+    case EVENT_CRASHER:
+      S_on_crasher (w, event->index);
+      break;
+    case EVENT_CRASH:
+      S_on_crash (w, call);
+      break;
+    case EVENT_BACK:
+      w->targets[event->index].trouble = WORLD_NO_TROUBLE;
+      break;
     case EVENT_PROBED:
       {
         const Target *target = &w->targets[event->index];
@@ -725,6 +837,7 @@
   S_make_daemons (w);
   S_make_targets (w);
   S_plan_troubles (w);
+  S_plan_crasher (w);
   for (guint r = 0; r < WORLD_ROUTES_MAX && plan->routes[r].per_second > 0; r++)
     {
       char path[8];
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -10,6 +10,7 @@
   WORLD_ROUTES_MAX = 3,
   WORLD_DAEMONS_MAX = 12,
   WORLD_TARGETS_MAX = 256,
+  WORLD_NEWS_MS = 4000, /* within which all daemons know what one has learned */
 };
 
 typedef struct
@@ -48,6 +49,20 @@
   double factor;
 } WorldEvent;
 
+/* A request that ends each target that begins it, and comes again: the same content each
+ * time, under new ids, at daemons chosen at random. */
+typedef struct
+{
+  guint count; /* 0: none; times that it comes */
+  guint route;
+  double from_ms;
+  double gap_ms;   /* between two times */
+  guint copies;    /* each time, at the same moment */
+  guint repeats;   /* by the caller of each copy, at once after an answer without success */
+  double crash_ms; /* from a target's begin to its end, mean */
+  double back_ms;  /* until it takes connections again */
+} WorldCrasher;
+
 typedef struct
 {
   guint32 seed;
@@ -65,6 +80,7 @@
   const MrRelayPolicy *policy; /* NULL: the relay's */
   WorldRoute routes[WORLD_ROUTES_MAX];
   WorldEvent events[8];
+  WorldCrasher crasher;
 } WorldPlan;
 
 typedef struct
@@ -95,6 +111,10 @@
   guint late_verdicts;    /* later than the route's time limit and half a second */
   guint after_gone;       /* repeatable calls alive half a second after the caller left */
   guint shards_wrong;     /* answers under the least share, or counted wrongly */
+  guint crashed;          /* targets that the crasher has ended */
+  guint crasher_calls;    /* calls of it that reached targets */
+  guint crasher_late;     /* of them, later than WORLD_NEWS_MS after its third end */
+  guint crasher_served;   /* times that it was answered with success */
 } WorldResult;
 
 void world_run (const WorldPlan *plan, WorldResult *result);
--- /dev/null
+++ b/test/test_quarantine.c
@@ -0,0 +1,155 @@
+/* A request that ends each target that begins it, on the virtual clock.
+ *
+ * What callers saw: every few seconds hardly any search was answered, since up to thirty
+ * targets of all shards had ended within a second.  A search went to all ten shards at
+ * once; each end was taken for the target's own, so that the part went to the next
+ * target, slow parts were sent twice, and its caller's repeat met, at any daemon, one
+ * that had never seen it.  Proof: the calls of this one content broke one after the
+ * other, wherever they were, and no others but those that were beside them.
+ *
+ * The aim: once three targets have ended, and the news had its time, the same content
+ * reaches at most three targets, for ever; as few as possible end before that; and the
+ * other searches are served. */
+
+#include "relay_site.h"
+
+#include "log.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+enum
+{
+  /* The aim's: calls after the news. */
+  LATE_MOST = 3,
+};
+
+typedef struct
+{
+  const char *name;
+  WorldPlan plan;
+  guint crashed_most; /* the aim's: see each */
+  double least;       /* credit of the wide searches, as a share of what was asked */
+} Case;
+
+/* What a first arrival has in flight when its first target ends can't be called back for
+ * sure: one target a shard, and the one that makes certain. */
+enum
+{
+  FIRST_ARRIVAL = 10 + 1,
+};
+
+static const Case cases[] = {
+  { "once",
+    { SITE, .crasher = { .count = 1, .from_ms = 5000, .crash_ms = 60, .back_ms = 3000 } },
+    FIRST_ARRIVAL,
+    0.90 },
+  { "each 5 s, repeated at once",
+    { SITE, .crasher = { .count = 4,
+                         .from_ms = 3000,
+                         .gap_ms = 5000,
+                         .repeats = 1,
+                         .crash_ms = 60,
+                         .back_ms = 3000 } },
+    FIRST_ARRIVAL + 3,
+    0.90 },
+  /* Those that arrive together can't know of each other. */
+  { "four at once",
+    { SITE, .crasher = { .count = 4,
+                         .from_ms = 3000,
+                         .gap_ms = 5000,
+                         .copies = 4,
+                         .repeats = 1,
+                         .crash_ms = 60,
+                         .back_ms = 3000 } },
+    3 * 10,
+    0.80 },
+  { "it ends its targets late",
+    { SITE, .crasher = { .count = 4,
+                         .from_ms = 3000,
+                         .gap_ms = 5000,
+                         .repeats = 3,
+                         .crash_ms = 300,
+                         .back_ms = 1000 } },
+    2 * FIRST_ARRIVAL,
+    0.80 },
+};
+
+static void
+test_wide (void **state)
+{
+  guint failed = 0;
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      WorldResult r;
+      world_run (&cases[i].plan, &r);
+      double credit = r.kinds[0].credit / MAX (r.kinds[0].asked, 1);
+      printf ("%-28s ended %3u calls %3u late %3u, others' credit %.3f refused %u failed %u\n",
+              cases[i].name, r.crashed, r.crasher_calls, r.crasher_late, credit, r.kinds[0].refused,
+              r.kinds[0].failed);
+      assert_int_equal (r.crasher_served, 0);
+      failed += r.crasher_late > LATE_MOST || r.crashed > cases[i].crashed_most ||
+                credit < cases[i].least;
+    }
+  assert_int_equal (failed, 0);
+}
+
+/* One service of three targets: there the next target is all that can be tried, and the
+ * third end is the last. */
+static void
+test_one_service (void **state)
+{
+  static const char *const names[] = { "may be repeated", "order" };
+  guint failed = 0;
+  (void) state;
+  for (guint unsafe = 0; unsafe < 2; unsafe++)
+    {
+      WorldPlan plan = {
+        .seed = 7,
+        .daemons = 6,
+        .shards = 1,
+        .replicas = 5,
+        .slots = 5,
+        .queue = 20,
+        .connections = 60,
+        .seconds = 30,
+        .attempts = 2,
+        .routes = { { .per_second = 20,
+                      .work_ms = 30,
+                      .aim_ms = 200,
+                      .deadline_ms = 2000,
+                      .unsafe = unsafe == 1 } },
+        .crasher = { .count = 10,
+                     .from_ms = 3000,
+                     .gap_ms = 2500,
+                     .repeats = 1,
+                     .crash_ms = 30,
+                     .back_ms = 2000 },
+      };
+      WorldResult r;
+      world_run (&plan, &r);
+      double credit = r.kinds[0].credit / MAX (r.kinds[0].asked, 1);
+      printf ("%-28s ended %3u calls %3u late %3u, others' credit %.3f refused %u failed %u\n",
+              names[unsafe], r.crashed, r.crasher_calls, r.crasher_late, credit, r.kinds[0].refused,
+              r.kinds[0].failed);
+      assert_int_equal (r.ran_twice, 0);
+      failed += r.crasher_late > LATE_MOST || r.crashed > 3 + LATE_MOST || credit < 0.95;
+    }
+  assert_int_equal (failed, 0);
+}
+
+int
+main (void)
+{
+  mr_log_set_level (MR_LOG_ERROR);
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_wide),
+    cmocka_unit_test (test_one_service),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
