Contents that end their targets are recognised by the relay's decisions, and held back

Now a break is evidence against a content if its target is found gone after it and no part of the request has been answered; two such ends call back all that is out, one part goes out alone as a trial, and three ends on two occasions are a quarantine. One right answer makes all void. Evidence is a few counters in one number whose order is its order, for the other daemons (the host's business; the world of test_quarantine tells them after 20 ms).

--- a/src/health.c
+++ b/src/health.c
@@ -110,6 +110,7 @@
 mr_health_on_probe (MrHealth *health, bool answered, MrTime now)
 {
   health->probing = false;
+  health->absent = !answered;
   if (health->state != MR_HEALTH_SUSPECT && health->state != MR_HEALTH_DOWN)
     return MR_HEALTH_NOTHING;
   if (answered)
--- a/src/health.h
+++ b/src/health.h
@@ -30,6 +30,7 @@
   MrHealthState state;
   bool probing;
   bool silent;        /* the suspicion came from an unanswered call */
+  bool absent;        /* the last probe found nobody there */
   MrTime answered_at; /* last answer of any kind */
   MrTime probe_at;    /* next probe while down */
   MrTime probe_gap;   /* between probes; grows while down */
--- a/src/relay.c
+++ b/src/relay.c
@@ -13,6 +13,7 @@
     [MR_CAUSE_FEW_SHARDS] = "few-shards",
     [MR_CAUSE_TIME] = "time",
     [MR_CAUSE_SOFT_END] = "soft-end",
+    [MR_CAUSE_QUARANTINED] = "quarantined",
   };
   return names[cause];
 }
@@ -61,6 +62,18 @@
   g_free (service);
 }
 
+static guint
+S_content_hash (gconstpointer key)
+{
+  return (guint) ((const MrFingerprint *) key)->low;
+}
+
+static gboolean
+S_content_equal (gconstpointer a, gconstpointer b)
+{
+  return mr_fingerprint_equal (*(const MrFingerprint *) a, *(const MrFingerprint *) b);
+}
+
 MrRelay *
 mr_relay_new (MrRelayHost *host, const MrRelayInfo *info)
 {
@@ -78,6 +91,9 @@
   r->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   r->works = g_hash_table_new (NULL, NULL);
   r->retired = g_ptr_array_new_with_free_func ((GDestroyNotify) mr_target_state_free);
+  r->contents = g_hash_table_new_full (S_content_hash, S_content_equal, NULL, g_free);
+  r->doubts = g_ptr_array_new_with_free_func (g_free);
+  r->unix_offset = info->unix_offset;
   r->timers = mr_timers_new ();
   return r;
 }
@@ -124,6 +140,8 @@
   g_hash_table_unref (r->services);
   g_hash_table_unref (r->pools);
   g_ptr_array_unref (r->retired);
+  g_ptr_array_unref (r->doubts);
+  g_hash_table_unref (r->contents);
   mr_timers_free (r->timers);
   g_rand_free (r->random);
   g_free (r->domain);
--- a/src/relay.h
+++ b/src/relay.h
@@ -24,7 +24,7 @@
 #include "budget.h"
 #include "call.h"
 #include "configuration.h"
-#include "fingerprint.h"
+#include "quarantine.h"
 #include "target.h"
 
 typedef struct _MrRelay MrRelay;
@@ -54,14 +54,15 @@
 typedef enum
 {
   MR_CAUSE_NONE,
-  MR_CAUSE_NO_TARGET,  /* every target of a service is down, leaving or unknown */
-  MR_CAUSE_OVERLOAD,   /* the wait would outlast the caller's use for an answer */
-  MR_CAUSE_ATTEMPTS,   /* every target that may be tried was */
-  MR_CAUSE_BUDGET,     /* another send would go over the bound on extra load */
-  MR_CAUSE_BROKEN,     /* the target broke off and the request may not be repeated */
-  MR_CAUSE_FEW_SHARDS, /* too few shards can still answer */
-  MR_CAUSE_TIME,       /* the deadline or the route's time limit has passed */
-  MR_CAUSE_SOFT_END,   /* answered without the missing shards, to be in time */
+  MR_CAUSE_NO_TARGET,   /* every target of a service is down, leaving or unknown */
+  MR_CAUSE_OVERLOAD,    /* the wait would outlast the caller's use for an answer */
+  MR_CAUSE_ATTEMPTS,    /* every target that may be tried was */
+  MR_CAUSE_BUDGET,      /* another send would go over the bound on extra load */
+  MR_CAUSE_BROKEN,      /* the target broke off and the request may not be repeated */
+  MR_CAUSE_FEW_SHARDS,  /* too few shards can still answer */
+  MR_CAUSE_TIME,        /* the deadline or the route's time limit has passed */
+  MR_CAUSE_SOFT_END,    /* answered without the missing shards, to be in time */
+  MR_CAUSE_QUARANTINED, /* its content has ended targets, time and again */
 } MrCause;
 
 const char *mr_cause_name (MrCause cause);
@@ -121,6 +122,12 @@
   /* Replace the idle connections of @target; if it is gone, for good, with what is
    * still being tried of it. */
   void (*renew) (MrRelayHost *host, const MrTargetState *target);
+  /* More is known of targets that ended under @fingerprint: for all other daemons.
+   * NULL: there are none. */
+  void (*evidence) (MrRelayHost *host, MrFingerprint fingerprint, const MrEvidence *evidence);
+  /* TRUE if this daemon is the one that may try a content that is on probation; NULL:
+   * it is. */
+  gboolean (*may_probe) (MrRelayHost *host, MrFingerprint fingerprint);
   /* The one verdict on a request; must not submit another from within. */
   void (*done) (MrRelayHost *host, gpointer request, const MrRelayResult *result);
   void (*free_answer) (gpointer answer);
@@ -175,6 +182,7 @@
   const MrRelayPolicy *policy;
   MrWindowTerms budget;
   guint32 seed;
+  MrTime unix_offset; /* of the clock that the relay is told, to that of Unix */
 } MrRelayInfo;
 
 typedef struct
@@ -190,8 +198,10 @@
   guint64 failed;
   guint64 timeouts;
   guint64 silent;
-  guint64 expired; /* waiting parts given up, too late to be served */
-  guint64 ended;   /* targets that ended while calls from here ran there */
+  guint64 expired;     /* waiting parts given up, too late to be served */
+  guint64 ended;       /* targets that ended while calls from here ran there */
+  guint64 trials;      /* sends of suspect contents to one target, before any other */
+  guint64 quarantined; /* requests refused or given up since their content is quarantined */
 } MrRelayCounts;
 
 MrRelay *mr_relay_new (MrRelayHost *host, const MrRelayInfo *info);
@@ -258,6 +268,12 @@
 /* A call has ended; takes @answer, which may be NULL. */
 void
 mr_relay_call_end (MrRelay *relay, MrTime now, guint64 id, MrCallOutcome outcome, gpointer answer);
+/* What others know of @fingerprint; NULL: it is to be forgotten. */
+void mr_relay_evidence (MrRelay *relay,
+                        MrTime now,
+                        MrFingerprint fingerprint,
+                        const MrEvidence *evidence);
+
 void mr_relay_probe_end (MrRelay *relay, MrTime now, const char *target, gboolean answered);
 
 /* Carries out what is due; returns when to come back, or MR_NEVER. */
--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -264,7 +264,9 @@
   MrTime wait = 0;
   g_hash_table_add (r->works, work);
   r->counts.requests++;
-  work->cause = S_admit (work, now, &wait);
+  work->cause = mr_relay_admit_content (r, now, work);
+  if (work->cause == MR_CAUSE_NONE)
+    work->cause = S_admit (work, now, &wait);
   if (work->cause == MR_CAUSE_NONE && S_turn_away (r, work, now))
     work->cause = MR_CAUSE_OVERLOAD;
   if (work->cause != MR_CAUSE_NONE)
@@ -272,6 +274,13 @@
       mr_relay_finish (r, now, work, MR_VERDICT_REFUSED);
       return NULL;
     }
+  if (work->one_by_one)
+    {
+      for (guint i = 0; i < work->part_count; i++)
+        mr_relay_hold (&work->jobs[i]);
+      mr_relay_schedule (r, work);
+      return work;
+    }
   mr_relay_schedule (r, work);
   /* From a random one on, so that what may be left out is shared by all shards
    * that are loaded. */
--- a/src/relay_crash.c
+++ b/src/relay_crash.c
@@ -1,13 +1,40 @@
+/* Targets that end while requests run there, and requests that end them.
+ *
+ * A content that ends each target that begins it took 20 of 30 targets with each arrival:
+ * one a shard at once, then the next of each shard in its place, then all over again for
+ * its caller's repeat; a third of all searches was answered meanwhile.  Here a break is
+ * evidence only if the target is found gone after it, and only while no part of the
+ * request has been answered, which clears it: a search of ten shards that meets a rack's
+ * end is cleared by its next answer, some 30 ms later.  With two targets gone and no
+ * answer all that is out is called back, and one part alone goes out as a trial.  Three
+ * to eleven targets end under an arrival that nobody expects, and none later (virtual
+ * clock, the shape of a small site: test_quarantine). */
 #include "relay_private.h"
 
 #include "log.h"
+#include "safeguard.h"
 
 enum
 {
   CONTENTS_LOGGED = 8, /* in one line */
   BROKEN_KEPT = 64,    /* of a target; more calls than any has slots */
+  /* Targets gone under a request without an answer, from which all its calls are called
+   * back.  One is an accident: each target that ends by itself takes some calls along. */
+  SUSPECT_ENDS = 2,
+  /* Calls that a trial on probation may make in all. */
+  PROBATION_SENDS = 2,
 };
 
+/* How long it may take to find out that a target is gone: round trips to another region,
+ * on a VM that is busy.  One that is alive answers sooner; one whose VM is dark hangs, and
+ * is no evidence: its calls don't break. */
+static const MrTime DOUBT_WAIT = 100 * MR_MS;
+/* Another trial of the same content has its result within this; what it says is awaited
+ * rather than a second target risked. */
+static const MrTime TRIAL_GAP = 150 * MR_MS;
+
+/* Log. */
+
 static void
 S_log_ended (const MrTargetState *target)
 {
@@ -44,15 +71,465 @@
 {
   if (target->broken->len < BROKEN_KEPT && mr_fingerprint_is_set (fingerprint))
     g_array_append_val (target->broken, fingerprint);
-  if (target->health.state == MR_HEALTH_DOWN)
+  if (target->health.state == MR_HEALTH_DOWN && target->health.absent)
     S_note_ended (r, target);
 }
 
+/* Contents. */
+
+static guint32
+S_unix (const MrRelay *r, MrTime now)
+{
+  return (guint32) ((now + r->unix_offset) / MR_SECOND);
+}
+
+static Content *
+S_find (const MrRelay *r, MrFingerprint fingerprint)
+{
+  return g_hash_table_lookup (r->contents, &fingerprint);
+}
+
+static Content *
+S_content (MrRelay *r, MrFingerprint fingerprint)
+{
+  Content *content = S_find (r, fingerprint);
+  if (content)
+    return content;
+  content = g_new0 (Content, 1);
+  content->fingerprint = fingerprint;
+  g_hash_table_insert (r->contents, &content->fingerprint, content);
+  return content;
+}
+
+static void
+S_tell (MrRelay *r, Content *content)
+{
+  content->told = TRUE;
+  if (r->host->evidence)
+    r->host->evidence (r->host, content->fingerprint, &content->evidence);
+}
+
+/* Requests for @fingerprint that have no answer yet; new. */
+static GPtrArray *
+S_works_of (const MrRelay *r, MrFingerprint fingerprint)
+{
+  GPtrArray *works = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, r->works);
+  while (g_hash_table_iter_next (&iter, &item, NULL))
+    {
+      MrRelayWork *work = item;
+      if (mr_fingerprint_equal (work->fingerprint, fingerprint))
+        g_ptr_array_add (works, work);
+    }
+  return works;
+}
+
+/* Parts that are held, and trials. */
+
+void
+mr_relay_hold (Job *job)
+{
+  if (job->held || job->ended)
+    return;
+  job->held = TRUE;
+  job->hedge_at = MR_NEVER;
+  job->work->held++;
+}
+
+static void
+S_unhold (Job *job)
+{
+  job->held = FALSE;
+  job->work->held--;
+}
+
+gboolean
+mr_relay_is_wary (const MrRelayWork *work)
+{
+  return work->have == 0 && (work->suspect || work->doubts > 0);
+}
+
+static gboolean
+S_is_out (const Job *job)
+{
+  return !job->ended && (job->waiting || job->doubts > 0 || mr_relay_job_calls (job) > 0);
+}
+
+MrTime
+mr_relay_trial_due (const MrRelayWork *work)
+{
+  if (work->held == 0)
+    return MR_NEVER;
+  for (guint i = 0; i < work->part_count; i++)
+    if (S_is_out (&work->jobs[i]))
+      return MR_NEVER;
+  return work->trial_at;
+}
+
+/* The held part whose shard can best do without one more target. */
+static Job *
+S_pick_trial (const MrRelayWork *work)
+{
+  Job *best = NULL;
+  guint best_usable = 0;
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      Job *job = &work->jobs[i];
+      double room = 0;
+      guint usable = job->held ? mr_relay_usable (job->service, &room) : 0;
+      if (job->held && (!best || usable > best_usable))
+        {
+          best = job;
+          best_usable = usable;
+        }
+    }
+  return best;
+}
+
+void
+mr_relay_begin_trial (MrRelay *r, MrTime now, MrRelayWork *work)
+{
+  Content *content = S_content (r, work->fingerprint);
+  if (!work->trying && content->trials > 0)
+    {
+      work->trial_at = now + TRIAL_GAP;
+      mr_relay_schedule (r, work);
+      return;
+    }
+  if (!work->trying)
+    content->trials++;
+  work->trying = TRUE;
+  work->suspect = TRUE;
+  work->one_by_one = TRUE;
+  work->base = content->evidence;
+  Job *job = S_pick_trial (work);
+  S_unhold (job);
+  work->trial = job;
+  r->counts.trials++;
+  mr_relay_place (r, now, job, job->sends > 0 ? MR_SEND_RETRY : MR_SEND_FIRST);
+  if (g_hash_table_contains (r->works, work))
+    mr_relay_schedule (r, work);
+}
+
+static void
+S_give_up (MrRelay *r, MrTime now, MrRelayWork *work)
+{
+  work->cause = MR_CAUSE_QUARANTINED;
+  mr_relay_finish (r, now, work, MR_VERDICT_REFUSED);
+}
+
+void
+mr_relay_go_on (MrRelay *r, MrTime now, Job *job)
+{
+  MrRelayWork *work = job->work;
+  if (work->probation && job->sends >= PROBATION_SENDS)
+    {
+      S_give_up (r, now, work);
+      return;
+    }
+  if (!mr_relay_is_wary (work) || work->trial == job)
+    {
+      mr_relay_place (r, now, job, MR_SEND_RETRY);
+      return;
+    }
+  mr_relay_hold (job);
+  mr_relay_schedule (r, work);
+}
+
+/* From now on one call of the request at a time; what is out is called back, since most
+ * targets drop the work of a connection that closes. */
+static void
+S_go_one_by_one (MrRelay *r, MrTime now, MrRelayWork *work, MrTime trial_at)
+{
+  if (work->one_by_one)
+    return;
+  work->suspect = TRUE;
+  work->one_by_one = TRUE;
+  work->trial_at = trial_at;
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      Job *job = &work->jobs[i];
+      if (job->ended)
+        continue;
+      work->ran |= mr_relay_job_calls (job) > 0;
+      mr_relay_withdraw_calls (r, now, job);
+      mr_relay_unqueue (job);
+      if (job->doubts == 0)
+        mr_relay_hold (job);
+    }
+  mr_relay_schedule (r, work);
+}
+
+static void
+S_release (MrRelay *r, MrTime now, MrRelayWork *work)
+{
+  work->suspect = FALSE;
+  work->one_by_one = FALSE;
+  work->trial = NULL;
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      Job *job = &work->jobs[i];
+      if (!job->held)
+        continue;
+      S_unhold (job);
+      mr_relay_place (r, now, job, job->sends > 0 ? MR_SEND_RETRY : MR_SEND_FIRST);
+      if (!g_hash_table_contains (r->works, work))
+        return;
+    }
+  mr_relay_schedule (r, work);
+}
+
+/* Evidence. */
+
+/* What is known of the content has grown: requests for it that are out go on as that
+ * says.  @finder: whose calls showed it, or NULL. */
+static void
+S_apply (MrRelay *r, MrTime now, const Content *content, const MrRelayWork *finder)
+{
+  MrStanding standing = mr_evidence_standing (&content->evidence, S_unix (r, now));
+  if (standing != MR_STANDING_QUARANTINED && content->evidence.ended < SUSPECT_ENDS)
+    return;
+  g_autoptr (GPtrArray) works = S_works_of (r, content->fingerprint);
+  for (guint i = 0; i < works->len; i++)
+    {
+      MrRelayWork *work = g_ptr_array_index (works, i);
+      if (!g_hash_table_contains (r->works, work) || work->have > 0)
+        continue;
+      if (standing == MR_STANDING_QUARANTINED)
+        S_give_up (r, now, work);
+      else
+        S_go_one_by_one (r, now, work, work == finder ? now : now + TRIAL_GAP);
+    }
+}
+
+/* TRUE if a request for @fingerprint that is still out has an answer of some part. */
+static gboolean
+S_is_being_answered (const MrRelay *r, MrFingerprint fingerprint)
+{
+  g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
+  for (guint i = 0; i < works->len; i++)
+    if (((const MrRelayWork *) g_ptr_array_index (works, i))->have > 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* A target has ended under the call that @doubt is of. */
+static void
+S_add_evidence (MrRelay *r, MrTime now, const Doubt *doubt)
+{
+  if (S_is_being_answered (r, doubt->fingerprint))
+    return;
+  Content *content = S_content (r, doubt->fingerprint);
+  if (content->evidence.cleared != doubt->base.cleared)
+    return; /* it has been answered since the call was sent */
+  content->evidence =
+      mr_evidence_add (&doubt->base, &content->evidence, doubt->probation, S_unix (r, now));
+  if (doubt->work)
+    {
+      doubt->work->suspect = TRUE;
+      doubt->work->trial = NULL;
+    }
+  if (!doubt->work || content->evidence.ended >= SUSPECT_ENDS)
+    S_tell (r, content);
+  S_apply (r, now, content, doubt->work);
+}
+
+static void
+S_clear (MrRelay *r, MrTime now, Content *content)
+{
+  if (!content->told)
+    {
+      g_hash_table_remove (r->contents, &content->fingerprint);
+      return;
+    }
+  content->evidence = mr_evidence_clear (&content->evidence, S_unix (r, now));
+  S_tell (r, content);
+}
+
+void
+mr_relay_note_answered (MrRelay *r, MrTime now, MrFingerprint fingerprint)
+{
+  Content *content = S_find (r, fingerprint);
+  if (!content)
+    return;
+  if (content->evidence.ended > 0)
+    S_clear (r, now, content);
+  g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
+  for (guint i = 0; i < works->len; i++)
+    if (g_hash_table_contains (r->works, g_ptr_array_index (works, i)))
+      S_release (r, now, g_ptr_array_index (works, i));
+}
+
+void
+mr_relay_evidence (MrRelay *r, MrTime now, MrFingerprint fingerprint, const MrEvidence *evidence)
+{
+  if (!evidence)
+    {
+      g_hash_table_remove (r->contents, &fingerprint);
+      return;
+    }
+  Content *content = S_content (r, fingerprint);
+  content->told = TRUE;
+  if (mr_evidence_pack (evidence) <= mr_evidence_pack (&content->evidence))
+    return;
+  gboolean cleared = evidence->cleared > content->evidence.cleared;
+  content->evidence = *evidence;
+  content->heard_at = now;
+  if (!cleared)
+    {
+      S_apply (r, now, content, NULL);
+      return;
+    }
+  g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
+  for (guint i = 0; i < works->len; i++)
+    if (g_hash_table_contains (r->works, g_ptr_array_index (works, i)))
+      S_release (r, now, g_ptr_array_index (works, i));
+}
+
+MrCause
+mr_relay_admit_content (MrRelay *r, MrTime now, MrRelayWork *work)
+{
+  const Content *content = S_find (r, work->fingerprint);
+  guint32 unix_time = S_unix (r, now);
+  if (!content || !mr_fingerprint_is_set (work->fingerprint))
+    return MR_CAUSE_NONE;
+  work->base = content->evidence;
+  MrStanding standing = mr_evidence_standing (&content->evidence, unix_time);
+  if (standing == MR_STANDING_CLEAR)
+    return MR_CAUSE_NONE;
+  if (standing == MR_STANDING_QUARANTINED)
+    {
+      /* Callers hear at once that it has not run; each target that it reached would end. */
+      if (!mr_evidence_on_probation (&content->evidence, unix_time) || content->trials > 0 ||
+          (r->host->may_probe && !r->host->may_probe (r->host, work->fingerprint)))
+        return MR_CAUSE_QUARANTINED;
+      work->probation = TRUE;
+    }
+  work->suspect = TRUE;
+  work->one_by_one = TRUE;
+  work->trial_at = MAX (now, content->heard_at > 0 ? content->heard_at + TRIAL_GAP : now);
+  return MR_CAUSE_NONE;
+}
+
+/* Doubts. */
+
+static void
+S_leave_doubt (Doubt *doubt)
+{
+  if (doubt->work)
+    doubt->work->doubts--;
+  if (doubt->job)
+    doubt->job->doubts--;
+  doubt->work = NULL;
+  doubt->job = NULL;
+}
+
+void
+mr_relay_leave_content (MrRelay *r, MrRelayWork *work)
+{
+  for (guint i = 0; i < r->doubts->len && work->doubts > 0; i++)
+    {
+      Doubt *doubt = g_ptr_array_index (r->doubts, i);
+      if (doubt->work == work)
+        S_leave_doubt (doubt);
+    }
+  Content *content = S_find (r, work->fingerprint);
+  if (!content)
+    return;
+  if (work->trying && content->trials > 0)
+    content->trials--;
+  /* Without an answer the next attempt may come to any daemon. */
+  if (work->have == 0 && content->evidence.ended > 0 && !content->told)
+    S_tell (r, content);
+}
+
+void
+mr_relay_doubt (MrRelay *r, MrTime now, Job *job, MrTargetState *target)
+{
+  MrRelayWork *work = job->work;
+  gboolean absent = target->health.state == MR_HEALTH_DOWN && target->health.absent;
+  if (!mr_fingerprint_is_set (work->fingerprint) || work->have > 0 ||
+      (!absent && target->health.state != MR_HEALTH_SUSPECT) || !MR_SAFEGUARD (MR_GUARD_QUARANTINE))
+    return;
+  Doubt *doubt = g_new (Doubt, 1);
+  *doubt = (Doubt){
+    .timed = TIMED_DOUBT,
+    .timer = { .owner = doubt },
+    .target = target,
+    .work = work,
+    .job = job,
+    .fingerprint = work->fingerprint,
+    .base = work->base,
+    .probation = work->probation,
+    .absent = absent,
+  };
+  work->doubts++;
+  job->doubts++;
+  g_ptr_array_add (r->doubts, doubt);
+  mr_timers_set (r->timers, &doubt->timer, absent ? now : now + DOUBT_WAIT);
+}
+
+static gboolean
+S_is_idle (const Job *job)
+{
+  return !job->ended && !job->held && !job->waiting && job->doubts == 0 &&
+         mr_relay_job_calls (job) == 0;
+}
+
+/* Takes @doubt, which has been taken out of the list. */
+static void
+S_resolve (MrRelay *r, MrTime now, Doubt *doubt, gboolean gone)
+{
+  MrRelayWork *work = doubt->work;
+  Job *job = doubt->job;
+  mr_timers_set (r->timers, &doubt->timer, MR_NEVER);
+  if (work)
+    {
+      work->doubts--;
+      job->doubts--;
+    }
+  if (gone)
+    S_add_evidence (r, now, doubt);
+  g_free (doubt);
+  if (!work || !g_hash_table_contains (r->works, work))
+    return;
+  if (S_is_idle (job))
+    mr_relay_go_on (r, now, job);
+  else
+    mr_relay_schedule (r, work);
+}
+
+void
+mr_relay_doubt_due (MrRelay *r, MrTime now, Doubt *doubt)
+{
+  guint place = 0;
+  g_ptr_array_find (r->doubts, doubt, &place);
+  g_ptr_array_steal_index_fast (r->doubts, place);
+  S_resolve (r, now, doubt, doubt->absent);
+}
+
+/* One that is of @target, taken out of the list; NULL if there is none. */
+static Doubt *
+S_take_doubt (MrRelay *r, const MrTargetState *target)
+{
+  for (guint i = 0; i < r->doubts->len; i++)
+    {
+      const Doubt *doubt = g_ptr_array_index (r->doubts, i);
+      if (doubt->target == target)
+        return g_ptr_array_steal_index_fast (r->doubts, i);
+    }
+  return NULL;
+}
+
 void
-mr_relay_note_probed (MrRelay *r, MrTargetState *target, gboolean answered)
+mr_relay_note_probed (MrRelay *r, MrTime now, MrTargetState *target, gboolean answered)
 {
   if (answered)
     g_array_set_size (target->broken, 0); /* only the connections had broken */
   else
     S_note_ended (r, target);
+  for (Doubt *doubt = S_take_doubt (r, target); doubt; doubt = S_take_doubt (r, target))
+    S_resolve (r, now, doubt, !answered);
 }
--- a/src/relay_end.c
+++ b/src/relay_end.c
@@ -12,6 +12,8 @@
 S_retry_after (const MrRelayWork *work)
 {
   MrTime wait = 0;
+  if (work->cause == MR_CAUSE_QUARANTINED)
+    return 0; /* it is not to come back */
   for (guint i = 0; i < work->part_count; i++)
     wait = MAX (wait, mr_relay_expected_wait (&work->jobs[i]));
   if (work->cause == MR_CAUSE_NO_TARGET)
@@ -71,7 +73,10 @@
     .expected_wait = verdict == MR_VERDICT_REFUSED ? mr_relay_expected_wait (&work->jobs[0]) : 0,
   };
   S_count (r, verdict, result.missing);
+  if (work->cause == MR_CAUSE_QUARANTINED)
+    r->counts.quarantined++;
   g_hash_table_remove (r->works, work);
+  mr_relay_leave_content (r, work);
   for (guint i = 0; i < work->part_count; i++)
     {
       mr_relay_unqueue (&work->jobs[i]);
@@ -90,6 +95,7 @@
   if (r->policy->linger == MR_NEVER)
     until = MR_NEVER;
   g_hash_table_remove (r->works, work);
+  mr_relay_leave_content (r, work);
   for (guint i = 0; i < work->part_count; i++)
     {
       mr_relay_unqueue (&work->jobs[i]);
@@ -152,9 +158,12 @@
 
 /* A call that the job waited for has ended without the wanted answer. */
 static void
-S_settle (MrRelay *r, MrTime now, Job *job, MrCallOutcome outcome, gpointer answer)
+S_settle (
+    MrRelay *r, MrTime now, Job *job, MrTargetState *target, MrCallOutcome outcome, gpointer answer)
 {
   MrRelayWork *work = job->work;
+  if (outcome == MR_CALL_BROKEN)
+    mr_relay_doubt (r, now, job, target);
   if (outcome == MR_CALL_NOT_CONNECTED)
     job->sends--; /* no target has seen it */
   if (!S_not_run (outcome))
@@ -176,7 +185,8 @@
       mr_relay_end_job (r, now, job, MR_CAUSE_BROKEN);
       return;
     }
-  mr_relay_place (r, now, job, MR_SEND_RETRY);
+  if (job->doubts == 0)
+    mr_relay_go_on (r, now, job);
 }
 
 /* A call that lost to a second send would have taken longer than this.  Where it
@@ -194,12 +204,14 @@
 S_take_answer (MrRelay *r, MrTime now, Job *job, gpointer answer)
 {
   MrRelayWork *work = job->work;
+  MrFingerprint fingerprint = work->fingerprint;
   work->answers[job->part] = answer;
   work->ran = TRUE;
   work->have++;
   S_note_lost_calls (r, now, job);
   mr_relay_orphan_calls (r, now, job, mr_relay_linger (r, now));
   mr_relay_end_job (r, now, job, MR_CAUSE_NONE);
+  mr_relay_note_answered (r, now, fingerprint);
 }
 
 static void
@@ -211,6 +223,15 @@
   note->took = now - call->started;
 }
 
+void
+mr_relay_withdraw_calls (MrRelay *r, MrTime now, Job *job)
+{
+  for (guint i = 0; i < CALLS_OF_JOB; i++)
+    if (job->calls[i])
+      S_note_end (job->calls[i], now, MR_CALL_CANCELLED);
+  mr_relay_orphan_calls (r, now, job, r->policy->linger == MR_NEVER ? MR_NEVER : now);
+}
+
 void
 mr_relay_call_end (MrRelay *r, MrTime now, guint64 id, MrCallOutcome outcome, gpointer answer)
 {
@@ -242,7 +263,7 @@
   if (job && outcome == MR_CALL_ANSWER)
     S_take_answer (r, now, job, answer);
   else if (job)
-    S_settle (r, now, job, outcome, answer);
+    S_settle (r, now, job, target, outcome, answer);
   else if (answer)
     r->host->free_answer (answer);
   mr_relay_act (r, now, target, action);
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -57,6 +57,7 @@
 {
   TIMED_WORK,
   TIMED_CALL,
+  TIMED_DOUBT,
 } Timed;
 
 typedef struct
@@ -89,6 +90,30 @@
   guint asked;   /* calls sent to it */
 } Tried;
 
+/* A content under which targets have ended, or may have. */
+typedef struct
+{
+  MrFingerprint fingerprint;
+  MrEvidence evidence;
+  gboolean told;   /* others know of it, or have told us */
+  guint trials;    /* requests that are trying it now, one target at a time */
+  MrTime heard_at; /* when others last told something new of it; 0: never */
+} Content;
+
+/* A call has broken, and whether its target has ended is being found out. */
+typedef struct
+{
+  Timed timed;
+  MrTimer timer; /* the end of waiting for it */
+  MrTargetState *target;
+  MrRelayWork *work; /* NULL: has its verdict */
+  Job *job;          /* NULL as well */
+  MrFingerprint fingerprint;
+  MrEvidence base; /* what was known when the call was sent */
+  gboolean probation;
+  gboolean absent; /* it has been found out: nobody is there */
+} Doubt;
+
 /* One part of a request. */
 struct _Job
 {
@@ -98,6 +123,8 @@
   GList link; /* in the service's queue */
   gboolean waiting;
   gboolean ended;
+  gboolean held;       /* until another part of the request has been answered */
+  guint doubts;        /* broken calls whose targets may have ended */
   MrSendReason reason; /* of the send it waits for */
   guint sends;         /* that may have reached a target */
   guint tried_count;
@@ -120,6 +147,15 @@
   MrTime hard_end;
   MrTime deadline; /* as the caller said */
   MrFingerprint fingerprint;
+  MrEvidence base;     /* what was known of its content when the calls that are out were sent */
+  gboolean suspect;    /* a target has ended under its content, and none has answered */
+  gboolean one_by_one; /* one call at a time, until one is answered */
+  gboolean trying;     /* counts among its content's trials */
+  gboolean probation;  /* tries a quarantined content once more */
+  Job *trial;          /* the part that is out, or on its way */
+  MrTime trial_at;     /* not before */
+  guint held;          /* parts */
+  guint doubts;
   gboolean ran;  /* a target may have begun on it */
   MrCause cause; /* of the part that failed last */
   guint part_count;
@@ -148,6 +184,9 @@
   GHashTable *calls;    /* id -> Call */
   GHashTable *works;    /* set of MrRelayWork */
   GPtrArray *retired;   /* MrTargetState of targets that are gone */
+  GHashTable *contents; /* MrFingerprint -> Content */
+  GPtrArray *doubts;    /* Doubt */
+  MrTime unix_offset;
   MrTimers *timers;
   MrTime health_at; /* next look at the targets that are down */
   gboolean some_down;
@@ -166,11 +205,34 @@
 MrHealthAction mr_relay_note_target (
     MrRelay *relay, MrTime now, MrTargetState *target, MrCallOutcome outcome, MrTime started);
 
+/* Targets that end while requests run there (relay_crash.c). */
+
 /* The connection of a call of @fingerprint to @target has broken; its health has been
  * told. */
 void mr_relay_note_broken (MrRelay *relay, MrTargetState *target, MrFingerprint fingerprint);
 /* Whether @target still accepts connections has turned out. */
-void mr_relay_note_probed (MrRelay *relay, MrTargetState *target, gboolean answered);
+void mr_relay_note_probed (MrRelay *relay, MrTime now, MrTargetState *target, gboolean answered);
+/* A call of the job has broken: the job waits until it is known whether @target has
+ * ended, if that may be. */
+void mr_relay_doubt (MrRelay *relay, MrTime now, Job *job, MrTargetState *target);
+void mr_relay_doubt_due (MrRelay *relay, MrTime now, Doubt *doubt);
+/* A call of the job has ended without an answer and nothing is out for it: sends it
+ * again, or holds it. */
+void mr_relay_go_on (MrRelay *relay, MrTime now, Job *job);
+/* A target has answered @fingerprint: what was known against it is void. */
+void mr_relay_note_answered (MrRelay *relay, MrTime now, MrFingerprint fingerprint);
+/* Whether the request's content may be sent, and how. */
+MrCause mr_relay_admit_content (MrRelay *relay, MrTime now, MrRelayWork *work);
+/* The request has its verdict, or its caller has gone. */
+void mr_relay_leave_content (MrRelay *relay, MrRelayWork *work);
+/* TRUE while a second call of any part would be one too many. */
+gboolean mr_relay_is_wary (const MrRelayWork *work);
+void mr_relay_hold (Job *job);
+/* When the next part of a request that goes one by one is due; MR_NEVER: nothing is. */
+MrTime mr_relay_trial_due (const MrRelayWork *work);
+void mr_relay_begin_trial (MrRelay *relay, MrTime now, MrRelayWork *work);
+/* Closes or cancels what is out for the job. */
+void mr_relay_withdraw_calls (MrRelay *relay, MrTime now, Job *job);
 
 /* Choice of a target (relay_choice.c): functions of what is known, without effect on
  * it. */
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -236,7 +236,7 @@
   if (!target)
     return;
   MrHealthAction action = mr_target_state_probed (target, now, answered);
-  mr_relay_note_probed (r, target, answered);
+  mr_relay_note_probed (r, now, target, answered);
   mr_relay_act (r, now, target, action);
 }
 
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -120,7 +120,8 @@
   MrTime due = work->hard_end;
   if (work->have >= work->needed && work->soft_end < due)
     due = work->soft_end;
-  for (guint i = 0; i < work->part_count; i++)
+  due = MIN (due, mr_relay_trial_due (work));
+  for (guint i = 0; i < work->part_count && !mr_relay_is_wary (work); i++)
     {
       const Job *job = &work->jobs[i];
       if (!job->ended && !job->waiting && job->hedge_at < due && mr_relay_may_try_more (job))
@@ -144,7 +145,12 @@
       mr_relay_finish (relay, now, work, MR_VERDICT_MERGE);
       return;
     }
-  for (guint i = 0; i < work->part_count; i++)
+  if (now >= mr_relay_trial_due (work))
+    {
+      mr_relay_begin_trial (relay, now, work);
+      return;
+    }
+  for (guint i = 0; i < work->part_count && !mr_relay_is_wary (work); i++)
     {
       Job *job = &work->jobs[i];
       if (job->ended || job->waiting || now < job->hedge_at)
@@ -211,10 +217,13 @@
   for (MrTimer *timer = mr_timers_pop (relay->timers, now); timer;
        timer = mr_timers_pop (relay->timers, now))
     {
-      if (*(Timed *) timer->owner == TIMED_WORK)
+      Timed timed = *(Timed *) timer->owner;
+      if (timed == TIMED_WORK)
         S_check_work (relay, now, timer->owner);
-      else
+      else if (timed == TIMED_CALL)
         S_check_call (relay, now, timer->owner);
+      else
+        mr_relay_doubt_due (relay, now, timer->owner);
     }
   if (now >= relay->health_at)
     S_check_health (relay, now);
--- a/src/safeguard.h
+++ b/src/safeguard.h
@@ -25,6 +25,7 @@
   MR_GUARD_DRAIN,         /* a planned stop waits for what is in flight */
   MR_GUARD_RETRY_BUDGET,  /* hedges and retries draw on a budget */
   MR_GUARD_INCARNATION,   /* the newer start of a target wins */
+  MR_GUARD_QUARANTINE,    /* contents under which targets ended are held back */
   MR_GUARD_COUNT,
 } MrGuard;
 
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -13,7 +13,8 @@
   ALLOWANCE = 52,
   WINDOW_US = 10000000,
   SLACK_US = 500000,
-  CRASHER_CONTENT = 1, /* its fingerprint; those of others are above */
+  CRASHER_CONTENT = 1,
+  POPULAR_CONTENT = 2, /* and the numbers that follow, by route */
 };
 
 typedef struct World World;
@@ -33,6 +34,7 @@
   EVENT_CRASHER, /* comes once more */
   EVENT_CRASH,   /* the target of the call ends */
   EVENT_BACK,    /* a target that had ended takes connections again */
+  EVENT_NEWS,    /* of evidence against a content */
 } EventType;
 
 typedef struct
@@ -92,6 +94,7 @@
   gboolean ended;
   guint ran; /* calls that ran, of an unsafe request */
   gboolean crasher;
+  gboolean popular;
   guint repeats; /* that its caller has left */
   guint8 *sends; /* a part */
   /* A part, a bit for each target of its shard: those that were sent to, and of them
@@ -100,6 +103,14 @@
   guint64 *held;
 };
 
+/* Evidence on its way from one daemon to the others. */
+typedef struct
+{
+  guint from;
+  MrFingerprint fingerprint;
+  MrEvidence evidence;
+} News;
+
 /* Requests and second sends of one shard, by the time they were made. */
 typedef struct
 {
@@ -126,6 +137,7 @@
   GHashTable *by_id[WORLD_DAEMONS_MAX]; /* call id -> Call */
   GPtrArray *asks;
   MrTime third_crash; /* 0: not yet */
+  GPtrArray *news;
 };
 
 static gint
@@ -197,12 +209,8 @@
 
 /* All connections of the target's process end with it. */
 static void
-S_on_crash (World *w, Call *cause)
+S_end_process (World *w, Target *target)
 {
-  Target *target = cause->target;
-  if (cause->lost || cause->dropped)
-    return;
-  target->trouble = WORLD_REFUSES;
   for (guint i = 0; i < w->calls->len; i++)
     {
       Call *call = g_ptr_array_index (w->calls, i);
@@ -215,6 +223,16 @@
         S_reply (w, call, MR_CALL_BROKEN);
     }
   target->busy = 0;
+}
+
+static void
+S_on_crash (World *w, const Call *cause)
+{
+  Target *target = cause->target;
+  if (cause->lost || cause->dropped)
+    return;
+  target->trouble = WORLD_REFUSES;
+  S_end_process (w, target);
   if (++w->result->crashed == 3)
     w->third_crash = w->now;
   S_at (w, w->now + S_ms (w->plan->crasher.back_ms), EVENT_BACK, NULL, target->index);
@@ -267,7 +285,8 @@
   S_note_pause (w, target);
   if (call->dropped || target->trouble == WORLD_DARK)
     return;
-  if (target->trouble == WORLD_REFUSES || target->trouble == WORLD_GONE)
+  if (target->trouble == WORLD_REFUSES || target->trouble == WORLD_GONE ||
+      target->trouble == WORLD_ENDS)
     {
       S_reply (w, call, MR_CALL_NOT_CONNECTED);
       return;
@@ -375,6 +394,36 @@
   (void) target;
 }
 
+static void
+S_on_evidence (MrRelayHost *host, MrFingerprint fingerprint, const MrEvidence *evidence)
+{
+  const Daemon *daemon = (const Daemon *) host;
+  World *w = daemon->world;
+  News *news = g_new (News, 1);
+  *news = (News){ daemon->index, fingerprint, *evidence };
+  g_ptr_array_add (w->news, news);
+  S_at (w, w->now + S_ms (w->plan->news_ms), EVENT_NEWS, news, 0);
+}
+
+static void
+S_on_news (World *w, const News *news)
+{
+  for (guint i = 0; i < w->plan->daemons; i++)
+    if (i != news->from)
+      {
+        mr_relay_evidence (w->daemons[i].relay, w->now, news->fingerprint, &news->evidence);
+        S_wake (&w->daemons[i], w->now);
+      }
+}
+
+/* One daemon has the turn to try contents that are on probation. */
+static gboolean
+S_may_probe (MrRelayHost *host, MrFingerprint fingerprint)
+{
+  (void) fingerprint;
+  return ((const Daemon *) host)->index == 0;
+}
+
 /* The crasher earns nothing and isn't missed; its caller may come again at once. */
 static void
 S_note_crasher (Ask *ask, const MrRelayResult *result)
@@ -397,6 +446,8 @@
     }
   WorldKind *kind = &w->result->kinds[ask->route];
   const WorldRoute *route = &w->plan->routes[ask->route];
+  if (result->cause == MR_CAUSE_QUARANTINED)
+    kind->quarantined++;
   MrTime took = w->now - ask->arrived;
   if (result->verdict == MR_VERDICT_REFUSED)
     {
@@ -461,6 +512,16 @@
   return ask;
 }
 
+static MrFingerprint
+S_fingerprint (const World *w, const Ask *ask)
+{
+  if (ask->crasher)
+    return (MrFingerprint){ .high = CRASHER_CONTENT };
+  if (ask->popular)
+    return (MrFingerprint){ .high = POPULAR_CONTENT + ask->route };
+  return (MrFingerprint){ .low = w->asks->len };
+}
+
 static void
 S_submit (World *w, Ask *ask)
 {
@@ -479,7 +540,7 @@
     .configuration = w->configuration,
     .route = w->routes[ask->route],
     .deadline = ask->deadline,
-    .fingerprint = { .high = ask->crasher ? CRASHER_CONTENT : CRASHER_CONTENT + w->asks->len },
+    .fingerprint = S_fingerprint (w, ask),
   };
   MrRelayWork *work = mr_relay_submit (ask->daemon->relay, w->now, &request);
   if (work && !ask->ended)
@@ -495,6 +556,7 @@
     return;
   S_next_arrival (w, index);
   Ask *ask = S_ask_new (w, index);
+  ask->popular = w->plan->popular > 0 && g_rand_double (w->random) < w->plan->popular;
   w->result->kinds[index].asked++;
   if (g_rand_double (w->random) < w->plan->give_up)
     S_at (w, w->now + S_ms (route->aim_ms / 2), EVENT_GIVE_UP, ask, 0);
@@ -549,6 +611,8 @@
       target->factor = begins ? event->factor : 0;
       if (!begins)
         continue;
+      if (event->trouble == WORLD_ENDS)
+        S_end_process (w, target);
       if (event->trouble == WORLD_GONE || event->trouble == WORLD_LEAVES)
         target->leaving_at = w->now;
       if (event->trouble == WORLD_LEAVES)
@@ -601,6 +665,8 @@
     .renew = S_on_renew,
     .done = S_on_done,
     .free_answer = S_free_answer,
+    .evidence = S_on_evidence,
+    .may_probe = S_may_probe,
   };
   for (guint i = 0; i < w->plan->daemons; i++)
     {
@@ -710,6 +776,9 @@
     case EVENT_CRASH:
       S_on_crash (w, call);
       break;
+    case EVENT_NEWS:
+      S_on_news (w, event->subject);
+      break;
     case EVENT_BACK:
       w->targets[event->index].trouble = WORLD_NO_TROUBLE;
       break;
@@ -717,7 +786,7 @@
       {
         const Target *target = &w->targets[event->index];
         gboolean lives = target->trouble != WORLD_DARK && target->trouble != WORLD_REFUSES &&
-                         target->trouble != WORLD_GONE;
+                         target->trouble != WORLD_GONE && target->trouble != WORLD_ENDS;
         mr_relay_probe_end (daemon->relay, w->now, target->id, lives);
         S_wake (daemon, w->now);
         break;
@@ -808,6 +877,7 @@
   g_free (w->ledgers);
   g_ptr_array_unref (w->calls);
   g_ptr_array_unref (w->asks);
+  g_ptr_array_unref (w->news);
   g_sequence_free (w->events);
   mr_configuration_unref (w->configuration);
   g_rand_free (w->random);
@@ -827,6 +897,7 @@
   for (guint i = 0; i < plan->daemons; i++)
     w->by_id[i] = g_hash_table_new (g_int64_hash, g_int64_equal);
   w->asks = g_ptr_array_new_with_free_func (S_ask_free);
+  w->news = g_ptr_array_new_with_free_func (g_free);
   w->ledgers = g_new0 (Ledger, plan->shards);
   for (guint i = 0; i < plan->shards; i++)
     w->ledgers[i] = (Ledger){ g_array_new (FALSE, FALSE, sizeof (MrTime)),
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -36,6 +36,7 @@
   WORLD_SHEDS,   /* `factor` of the calls are refused, not run */
   WORLD_BREAKS,  /* `factor` of the calls run and lose their answer */
   WORLD_LEAVES,  /* listed as leaving */
+  WORLD_ENDS,    /* its process ends, with all connections; refuses until it is back */
 } WorldTrouble;
 
 typedef struct
@@ -76,11 +77,13 @@
   double pause_gap_ms; /* ...this often */
   double seconds;
   double give_up; /* share of callers who leave after half of the aim */
+  double popular; /* share of the requests that ask for the same, by route */
   guint attempts;
   const MrRelayPolicy *policy; /* NULL: the relay's */
   WorldRoute routes[WORLD_ROUTES_MAX];
   WorldEvent events[8];
   WorldCrasher crasher;
+  double news_ms; /* from a daemon that has evidence against a content to all others */
 } WorldPlan;
 
 typedef struct
@@ -91,8 +94,9 @@
   guint refused;
   guint failed;
   guint gone;
-  double credit;  /* of `asked`: share of the shards squared in time, a tenth of it late */
-  double missing; /* shards left out, of those asked */
+  guint quarantined; /* given up since their content was taken for one that ends targets */
+  double credit;     /* of `asked`: share of the shards squared in time, a tenth of it late */
+  double missing;    /* shards left out, of those asked */
 } WorldKind;
 
 typedef struct
--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -45,36 +45,43 @@
 
 static const Case cases[] = {
   { "once",
-    { SITE, .crasher = { .count = 1, .from_ms = 5000, .crash_ms = 60, .back_ms = 3000 } },
+    { SITE, .crasher = { .count = 1, .from_ms = 5000, .crash_ms = 60, .back_ms = 3000 },
+      .news_ms = 20 },
     FIRST_ARRIVAL,
     0.90 },
   { "each 5 s, repeated at once",
-    { SITE, .crasher = { .count = 4,
-                         .from_ms = 3000,
-                         .gap_ms = 5000,
-                         .repeats = 1,
-                         .crash_ms = 60,
-                         .back_ms = 3000 } },
+    { SITE,
+      .crasher = { .count = 4,
+                   .from_ms = 3000,
+                   .gap_ms = 5000,
+                   .repeats = 1,
+                   .crash_ms = 60,
+                   .back_ms = 3000 },
+      .news_ms = 20 },
     FIRST_ARRIVAL + 3,
     0.90 },
   /* Those that arrive together can't know of each other. */
   { "four at once",
-    { SITE, .crasher = { .count = 4,
-                         .from_ms = 3000,
-                         .gap_ms = 5000,
-                         .copies = 4,
-                         .repeats = 1,
-                         .crash_ms = 60,
-                         .back_ms = 3000 } },
+    { SITE,
+      .crasher = { .count = 4,
+                   .from_ms = 3000,
+                   .gap_ms = 5000,
+                   .copies = 4,
+                   .repeats = 1,
+                   .crash_ms = 60,
+                   .back_ms = 3000 },
+      .news_ms = 20 },
     3 * 10,
     0.80 },
   { "it ends its targets late",
-    { SITE, .crasher = { .count = 4,
-                         .from_ms = 3000,
-                         .gap_ms = 5000,
-                         .repeats = 3,
-                         .crash_ms = 300,
-                         .back_ms = 1000 } },
+    { SITE,
+      .crasher = { .count = 4,
+                   .from_ms = 3000,
+                   .gap_ms = 5000,
+                   .repeats = 3,
+                   .crash_ms = 300,
+                   .back_ms = 1000 },
+      .news_ms = 20 },
     2 * FIRST_ARRIVAL,
     0.80 },
 };
@@ -130,6 +137,7 @@
                      .repeats = 1,
                      .crash_ms = 30,
                      .back_ms = 2000 },
+        .news_ms = 20,
       };
       WorldResult r;
       world_run (&plan, &r);
@@ -143,6 +151,74 @@
   assert_int_equal (failed, 0);
 }
 
+/* Targets end for reasons of their own, and searches that nobody is to blame for are on
+ * them: a rack, a seventh of all, one after the other, all of two shards, with answers lost
+ * beside it, again and again.  Such a search is never blocked, whether each asks for
+ * something of its own or half of them for the same. */
+typedef struct
+{
+  const char *name;
+  WorldEvent events[8];
+  double least; /* credit of the wide searches */
+} Calm;
+
+static const Calm calms[] = {
+  { "a rack", { { WORLD_ENDS, 0, 29, 3, 3000, 6000, 0 } }, 0.95 },
+  { "a seventh, three times",
+    { { WORLD_ENDS, 0, 29, 7, 3000, 5000, 0 },
+      { WORLD_ENDS, 1, 29, 7, 7000, 9000, 0 },
+      { WORLD_ENDS, 2, 29, 7, 11000, 13000, 0 } },
+    0.95 },
+  { "one after the other",
+    { { WORLD_ENDS, 0, 29, 8, 3000, 6000, 0 },
+      { WORLD_ENDS, 1, 29, 8, 3030, 6000, 0 },
+      { WORLD_ENDS, 2, 29, 8, 3060, 6000, 0 },
+      { WORLD_ENDS, 3, 29, 8, 3090, 6000, 0 },
+      { WORLD_ENDS, 4, 29, 8, 3120, 6000, 0 },
+      { WORLD_ENDS, 5, 29, 8, 3150, 6000, 0 },
+      { WORLD_ENDS, 6, 29, 8, 3180, 6000, 0 } },
+    0.70 },
+  { "all of two shards", { { WORLD_ENDS, 0, 5, 1, 3000, 8000, 0 } }, 0.70 },
+  { "all at once", { { WORLD_ENDS, 0, 29, 1, 3000, 4000, 0 } }, 0.90 },
+  { "a rack, and answers lost",
+    { { WORLD_ENDS, 0, 29, 3, 3000, 6000, 0 }, { WORLD_BREAKS, 1, 29, 3, 3000, 6000, 0.2 } },
+    0.85 },
+  { "two racks, dark and ended",
+    { { WORLD_DARK, 0, 29, 3, 3000, 6000, 0 }, { WORLD_ENDS, 1, 29, 3, 3000, 6000, 0 } },
+    0.70 },
+};
+
+static void
+test_others_are_never_blocked (void **state)
+{
+  guint failed = 0;
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (calms); i++)
+    for (guint seed = 1; seed <= 10; seed++)
+      {
+        WorldPlan plan = { SITE, .popular = seed % 2 * 0.5, .news_ms = 20 };
+        plan.seed = seed;
+        plan.routes[2] = (WorldRoute){ .per_second = 40,
+                                       .work_ms = 40,
+                                       .aim_ms = 400,
+                                       .deadline_ms = 2000,
+                                       .unsafe = seed % 3 == 0 };
+        memcpy (plan.events, calms[i].events, sizeof plan.events);
+        WorldResult r;
+        world_run (&plan, &r);
+        double credit = r.kinds[0].credit / MAX (r.kinds[0].asked, 1);
+        guint blocked = r.kinds[0].quarantined + r.kinds[1].quarantined + r.kinds[2].quarantined;
+        if (seed == 1 || blocked > 0 || credit < calms[i].least)
+          printf ("%-28s seed %2u: blocked %u %u %u, credit %.3f refused %u failed %u, single "
+                  "failed %u\n",
+                  calms[i].name, seed, r.kinds[0].quarantined, r.kinds[1].quarantined,
+                  r.kinds[2].quarantined, credit, r.kinds[0].refused, r.kinds[0].failed,
+                  r.kinds[2].failed);
+        failed += blocked > 0 || credit < calms[i].least;
+      }
+  assert_int_equal (failed, 0);
+}
+
 int
 main (void)
 {
@@ -150,6 +226,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_wide),
     cmocka_unit_test (test_one_service),
+    cmocka_unit_test (test_others_are_never_blocked),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
