--- a/bench/world.c
+++ b/bench/world.c
@@ -992,7 +992,8 @@
   daemon->world = w;
   daemon->index = index;
   g_snprintf (daemon->name, sizeof daemon->name, "d%u", index);
-  daemon->dispatch = mr_dispatch_new (&daemon->dispatch_host, w->config->seed + index);
+  MrDispatchInfo info = { .seed = w->config->seed + index };
+  daemon->dispatch = mr_dispatch_new (&daemon->dispatch_host, &info);
   daemon->queries = g_ptr_array_new ();
   daemon->by_batch = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   daemon->origins = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
--- a/src/batch.c
+++ b/src/batch.c
@@ -21,6 +21,13 @@
   return MR_CLASS_COUNT;
 }
 
+MrFingerprint
+mr_batch_content (const char *service, gboolean order, MrText query, guint64 content_key)
+{
+  const MrText texts[] = { mr_text (order ? "order" : "search"), mr_text (service), query };
+  return mr_fingerprint (texts, G_N_ELEMENTS (texts), content_key);
+}
+
 MrBatch *
 mr_batch_new (guint64 id, MrShardMap *map, guint shard_count)
 {
--- a/src/batch.h
+++ b/src/batch.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "clock.h"
+#include "fingerprint.h"
 #include "shardmap.h"
 
 typedef enum
@@ -91,6 +92,10 @@
 /* No target to blame. */
 #define MR_NO_TARGET_INDEX G_MAXUINT16
 
+/* Fingerprint of what a search of @service asks for, or an order. */
+MrFingerprint
+mr_batch_content (const char *service, gboolean order, MrText query, guint64 content_key);
+
 MrBatch *mr_batch_new (guint64 id, MrShardMap *map, guint shard_count);
 void mr_batch_free (MrBatch *batch);
 MrPartial *mr_partial_new (guint64 batch_id, MrPartialKind kind);
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -38,6 +38,12 @@
   { "metrics", "", "The entry daemon's counters", "merlinringctl metrics", ctl_metrics },
   { "burn", "[SERVICE]", "Service-level burn over 5 minutes to 3 days, over all daemons",
     "merlinringctl burn shop-search", ctl_burn },
+  { "quarantine show", "",
+    "Contents under which targets ended, as the relay whose metrics are at --entry knows them",
+    "merlinringctl quarantine show --entry 10.0.0.11:9100", ctl_quarantine },
+  { "quarantine lift", "CONTENT", "Let a content be sent to targets again, by its fingerprint",
+    "merlinringctl quarantine lift --entry 10.0.0.11:9100 6ea12fb25cac794dad0efd1471deb818",
+    ctl_quarantine_lift },
   { "explain", "REQUEST-ID [FILE...]",
     "A relayed request's story and the cause of its outcome, from log lines (standard input "
     "without files)",
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -82,6 +82,8 @@
 CtlExit ctl_burn (const CtlOptions *options);
 CtlExit ctl_explain (const CtlOptions *options);
 CtlExit ctl_report (const CtlOptions *options);
+CtlExit ctl_quarantine (const CtlOptions *options);
+CtlExit ctl_quarantine_lift (const CtlOptions *options);
 
 /* Calls @add with each line of @file that holds a JSON object; other lines are
  * passed over, since collected logs hold others too.  @line is borrowed. */
--- /dev/null
+++ b/src/ctl_quarantine.c
@@ -0,0 +1,59 @@
+#include "ctl.h"
+
+#include <stdio.h>
+
+static const char path[] = "/v1/quarantine";
+
+static void
+S_print (const json_t *item)
+{
+  const json_t *evidence = json_object_get (item, "evidence");
+  gint64 at = ctl_line_number (evidence, "at");
+  g_autoptr (GDateTime) time = g_date_time_new_from_unix_utc (at);
+  g_autofree char *text = time ? g_date_time_format_iso8601 (time) : g_strdup ("?");
+  printf ("%s %-11s %d targets, %d occasions, last %s\n", ctl_line_text (item, "content"),
+          ctl_line_text (evidence, "standing"), (int) ctl_line_number (evidence, "ended"),
+          (int) ctl_line_number (evidence, "occasions"), text);
+}
+
+CtlExit
+ctl_quarantine (const CtlOptions *options)
+{
+  size_t i = 0;
+  json_t *item = NULL;
+  json_t *root = ctl_get_json (options, options->entry, path);
+  if (!root)
+    return CTL_FAILED;
+  if (options->json)
+    ctl_print_json (root);
+  else
+    json_array_foreach (json_object_get (root, "contents"), i, item)
+    {
+      S_print (item);
+    }
+  json_decref (root);
+  return CTL_OK;
+}
+
+CtlExit
+ctl_quarantine_lift (const CtlOptions *options)
+{
+  enum
+  {
+    OK = 200,
+    NOT_FOUND = 404,
+  };
+  int status = 0;
+  if (options->argc != 1)
+    return ctl_fail (CTL_USAGE, "expected one CONTENT, its 32 hexadecimal digits");
+  g_autoptr (GString) answer = g_string_new (NULL);
+  g_autofree char *url = g_strdup_printf ("%s/%s", path, options->argv[0]);
+  if (ctl_http (options, options->entry, "DELETE", url, (MrText){ 0 }, &status, answer) != MR_OK)
+    return ctl_fail (CTL_FAILED, "%s: %s", options->entry, mr_status_message ());
+  if (status == NOT_FOUND)
+    return ctl_fail (CTL_FAILED, "nothing is known against %s", options->argv[0]);
+  if (status != OK)
+    return ctl_fail (CTL_USAGE, "'%s' is no fingerprint", options->argv[0]);
+  printf ("lifted\n");
+  return CTL_OK;
+}
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -75,6 +75,7 @@
   MrLayouts *layouts;
   GHashTable *works; /* batch id -> Work */
   MrTimers *timers;
+  guint64 content_key;
   MrDispatchCounts counts;
 };
 
@@ -253,6 +254,8 @@
     .request = work,
     .route = &work->route,
     .deadline = batch->deadline,
+    .fingerprint = mr_batch_content (batch->map->service, batch->order, mr_text_of (batch->query),
+                                     d->content_key),
   };
   MrRelayWork *begun = mr_relay_submit (d->relay, now, &request);
   if (begun && g_hash_table_lookup (d->works, &id) == work)
@@ -308,6 +311,20 @@
   owner->probe (owner, target);
 }
 
+static void
+S_on_evidence (MrRelayHost *host, MrFingerprint content, const MrEvidence *evidence)
+{
+  MrDispatchHost *owner = ((MrDispatch *) host)->host;
+  if (owner->evidence)
+    owner->evidence (owner, content, evidence);
+}
+
+void
+mr_dispatch_evidence (MrDispatch *d, MrTime now, MrFingerprint content, const MrEvidence *evidence)
+{
+  mr_relay_evidence (d->relay, now, content, evidence);
+}
+
 static void
 S_on_renew (MrRelayHost *host, const MrTargetState *target)
 {
@@ -408,13 +425,14 @@
 }
 
 MrDispatch *
-mr_dispatch_new (MrDispatchHost *host, guint32 seed)
+mr_dispatch_new (MrDispatchHost *host, const MrDispatchInfo *info)
 {
   MrDispatch *d = g_new0 (MrDispatch, 1);
-  MrRelayInfo info = {
+  MrRelayInfo relay = {
     .policy = &batch_policy,
     .budget = batch_budget,
-    .seed = seed,
+    .seed = info->seed,
+    .unix_offset = info->unix_offset,
   };
   d->relay_host = (MrRelayHost){
     .call = S_on_call,
@@ -422,10 +440,12 @@
     .holds = S_holds,
     .probe = S_on_probe,
     .renew = S_on_renew,
+    .evidence = S_on_evidence,
     .done = S_on_done,
   };
   d->host = host;
-  d->relay = mr_relay_new (&d->relay_host, &info);
+  d->content_key = info->content_key;
+  d->relay = mr_relay_new (&d->relay_host, &relay);
   d->layouts = mr_layouts_new (d->relay);
   d->works = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, S_work_free);
   d->timers = mr_timers_new ();
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -13,6 +13,7 @@
 
 #include "batch.h"
 #include "call.h"
+#include "quarantine.h"
 #include "target.h"
 
 /* While a batch is open its root hears of it this often; without a word a root
@@ -56,8 +57,18 @@
   void (*renew) (MrDispatchHost *host, const MrTargetState *target);
   /* Takes @partial; must not call back into the dispatcher. */
   void (*done) (MrDispatchHost *host, MrPartial *partial);
+  /* More is known of targets that ended under a content: for all other daemons.  NULL:
+   * there are none. */
+  void (*evidence) (MrDispatchHost *host, MrFingerprint content, const MrEvidence *evidence);
 };
 
+typedef struct
+{
+  guint32 seed;
+  guint64 content_key; /* of fingerprints */
+  MrTime unix_offset;  /* of the clock that it is told, to that of Unix */
+} MrDispatchInfo;
+
 typedef struct
 {
   guint64 calls;   /* started */
@@ -71,7 +82,7 @@
   guint64 cancelled;
 } MrDispatchCounts;
 
-MrDispatch *mr_dispatch_new (MrDispatchHost *host, guint32 seed);
+MrDispatch *mr_dispatch_new (MrDispatchHost *host, const MrDispatchInfo *info);
 void mr_dispatch_free (MrDispatch *dispatch);
 
 /* Takes @batch; its partial comes through done (), perhaps at once. */
@@ -84,6 +95,12 @@
 gboolean mr_dispatch_call_end (MrDispatch *dispatch, MrTime now, MrCallEnd *end);
 void mr_dispatch_probe_end (MrDispatch *dispatch, MrTime now, const char *key, bool answered);
 
+/* What others know of @content; NULL: it is to be forgotten. */
+void mr_dispatch_evidence (MrDispatch *dispatch,
+                           MrTime now,
+                           MrFingerprint content,
+                           const MrEvidence *evidence);
+
 /* News from the list of VMs or the shard map. */
 void mr_dispatch_target_leaving (MrDispatch *dispatch, MrTime now, const char *key, bool leaving);
 
--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -7,6 +7,7 @@
 #include "histogram.h"
 #include "http_server.h"
 #include "mailbox.h"
+#include "quarantine.h"
 #include "result.h"
 #include "settings.h"
 #include "view.h"
@@ -20,6 +21,8 @@
   MrMailbox *control;
   MrView *view; /* newest; NULL until the first */
   MrBurn *burn;
+  MrQuarantine *quarantine;
+  guint64 content_key; /* of fingerprints */
   MrHistogram latency[MR_CLASS_COUNT];
   guint64 last_batch;
   guint refused_now; /* for overload, since the last look */
--- a/src/entry_task.c
+++ b/src/entry_task.c
@@ -204,6 +204,29 @@
   return TRUE;
 }
 
+static guint32
+S_unix (void)
+{
+  return (guint32) (g_get_real_time () / MR_SECOND);
+}
+
+/* FALSE, and answered, if the search is quarantined.  One on probation goes on to the
+ * owners, which try it at one target; orders do, since their tickets may have a result. */
+static gboolean
+S_check_content (Chain *chain, MrText content)
+{
+  const MrEntryContext *context = &chain->task->context;
+  MrFingerprint fingerprint =
+      mr_batch_content (chain->service_name, FALSE, content, context->content_key);
+  MrEvidence evidence = mr_quarantine_get (context->quarantine, fingerprint);
+  if (mr_evidence_standing (&evidence, S_unix ()) != MR_STANDING_QUARANTINED ||
+      mr_evidence_on_probation (&evidence, S_unix ()))
+    return TRUE;
+  return S_refuse (chain, MR_RESULT_QUARANTINED, 0,
+                   "the same has ended %u targets; it is sent to none any more",
+                   mr_evidence_ended (&evidence));
+}
+
 /* Requests that passed. */
 
 static void
@@ -218,7 +241,8 @@
                 QUERY_MAX);
       return;
     }
-  if (S_number_arg (chain, "k", document->top_k, document->max_top_k, &top_k))
+  if (S_number_arg (chain, "k", document->top_k, document->max_top_k, &top_k) &&
+      S_check_content (chain, mr_text (text)))
     mr_searches_begin (chain->task->searches, &chain->request, mr_text (text), (guint) top_k);
 }
 
@@ -400,6 +424,16 @@
     mr_partial_free (partial);
 }
 
+static void
+S_on_evidence (MrEntryTask *task, const MrEvidenceMessage *message)
+{
+  MrQuarantine *quarantine = task->context.quarantine;
+  if (message->forget)
+    mr_quarantine_remove (quarantine, message->fingerprint);
+  else
+    mr_quarantine_offer (quarantine, message->fingerprint, &message->evidence, S_unix (), NULL);
+}
+
 static void
 S_on_message (MrLoopHost *host, MrMessage *message)
 {
@@ -423,6 +457,9 @@
       S_reply_text (task, ((MrReportMessage *) message)->request, NULL,
                     g_steal_pointer (&((MrReportMessage *) message)->text));
       break;
+    case MR_MESSAGE_EVIDENCE:
+      S_on_evidence (task, (const MrEvidenceMessage *) message);
+      break;
     case MR_MESSAGE_STOP:
       S_begin_leaving (task);
       break;
@@ -494,6 +531,8 @@
   task->context.settings = info->settings;
   task->context.incarnation = info->incarnation;
   task->context.burn = mr_burn_new (mr_now ());
+  task->context.quarantine = mr_quarantine_new ();
+  task->context.content_key = mr_settings_content_key (info->settings);
   task->random = g_rand_new_with_seed (info->seed);
   task->stopped = info->stopped;
   task->user = info->user;
@@ -529,6 +568,7 @@
   mr_order_flow_free (task->orders);
   mr_view_unref (task->context.view);
   mr_burn_free (task->context.burn);
+  mr_quarantine_free (task->context.quarantine);
   g_rand_free (task->random);
   g_free (task);
 }
--- a/src/relay.h
+++ b/src/relay.h
@@ -275,6 +275,14 @@
                         MrFingerprint fingerprint,
                         const MrEvidence *evidence);
 
+/* An operator's word that @fingerprint is to be sent again; FALSE if nothing is known
+ * against it. */
+gboolean mr_relay_lift (MrRelay *relay, MrTime now, MrFingerprint fingerprint);
+void mr_relay_foreach_content (const MrRelay *relay,
+                               void (*visit) (MrFingerprint fingerprint,
+                                              const MrEvidence *evidence,
+                                              void *user),
+                               void *user);
 void mr_relay_probe_end (MrRelay *relay, MrTime now, const char *target, gboolean answered);
 
 /* Carries out what is due; returns when to come back, or MR_NEVER. */
--- a/src/relay_crash.c
+++ b/src/relay_crash.c
@@ -417,6 +417,30 @@
       S_release (r, now, g_ptr_array_index (works, i));
 }
 
+gboolean
+mr_relay_lift (MrRelay *r, MrTime now, MrFingerprint fingerprint)
+{
+  const Content *content = S_find (r, fingerprint);
+  if (!content || content->evidence.targets == 0)
+    return FALSE;
+  mr_relay_note_answered (r, now, fingerprint);
+  return TRUE;
+}
+
+void
+mr_relay_foreach_content (const MrRelay *r,
+                          void (*visit) (MrFingerprint fingerprint,
+                                         const MrEvidence *evidence,
+                                         void *user),
+                          void *user)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, r->contents);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    visit (((const Content *) item)->fingerprint, &((const Content *) item)->evidence, user);
+}
+
 MrCause
 mr_relay_admit_content (MrRelay *r, MrTime now, MrRelayWork *work)
 {
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -1,11 +1,13 @@
 #include "relay_task_private.h"
 
+#include "log.h"
 #include "metrics.h"
 #include "traffic.h"
 
 enum
 {
   STATUS_OK = 200,
+  STATUS_BAD_REQUEST = 400,
   STATUS_NOT_FOUND = 404,
   STATUS_UNAVAILABLE = 503,
 };
@@ -99,16 +101,109 @@
   mr_metrics_write_histogram (out, "relay_latency", "result=\"success\"", &task->latency);
 }
 
+/* Contents that have ended targets. */
+
+static const char quarantine_path[] = "/v1/quarantine";
+
+static guint32
+S_unix (void)
+{
+  return (guint32) (g_get_real_time () / MR_SECOND);
+}
+
+static void
+S_add_content (MrFingerprint fingerprint, const MrEvidence *evidence, void *user)
+{
+  GString *list = user;
+  char content[MR_FINGERPRINT_DIGITS + 1];
+  mr_fingerprint_write (fingerprint, content);
+  g_autofree char *json = mr_evidence_write (evidence, S_unix ());
+  g_string_append_printf (list, "%s{\"content\":\"%s\",\"evidence\":%s}",
+                          list->str[list->len - 1] == '[' ? "" : ",", content, json);
+}
+
+static void
+S_answer_list (const MrRelayTask *task, MrCaller *caller)
+{
+  g_autoptr (GString) list = g_string_new ("{\"contents\":[");
+  mr_relay_foreach_content (task->relay, S_add_content, list);
+  g_string_append (list, "]}\n");
+  mr_caller_answer (caller, STATUS_OK, mr_text (json_type), mr_text_of (list));
+}
+
+static void
+S_answer_lift (const MrRelayTask *task, MrCaller *caller, MrText content)
+{
+  MrFingerprint fingerprint = { 0 };
+  int status = STATUS_NOT_FOUND;
+  if (!mr_fingerprint_read (content, &fingerprint))
+    status = STATUS_BAD_REQUEST;
+  else if (mr_relay_lift (task->relay, mr_now (), fingerprint))
+    status = STATUS_OK;
+  if (status == STATUS_OK)
+    mr_log (MR_LOG_NOTICE, MR_EVENT_LIFTED, "content %.*s: lifted by an operator",
+            (int) content.len, content.data);
+  MrText body = status == STATUS_OK ? MR_TEXT ("{\"lifted\":true}\n")
+                : status == STATUS_NOT_FOUND
+                    ? MR_TEXT ("{\"error\":\"nothing is known against it\"}\n")
+                    : MR_TEXT ("{\"error\":\"not a fingerprint\"}\n");
+  mr_caller_answer (caller, status, mr_text (json_type), body);
+}
+
+/* GET lists them, DELETE with a fingerprint behind the path lifts one. */
+static void
+S_answer_quarantine (const MrRelayTask *task, MrCaller *caller, const MrHttpParser *in)
+{
+  MrText rest = mr_http_parser_target (in);
+  rest.data += strlen (quarantine_path);
+  rest.len -= strlen (quarantine_path);
+  if (rest.len == 0 && mr_text_equal (mr_http_parser_method (in), MR_TEXT ("GET")))
+    S_answer_list (task, caller);
+  else if (rest.len > 1 && mr_text_equal (mr_http_parser_method (in), MR_TEXT ("DELETE")))
+    S_answer_lift (task, caller, (MrText){ .data = rest.data + 1, .len = rest.len - 1 });
+  else
+    mr_caller_answer (caller, STATUS_BAD_REQUEST, (MrText){ 0 }, (MrText){ 0 });
+}
+
+static void
+S_count_standing (MrFingerprint fingerprint, const MrEvidence *evidence, void *user)
+{
+  guint *counts = user;
+  (void) fingerprint;
+  counts[mr_evidence_standing (evidence, S_unix ())]++;
+}
+
+static void
+S_append_standings (GString *out, const MrRelayTask *task)
+{
+  guint counts[MR_STANDING_QUARANTINED + 1] = { 0 };
+  mr_relay_foreach_content (task->relay, S_count_standing, counts);
+  S_append (out, "relay_suspect_contents", "gauge", counts[MR_STANDING_SUSPECT]);
+  S_append (out, "relay_quarantined_contents", "gauge", counts[MR_STANDING_QUARANTINED]);
+}
+
+static gboolean
+S_is_quarantine (MrText target)
+{
+  gsize len = strlen (quarantine_path);
+  return target.len >= len && memcmp (target.data, quarantine_path, len) == 0;
+}
+
 static void
 S_on_metrics (MrCallerServerHost *host, MrCaller *caller, const MrHttpParser *in, MrTime began)
 {
   const MrRelayTask *task = ((Pages *) host)->task;
-  (void) in;
   (void) began;
+  if (S_is_quarantine (mr_http_parser_target (in)))
+    {
+      S_answer_quarantine (task, caller, in);
+      return;
+    }
   g_autoptr (GString) body = g_string_new (NULL);
   mr_metrics_write (body);
   mr_traffic_write (body);
   S_append_relay (body, task);
+  S_append_standings (body, task);
   mr_caller_answer (caller, STATUS_OK, mr_text (text_type), mr_text_of (body));
 }
 
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -1,7 +1,6 @@
 #include "relay_task_private.h"
 
 #include "log.h"
-#include <xxhash.h>
 
 /* Of the time that a planned stop has, kept for the last requests, and for the
  * process to end. */
@@ -220,15 +219,6 @@
   return task->metrics ? MR_OK : MR_ERROR_SYSTEM;
 }
 
-/* All daemons of a deployment share its platform, and no two deployments do. */
-static guint64
-S_content_key (const MrRelaySettings *settings)
-{
-  g_autofree char *platform =
-      g_strdup_printf ("%s:%d", settings->base.platform_ip, settings->base.platform_port);
-  return XXH3_64bits (platform, strlen (platform));
-}
-
 MrRelayTask *
 mr_relay_task_new (const MrRelayTaskInfo *info)
 {
@@ -242,7 +232,7 @@
   task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          (GDestroyNotify) mr_target_record_unref);
   task->early = mr_start_queue_new (mr_now ());
-  task->content_key = S_content_key (settings);
+  task->content_key = mr_settings_content_key (&settings->base);
   mr_relay_request_init (task);
   mr_relay_pages_init (task);
   task->loop = mr_loop_new (&task->loop_host, (guint) settings->max_descriptors);
--- a/src/result.c
+++ b/src/result.c
@@ -31,6 +31,7 @@
   { MR_RESULT_NO_PATH, "no-path", 404 },
   { MR_RESULT_BAD_METHOD, "bad-method", 405 },
   { MR_RESULT_TOO_LARGE, "too-large", 413 },
+  { MR_RESULT_QUARANTINED, "quarantined", 422 },
 };
 
 const char *
--- a/src/result.h
+++ b/src/result.h
@@ -34,6 +34,7 @@
   MR_RESULT_NO_PATH = 405,
   MR_RESULT_BAD_METHOD = 406,
   MR_RESULT_TOO_LARGE = 407,
+  MR_RESULT_QUARANTINED = 408, /* the same has ended targets, time and again */
 } MrResult;
 
 /* What a caller may conclude about its request having run. */
--- a/src/settings.c
+++ b/src/settings.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 #include <stddef.h>
 #include <stdlib.h>
+#include <xxhash.h>
 
 typedef enum
 {
@@ -254,3 +255,11 @@
   g_strfreev (settings->seeds);
   *settings = (MrSettings){ 0 };
 }
+
+guint64
+mr_settings_content_key (const MrSettings *settings)
+{
+  g_autofree char *platform =
+      g_strdup_printf ("%s:%d", settings->platform_ip, settings->platform_port);
+  return XXH3_64bits (platform, strlen (platform));
+}
--- a/src/settings.h
+++ b/src/settings.h
@@ -33,5 +33,9 @@
 MrStatus mr_settings_parse (int argc, char **argv, MrSettings *settings);
 void mr_settings_clear (MrSettings *settings);
 
+/* Of fingerprints: all daemons of a deployment share its platform, and no two deployments
+ * do. */
+guint64 mr_settings_content_key (const MrSettings *settings);
+
 /* Splits "ip:port"; the ip is a new string. */
 MrStatus mr_settings_split_address (const char *text, char **ip, int *port);
--- a/src/target_task.c
+++ b/src/target_task.c
@@ -353,6 +353,13 @@
     g_hash_table_remove (task->origins, &local_id);
 }
 
+static void
+S_evidence (MrDispatchHost *host, MrFingerprint content, const MrEvidence *evidence)
+{
+  mr_mailbox_post (TASK_OF_DISPATCH_HOST (host)->control,
+                   &mr_evidence_message_new (content, evidence)->base);
+}
+
 static gint64 *
 S_local_id_new (guint64 id)
 {
@@ -441,6 +448,13 @@
   mr_mailbox_post (task->entry, &mr_report_message_new (message->request, text)->base);
 }
 
+static void
+S_on_evidence (MrTargetTask *task, const MrEvidenceMessage *message)
+{
+  mr_dispatch_evidence (task->dispatch, mr_now (), message->fingerprint,
+                        message->forget ? NULL : &message->evidence);
+}
+
 static void
 S_on_message (MrLoopHost *host, MrMessage *message)
 {
@@ -459,6 +473,9 @@
     case MR_MESSAGE_REPORT:
       S_on_report (task, (MrReportMessage *) message);
       break;
+    case MR_MESSAGE_EVIDENCE:
+      S_on_evidence (task, (const MrEvidenceMessage *) message);
+      break;
     default:
       break;
     }
@@ -549,6 +566,7 @@
     .probe = S_probe,
     .renew = S_renew,
     .done = S_done,
+    .evidence = S_evidence,
   };
   task->loop = mr_loop_new (&task->loop_host, info->max_connections);
   if (!task->loop)
@@ -557,7 +575,12 @@
       return NULL;
     }
   task->client = mr_http_client_new (task->loop, LANES);
-  task->dispatch = mr_dispatch_new (&task->dispatch_host, info->seed);
+  MrDispatchInfo dispatch = {
+    .seed = info->seed,
+    .content_key = info->content_key,
+    .unix_offset = g_get_real_time () - mr_now (),
+  };
+  task->dispatch = mr_dispatch_new (&task->dispatch_host, &dispatch);
   g_strlcpy (task->name, info->name, sizeof task->name);
   g_strlcpy (task->prefix, info->incarnation, sizeof task->prefix);
   task->links = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_link_free);
--- a/src/target_task.h
+++ b/src/target_task.h
@@ -12,6 +12,7 @@
   const char *incarnation; /* hex; call ids carry its first digits */
   guint max_connections;   /* to all targets together */
   guint32 seed;
+  guint64 content_key; /* of fingerprints */
 } MrTargetTaskInfo;
 
 MrTargetTask *mr_target_task_new (const MrTargetTaskInfo *info);
--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -57,12 +57,12 @@
        \"idle_timeout_ms\":15000}}" >/dev/null
 }
 
-relay_port() { printf '%d' $((RELAY_BASE + 10 * $1 + $2)); } # NUMBER ROLE (0..3)
+relay_port() { printf '%d' $((RELAY_BASE + 10 * $1 + $2)); } # NUMBER ROLE (0..4)
 
 start_relay() { # NUMBER ZONE
   local r=$1
   cat >"$LOGS/r$r.json" <<JSON
-{"node_name":"r$r","ip":"127.0.0.1","zone":"$2","region":"reg",
+{"node_name":"r$r","ip":"127.0.0.1","metrics_port":$(relay_port "$r" 4),"zone":"$2","region":"reg",
  "seeds":["127.0.0.1:$(relay_port 1 3)","127.0.0.1:$(relay_port 2 3)"],
  "listen":{"front":"127.0.0.1:$(relay_port "$r" 0)","ready":"127.0.0.1:$(relay_port "$r" 1)",
   "directory":"127.0.0.1:$(relay_port "$r" 2)","control":"127.0.0.1:$(relay_port "$r" 3)"},
--- a/test/platform/process_quarantine.sh
+++ b/test/platform/process_quarantine.sh
@@ -112,4 +112,23 @@
 sleep 0.3
 revive
 [ $REACHED = 0 ] || fail "after all relays were killed $REACHED calls reached searchers"
+
+# Operators see what is blocked, and lift it, at one relay for all; it is then sent again.
+ctl() { "$BUILD/merlinringctl" --entry "127.0.0.1:$(relay_port "$1" 4)" "${@:2}"; }
+ctl 1 quarantine show | grep -q quarantined || fail "nothing is shown: $(ctl 1 quarantine show)"
+held() { [ "$(ctl "$1" quarantine show | grep -c quarantined)" = "$2" ]; }
+held 2 3 || fail "relay 2 shows: $(ctl 2 quarantine show)"
+for content in $(ctl 1 quarantine show --json | sed -n 's/.*"content": "\(.*\)".*/\1/p'); do
+  ctl 1 quarantine lift "$content" >/dev/null || fail "$content is not lifted"
+done
+for r in 1 2 3; do until_true 5 held $r 0 || fail "relay $r still blocks"; done
+ctl 1 quarantine lift 00000000000000000000000000000000 2>/dev/null && fail "what is not known is lifted"
+ctl 1 quarantine lift never 2>/dev/null && fail "a wrong fingerprint is taken"
+REACHED=0
+crash 2 /one/crash crash-lifted
+sleep 0.3
+revive
+[ $REACHED -ge 1 ] || fail "a content that was lifted is not sent"
+http "http://127.0.0.1:$(relay_port 2 4)/metrics" | grep -q '^merlinring_relay_trials_total [1-9]' ||
+  fail "no trial is counted"
 say "quarantine: ok"
--- a/test/prop_orders.cpp
+++ b/test/prop_orders.cpp
@@ -188,7 +188,9 @@
   MrOrdersLimits limits = { LIFE, RECORD_LIFE, 50 };
   d.host = { start_call, cancel_call, probe, renew, done };
   d.orders = mr_orders_new (mr_ticket_issuer_new (d.name.c_str (), now, random), &limits);
-  d.dispatch = mr_dispatch_new (&d.host, births);
+  MrDispatchInfo info = {};
+  info.seed = births;
+  d.dispatch = mr_dispatch_new (&d.host, &info);
   d.frozen = false;
 }
 
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -100,8 +100,9 @@
 {
   guint shards = searches->map->shard_count;
   MrBatch *batch = mr_batch_new (++searches->searches, searches->map, shards);
+  MrDispatchInfo info = { .seed = 1 };
   if (!searches->dispatch)
-    searches->dispatch = mr_dispatch_new (&searches->host, 1);
+    searches->dispatch = mr_dispatch_new (&searches->host, &info);
   for (guint i = 0; i < shards; i++)
     batch->shards[i] = i;
   batch->traffic_class = cls;
