Soak: a request that ends its searchers, and that nothing else is blocked for it

Its draws are its own, so that the faults of a seed are the same without it. A searcher that does not run has no listener at its proxy either: what stood there took connections for one that had ended.

--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -31,7 +31,9 @@
 {
   MrLoop *loop;
   MrTimers *timers;
+  int port;
   int server_port;
+  MrListener *listener; /* NULL: closed */
   SoakProxyMode mode;
   GQueue links;
 };
@@ -134,10 +136,27 @@
 soak_proxy_new (MrLoop *loop, MrTimers *timers, int port, int server_port)
 {
   SoakProxy *proxy = g_new0 (SoakProxy, 1);
-  *proxy = (SoakProxy){ .loop = loop, .timers = timers, .server_port = server_port };
+  *proxy = (SoakProxy){
+    .loop = loop,
+    .timers = timers,
+    .port = port,
+    .server_port = server_port,
+  };
   g_queue_init (&proxy->links);
-  if (mr_listener_new (loop, "127.0.0.1", port, S_accepted, proxy))
-    return proxy;
+  soak_proxy_set_open (proxy, TRUE);
+  return proxy;
+}
+
+void
+soak_proxy_set_open (SoakProxy *proxy, gboolean open)
+{
+  if (!open)
+    g_clear_pointer (&proxy->listener, mr_listener_close);
+  if (!open || proxy->listener)
+    return;
+  proxy->listener = mr_listener_new (proxy->loop, "127.0.0.1", proxy->port, S_accepted, proxy);
+  if (proxy->listener)
+    return;
   fprintf (stderr, "soak: %s\n", mr_status_message ());
   exit (EXIT_FAILURE);
 }
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -22,6 +22,9 @@
 /* Of all connections, those opened from now on included. */
 void soak_proxy_set_mode (SoakProxy *proxy, SoakProxyMode mode);
 
+/* While its server does not run, nobody listens at the proxy's port either. */
+void soak_proxy_set_open (SoakProxy *proxy, gboolean open);
+
 /* Connections that stand now go silent for good; new ones work. */
 void soak_proxy_lose (SoakProxy *proxy);
 void soak_proxy_reset (SoakProxy *proxy);
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -11,6 +11,9 @@
  *   once     an order runs at most once
  *   not run  what was refused never ran
  *   asked    searchers run only what callers sent
+ *   crasher  once a content has ended three searchers, and the news had its time, relays
+ *            that were left alone send it to three at most
+ *   blocked  and nothing else is blocked for it
  *   answered a relay that was left alone answers within the route's time
  *   heals    after the last fault every relay serves whole answers from the
  *            newest version
@@ -107,7 +110,14 @@
       s->next_request += soak_between (s, 0, 2000.0 / REQUESTS_PER_SECOND);
       soak_ask (s);
     }
+  soak_note_ends (s);
   soak_restore (s, FALSE);
+  if (now >= s->crasher.next && now < s->faults_end)
+    {
+      s->crasher.next =
+          now + (MrTime) (g_rand_double_range (s->crasher.random, 0.05, 3) * (double) MR_SECOND);
+      soak_ask_crasher (s);
+    }
   if (!s->healing_checked && now >= s->faults_end)
     S_begin_healing (s);
   else if (!s->healing_checked && now >= s->next_fault)
@@ -119,6 +129,25 @@
   return MIN (next, MIN (mr_timers_next (s->timers), mr_timers_next (s->proxy_timers)));
 }
 
+static void
+S_check_crasher (Soak *s, GHashTable *runs)
+{
+  enum
+  {
+    LATE_MOST = 3,
+  };
+  GHashTableIter iter;
+  gpointer id = NULL;
+  guint late = 0;
+  g_hash_table_iter_init (&iter, s->crasher.late);
+  while (g_hash_table_iter_next (&iter, &id, NULL))
+    late += GPOINTER_TO_UINT (g_hash_table_lookup (runs, id));
+  if (late > LATE_MOST)
+    soak_broken (s, "crasher: %u calls of it reached searchers after three had ended", late);
+  soak_say (s, "%u searchers ended by themselves; later %u requests that end them, %u calls",
+            s->crasher.ended, g_hash_table_size (s->crasher.late), late);
+}
+
 /* What the searchers ran, from their logs: lines "run ID". */
 static void
 S_check_runs (Soak *s)
@@ -138,6 +167,7 @@
             g_hash_table_replace (runs, g_strdup (id), GUINT_TO_POINTER (count));
           }
     }
+  S_check_crasher (s, runs);
   GHashTableIter iter;
   gpointer id = NULL;
   gpointer value = NULL;
@@ -235,11 +265,16 @@
     .orders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
     .sent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
   };
+  s.crasher = (Crasher){
+    .random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 1),
+    .late = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
+  };
   s.loop = mr_loop_new (&s.host, 2000);
   s.start = mr_now ();
   S_start_all (&s);
   s.now = mr_now ();
   s.next_request = s.now + 2 * MR_SECOND;
+  s.crasher.next = s.now + 5 * MR_SECOND;
   s.next_fault = s.now + 4 * MR_SECOND;
   s.faults_end = s.now + 4 * MR_SECOND + atoi (argv[3]) * MR_SECOND;
   s.end = MR_NEVER;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -40,6 +40,16 @@
   gint64 started_ms; /* of a searcher, since 1970 */
 } Child;
 
+/* A request that ends each searcher that begins it: the same content each time. */
+typedef struct
+{
+  GRand *random; /* its own, so that the faults of a seed are the same without it */
+  MrTime next;
+  guint ended; /* searchers */
+  MrTime third_end;
+  GHashTable *late; /* ids sent by relays that could know, later than the news takes */
+} Crasher;
+
 /* What became of an order. */
 typedef enum
 {
@@ -74,6 +84,7 @@
   gboolean wide; /* the version names three services */
   MrTime now;
   MrTime start;
+  Crasher crasher;
   MrTime next_request;
   MrTime next_fault;
   MrTime faults_end;
@@ -106,6 +117,10 @@
 
 /* Sends one request of a caller; its answer is checked when it comes. */
 void soak_ask (Soak *s);
+/* One that ends each searcher that begins it. */
+void soak_ask_crasher (Soak *s);
+/* Finds out which searchers have ended by themselves. */
+void soak_note_ends (Soak *s);
 /* A caller has waited for too long. */
 void soak_caller_overdue (MrTimer *timer);
 
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -31,6 +31,7 @@
   MrTimer timer;
   guint relay;
   AskKind kind;
+  gboolean crasher;
   char id[ID_BYTES]; /* empty: idle */
   MrTime sent;
   MrTime last_used;
@@ -120,12 +121,27 @@
   g_hash_table_replace (s->orders, g_strdup (id), GINT_TO_POINTER (end));
 }
 
+/* What ends searchers is never served, and nothing else is blocked for it. */
+static void
+S_check_blocked (const Caller *c, int status)
+{
+  MrText body = mr_http_parser_body (c->parser);
+  gboolean blocked = status == 500 && g_strstr_len (body.data, (gssize) body.len, "quarantined");
+  if (c->crasher && status < 500)
+    soak_broken (c->soak, "crasher: request %s got status %d", c->id, status);
+  if (!c->crasher && blocked)
+    soak_broken (c->soak, "blocked: request %s is quarantined", c->id);
+}
+
 static void
 S_on_answer (Caller *c)
 {
   Soak *s = c->soak;
   int status = mr_http_parser_status (c->parser);
   s->answered++;
+  S_check_blocked (c, status);
+  if (c->crasher)
+    return;
   if (c->kind == ASK_ORDER)
     S_end_order (s, c->id,
                  status == 200   ? ORDER_DONE
@@ -258,15 +274,11 @@
   return NULL;
 }
 
-void
-soak_ask (Soak *s)
+static void
+S_send (Caller *c, const char *line)
 {
-  static const char *const lines[ASK_KINDS] = { "GET /all/q", "GET /one/q", "POST /order/q" };
-  Caller *c = S_caller (s, soak_pick (s, RELAYS));
-  if (!c)
-    return;
+  Soak *s = c->soak;
   gboolean fresh = !c->waiting;
-  c->kind = (AskKind) soak_pick (s, ASK_KINDS);
   g_snprintf (c->id, sizeof c->id, "q%" G_GUINT64_FORMAT, ++s->last_id);
   g_hash_table_add (s->sent, g_strdup (c->id));
   if (c->kind == ASK_ORDER)
@@ -275,13 +287,38 @@
     c->waiting = g_string_new (NULL);
   g_string_printf (c->waiting,
                    "%s HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 3000\r\n%s\r\n",
-                   lines[c->kind], c->id, c->kind == ASK_ORDER ? "Content-Length: 0\r\n" : "");
+                   line, c->id, c->kind == ASK_ORDER ? "Content-Length: 0\r\n" : "");
   c->sent = mr_now ();
   mr_timers_set (s->timers, &c->timer, c->sent + TIME_LIMIT + TIME_SLACK);
   if (!fresh)
     mr_stream_write (c->stream, mr_text_of (c->waiting));
 }
 
+void
+soak_ask (Soak *s)
+{
+  static const char *const lines[ASK_KINDS] = { "GET /all/q", "GET /one/q", "POST /order/q" };
+  Caller *c = S_caller (s, soak_pick (s, RELAYS));
+  if (!c)
+    return;
+  c->kind = (AskKind) soak_pick (s, ASK_KINDS);
+  c->crasher = FALSE;
+  S_send (c, lines[c->kind]);
+}
+
+void
+soak_ask_crasher (Soak *s)
+{
+  Caller *c = S_caller (s, (guint) g_rand_int_range (s->crasher.random, 0, RELAYS));
+  if (!c)
+    return;
+  c->kind = ASK_ALL;
+  c->crasher = TRUE;
+  S_send (c, "GET /all/crash");
+  if (s->crasher.third_end != 0 && s->now > s->crasher.third_end + SETTLE && S_left_alone (c))
+    g_hash_table_add (s->crasher.late, g_strdup (c->id));
+}
+
 void
 soak_caller_overdue (MrTimer *timer)
 {
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -33,8 +33,28 @@
   kill (searcher->pid, number);
   searcher->back_at = mr_now () + back;
   searcher->stopped = number == SIGSTOP;
-  if (!searcher->stopped)
-    soak_withdraw (s, index);
+  if (searcher->stopped)
+    return;
+  soak_proxy_set_open (s->searcher_proxies[index], FALSE);
+  soak_withdraw (s, index);
+}
+
+void
+soak_note_ends (Soak *s)
+{
+  for (guint i = 0; i < SEARCHERS; i++)
+    {
+      Child *searcher = &s->searchers[i];
+      if (searcher->back_at != 0 || waitpid (searcher->pid, NULL, WNOHANG) != searcher->pid)
+        continue;
+      soak_say (s, "searcher %u has ended", i);
+      soak_proxy_set_open (s->searcher_proxies[i], FALSE);
+      soak_withdraw (s, i);
+      searcher->back_at =
+          s->now + (MrTime) (g_rand_double_range (s->crasher.random, 0.5, 2) * (double) MR_SECOND);
+      if (++s->crasher.ended == 3)
+        s->crasher.third_end = s->now;
+    }
 }
 
 static void
--- a/test/soak/soak_processes.c
+++ b/test/soak/soak_processes.c
@@ -106,6 +106,7 @@
   s->searchers[index].generation++;
   s->searchers[index].started_ms = g_get_real_time () / 1000;
   S_searcher_id (s, index, id);
+  soak_proxy_set_open (s->searcher_proxies[index], TRUE);
   soak_start_standin (s, &s->searchers[index], "searcher",
                       soak_first_port + SEARCHER_PORT + (int) index, id, log);
   S_announce (s, index, "ready");
