--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -22,6 +22,7 @@
   guint covered; /* shards of the latest partial */
   guint64 last;  /* batch that was answered last */
   guint64 searches;
+  MrEvidence evidence; /* told last */
 } Searches;
 
 static void
@@ -55,6 +56,13 @@
   mr_partial_free (partial);
 }
 
+static void
+S_evidence (MrDispatchHost *host, MrFingerprint content, const MrEvidence *evidence)
+{
+  (void) content;
+  ((Searches *) host)->evidence = *evidence;
+}
+
 static MrShardMap *
 S_two_targets (guint generation, guint shards, guint slots)
 {
@@ -81,7 +89,8 @@
                                   .cancel_call = S_cancel_call,
                                   .probe = S_ignore_target,
                                   .renew = S_ignore_target,
-                                  .done = S_done } };
+                                  .done = S_done,
+                                  .evidence = S_evidence } };
   searches.started = g_queue_new ();
   searches.map = S_two_targets (1, shards, slots);
   return searches;
@@ -230,12 +239,69 @@
   S_end (&searches);
 }
 
+/* All open calls break, and their targets are gone. */
+static void
+S_end_targets (Searches *searches, MrTime now)
+{
+  guint count = g_queue_get_length (searches->started);
+  for (guint i = 0; i < count; i++)
+    {
+      g_autofree MrCallStart *call = g_queue_pop_head (searches->started);
+      MrCallEnd end = { .id = call->id, .outcome = MR_CALL_BROKEN };
+      mr_dispatch_call_end (searches->dispatch, now, &end);
+      mr_dispatch_probe_end (searches->dispatch, now, call->target->key, false);
+    }
+  mr_dispatch_tick (searches->dispatch, now);
+}
+
+/* Both targets take connections again. */
+static void
+S_revive_targets (Searches *searches, MrTime now)
+{
+  mr_dispatch_tick (searches->dispatch, now);
+  mr_dispatch_probe_end (searches->dispatch, now, "10.0.0.1:80", true);
+  mr_dispatch_probe_end (searches->dispatch, now, "10.0.0.2:80", true);
+}
+
+/* A search ends each searcher that begins it, and is asked again.  Its parts were sent to
+ * the other replica at once, and to both again with each repeat; now one part goes out
+ * alone, and after three ends none. */
+static void
+test_search_that_ends_targets (void **state)
+{
+  enum
+  {
+    SHARDS = 6,
+    REPEATS = 8,
+  };
+  (void) state;
+  Searches searches = S_begin (SHARDS, 50);
+  MrTime now = MR_SECOND;
+  S_search (&searches, now, MR_CLASS_URGENT);
+  S_end_targets (&searches, now);
+  assert_true (searches.calls <= SHARDS + 1);
+  for (guint i = 0; i < REPEATS; i++)
+    {
+      while (!g_queue_is_empty (searches.started))
+        S_end_targets (&searches, now);
+      now += 3 * MR_SECOND;
+      S_revive_targets (&searches, now);
+      S_search (&searches, now, MR_CLASS_URGENT);
+      mr_dispatch_tick (searches.dispatch, now);
+    }
+  assert_int_equal (mr_evidence_standing (&searches.evidence, 4), MR_STANDING_QUARANTINED);
+  assert_true (searches.calls <= SHARDS + 3);
+  assert_int_equal (searches.covered, 0);
+  S_end (&searches);
+}
+
 int
 main (void)
 {
   mr_log_set_level (MR_LOG_ERROR);
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_first_savings),
+    cmocka_unit_test (test_search_that_ends_targets),
     cmocka_unit_test (test_no_class_starves),
     cmocka_unit_test (test_maps_follow),
   };
