Requests that go one by one in a file of their own; nothing is kept of answered ones

Found on reading the code again: a doubt of a call that was pending when its request was answered counted as evidence after it; a content without evidence stayed known when its request ended while it waited; each answer to a content that had been cleared looked through all requests for ten minutes. relay_trial.c (parts that wait, trials) is split off relay_crash.c (ends, evidence). Behaviour otherwise as it was.

--- a/src/relay_crash.c
+++ b/src/relay_crash.c
@@ -21,17 +21,12 @@
   /* Targets gone under a request without an answer, from which all its calls are called
    * back.  One is an accident: each target that ends by itself takes some calls along. */
   SUSPECT_ENDS = 2,
-  /* Calls that a trial on probation may make in all. */
-  PROBATION_SENDS = 2,
 };
 
 /* How long it may take to find out that a target is gone: round trips to another region,
  * on a VM that is busy.  One that is alive answers sooner; one whose VM is dark hangs, and
  * is no evidence: its calls don't break. */
 static const MrTime DOUBT_WAIT = 100 * MR_MS;
-/* Another trial of the same content has its result within this; what it says is awaited
- * rather than a second target risked. */
-static const MrTime TRIAL_GAP = 150 * MR_MS;
 
 /* Log. */
 
@@ -89,8 +84,8 @@
   return g_hash_table_lookup (r->contents, &fingerprint);
 }
 
-static Content *
-S_content (MrRelay *r, MrFingerprint fingerprint)
+Content *
+mr_relay_content (MrRelay *r, MrFingerprint fingerprint)
 {
   Content *content = S_find (r, fingerprint);
   if (content)
@@ -126,175 +121,6 @@
   return works;
 }
 
-/* Parts that are held, and trials. */
-
-void
-mr_relay_hold (Job *job)
-{
-  if (job->held || job->ended)
-    return;
-  job->held = TRUE;
-  job->hedge_at = MR_NEVER;
-  job->work->held++;
-}
-
-static void
-S_unhold (Job *job)
-{
-  job->held = FALSE;
-  job->work->held--;
-}
-
-gboolean
-mr_relay_is_wary (const MrRelayWork *work)
-{
-  return work->have == 0 && (work->suspect || work->doubts > 0);
-}
-
-static gboolean
-S_is_out (const Job *job)
-{
-  return !job->ended && (job->waiting || job->doubts > 0 || mr_relay_job_calls (job) > 0);
-}
-
-MrTime
-mr_relay_trial_due (const MrRelayWork *work)
-{
-  if (work->held == 0)
-    return MR_NEVER;
-  for (guint i = 0; i < work->part_count; i++)
-    if (S_is_out (&work->jobs[i]))
-      return MR_NEVER;
-  return work->trial_at;
-}
-
-/* The held part whose shard can best do without one more target. */
-static Job *
-S_pick_trial (const MrRelayWork *work)
-{
-  Job *best = NULL;
-  guint best_usable = 0;
-  for (guint i = 0; i < work->part_count; i++)
-    {
-      Job *job = &work->jobs[i];
-      double room = 0;
-      guint usable = job->held ? mr_relay_usable (job->service, &room) : 0;
-      if (job->held && (!best || usable > best_usable))
-        {
-          best = job;
-          best_usable = usable;
-        }
-    }
-  return best;
-}
-
-static void
-S_give_up (MrRelay *r, MrTime now, MrRelayWork *work, MrCause cause)
-{
-  work->cause = cause;
-  mr_relay_finish (r, now, work, MR_VERDICT_REFUSED);
-}
-
-/* Where three targets have ended, and a quarantine allows one more trial, daemons that each
- * try once would be too many. */
-static gboolean
-S_is_anothers (MrRelay *r, const Content *content)
-{
-  return mr_evidence_at_bound (&content->evidence) && r->host->may_probe &&
-         !r->host->may_probe (r->host, content->fingerprint);
-}
-
-void
-mr_relay_begin_trial (MrRelay *r, MrTime now, MrRelayWork *work)
-{
-  Content *content = S_content (r, work->fingerprint);
-  if (!work->finder && S_is_anothers (r, content))
-    {
-      S_give_up (r, now, work, MR_CAUSE_SUSPECT);
-      return;
-    }
-  if (!work->trying && content->trials > 0)
-    {
-      work->trial_at = now + TRIAL_GAP;
-      mr_relay_schedule (r, work);
-      return;
-    }
-  if (!work->trying)
-    content->trials++;
-  work->trying = TRUE;
-  work->suspect = TRUE;
-  work->one_by_one = TRUE;
-  work->base = content->evidence;
-  Job *job = S_pick_trial (work);
-  S_unhold (job);
-  work->trial = job;
-  r->counts.trials++;
-  mr_relay_place (r, now, job, job->sends > 0 ? MR_SEND_RETRY : MR_SEND_FIRST);
-  if (g_hash_table_contains (r->works, work))
-    mr_relay_schedule (r, work);
-}
-
-void
-mr_relay_go_on (MrRelay *r, MrTime now, Job *job)
-{
-  MrRelayWork *work = job->work;
-  if (work->probation && job->sends >= PROBATION_SENDS)
-    {
-      S_give_up (r, now, work, MR_CAUSE_QUARANTINED);
-      return;
-    }
-  if (!mr_relay_is_wary (work) || work->trial == job)
-    {
-      mr_relay_place (r, now, job, MR_SEND_RETRY);
-      return;
-    }
-  mr_relay_hold (job);
-  mr_relay_schedule (r, work);
-}
-
-/* From now on one call of the request at a time; what is out is called back, since most
- * targets drop the work of a connection that closes. */
-static void
-S_go_one_by_one (MrRelay *r, MrTime now, MrRelayWork *work, MrTime trial_at)
-{
-  if (work->one_by_one)
-    return;
-  work->suspect = TRUE;
-  work->one_by_one = TRUE;
-  work->trial_at = trial_at;
-  for (guint i = 0; i < work->part_count; i++)
-    {
-      Job *job = &work->jobs[i];
-      if (job->ended)
-        continue;
-      work->ran |= mr_relay_job_calls (job) > 0;
-      mr_relay_withdraw_calls (r, now, job);
-      mr_relay_unqueue (job);
-      if (job->doubts == 0)
-        mr_relay_hold (job);
-    }
-  mr_relay_schedule (r, work);
-}
-
-static void
-S_release (MrRelay *r, MrTime now, MrRelayWork *work)
-{
-  work->suspect = FALSE;
-  work->one_by_one = FALSE;
-  work->trial = NULL;
-  for (guint i = 0; i < work->part_count; i++)
-    {
-      Job *job = &work->jobs[i];
-      if (!job->held)
-        continue;
-      S_unhold (job);
-      mr_relay_place (r, now, job, job->sends > 0 ? MR_SEND_RETRY : MR_SEND_FIRST);
-      if (!g_hash_table_contains (r->works, work))
-        return;
-    }
-  mr_relay_schedule (r, work);
-}
-
 /* Evidence. */
 
 /* An order that is out may have run: it is neither called back, since it could not be sent
@@ -320,9 +146,9 @@
       if (!g_hash_table_contains (r->works, work) || work->have > 0 || S_is_order_out (work))
         continue;
       if (standing == MR_STANDING_QUARANTINED)
-        S_give_up (r, now, work, MR_CAUSE_QUARANTINED);
+        mr_relay_give_up (r, now, work, MR_CAUSE_QUARANTINED);
       else
-        S_go_one_by_one (r, now, work, work == finder ? now : now + TRIAL_GAP);
+        mr_relay_go_one_by_one (r, now, work, work == finder ? now : now + MR_TRIAL_GAP);
     }
 }
 
@@ -343,7 +169,7 @@
 {
   if (S_is_being_answered (r, doubt->fingerprint))
     return;
-  Content *content = S_content (r, doubt->fingerprint);
+  Content *content = mr_relay_content (r, doubt->fingerprint);
   if (content->evidence.cleared != doubt->base.cleared)
     return; /* it has been answered since the call was sent */
   MrEvidenceEnd end = {
@@ -380,14 +206,13 @@
 mr_relay_note_answered (MrRelay *r, MrTime now, MrFingerprint fingerprint)
 {
   Content *content = S_find (r, fingerprint);
-  if (!content)
+  if (!content || content->evidence.targets == 0)
     return;
-  if (content->evidence.targets != 0)
-    S_clear (r, now, content);
+  S_clear (r, now, content);
   g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
   for (guint i = 0; i < works->len; i++)
     if (g_hash_table_contains (r->works, g_ptr_array_index (works, i)))
-      S_release (r, now, g_ptr_array_index (works, i));
+      mr_relay_release (r, now, g_ptr_array_index (works, i));
 }
 
 void
@@ -398,7 +223,7 @@
       g_hash_table_remove (r->contents, &fingerprint);
       return;
     }
-  Content *content = S_content (r, fingerprint);
+  Content *content = mr_relay_content (r, fingerprint);
   content->told = TRUE;
   MrEvidence joined = mr_evidence_join (&content->evidence, evidence);
   if (mr_evidence_pack (&joined) == mr_evidence_pack (&content->evidence))
@@ -414,7 +239,7 @@
   g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
   for (guint i = 0; i < works->len; i++)
     if (g_hash_table_contains (r->works, g_ptr_array_index (works, i)))
-      S_release (r, now, g_ptr_array_index (works, i));
+      mr_relay_release (r, now, g_ptr_array_index (works, i));
 }
 
 gboolean
@@ -456,13 +281,13 @@
     {
       /* Callers hear at once that it has not run; each target that it reached would end. */
       if (!mr_evidence_on_probation (&content->evidence, unix_time) || content->trials > 0 ||
-          S_is_anothers (r, content))
+          mr_relay_is_anothers (r, content))
         return MR_CAUSE_QUARANTINED;
       work->probation = TRUE;
     }
   work->suspect = TRUE;
   work->one_by_one = TRUE;
-  work->trial_at = MAX (now, content->heard_at > 0 ? content->heard_at + TRIAL_GAP : now);
+  work->trial_at = MAX (now, content->heard_at > 0 ? content->heard_at + MR_TRIAL_GAP : now);
   return MR_CAUSE_NONE;
 }
 
@@ -479,15 +304,31 @@
   doubt->job = NULL;
 }
 
-void
-mr_relay_leave_content (MrRelay *r, MrRelayWork *work)
+/* What is still being found out of the request's calls counts without it, unless it was
+ * answered. */
+static void
+S_leave_doubts (MrRelay *r, MrRelayWork *work)
 {
-  for (guint i = 0; i < r->doubts->len && work->doubts > 0; i++)
+  for (guint i = 0; work->doubts > 0 && i < r->doubts->len;)
     {
       Doubt *doubt = g_ptr_array_index (r->doubts, i);
-      if (doubt->work == work)
+      gboolean own = doubt->work == work;
+      if (own)
         S_leave_doubt (doubt);
+      if (!own || work->have == 0)
+        {
+          i++;
+          continue;
+        }
+      mr_timers_set (r->timers, &doubt->timer, MR_NEVER);
+      g_ptr_array_remove_index_fast (r->doubts, i);
     }
+}
+
+void
+mr_relay_leave_content (MrRelay *r, MrRelayWork *work)
+{
+  S_leave_doubts (r, work);
   Content *content = S_find (r, work->fingerprint);
   if (!content)
     return;
@@ -496,6 +337,8 @@
   /* Without an answer the next attempt may come to any daemon. */
   if (work->have == 0 && content->evidence.targets != 0 && !content->told)
     S_tell (r, content);
+  if (!content->told && content->evidence.targets == 0 && content->trials == 0)
+    g_hash_table_remove (r->contents, &content->fingerprint);
 }
 
 void
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -226,12 +226,28 @@
 MrCause mr_relay_admit_content (MrRelay *relay, MrTime now, MrRelayWork *work);
 /* The request has its verdict, or its caller has gone. */
 void mr_relay_leave_content (MrRelay *relay, MrRelayWork *work);
+Content *mr_relay_content (MrRelay *relay, MrFingerprint fingerprint);
+
+/* Parts that wait, and go out one by one (relay_trial.c). */
+
+/* Another trial of the same content has its result within this; what it says is awaited
+ * rather than a second target risked. */
+#define MR_TRIAL_GAP (150 * MR_MS)
+
 /* TRUE while a second call of any part would be one too many. */
 gboolean mr_relay_is_wary (const MrRelayWork *work);
 void mr_relay_hold (Job *job);
 /* When the next part of a request that goes one by one is due; MR_NEVER: nothing is. */
 MrTime mr_relay_trial_due (const MrRelayWork *work);
 void mr_relay_begin_trial (MrRelay *relay, MrTime now, MrRelayWork *work);
+/* From now on one call of the request at a time, not before @trial_at; what is out is called
+ * back. */
+void mr_relay_go_one_by_one (MrRelay *relay, MrTime now, MrRelayWork *work, MrTime trial_at);
+/* Its content is cleared: what is held goes out. */
+void mr_relay_release (MrRelay *relay, MrTime now, MrRelayWork *work);
+void mr_relay_give_up (MrRelay *relay, MrTime now, MrRelayWork *work, MrCause cause);
+/* TRUE if it is another daemon's turn to try the content. */
+gboolean mr_relay_is_anothers (MrRelay *relay, const Content *content);
 /* Closes or cancels what is out for the job. */
 void mr_relay_withdraw_calls (MrRelay *relay, MrTime now, Job *job);
 
--- /dev/null
+++ b/src/relay_trial.c
@@ -0,0 +1,174 @@
+#include "relay_private.h"
+
+enum
+{
+  /* Calls that a trial on probation may make in all. */
+  PROBATION_SENDS = 2,
+};
+
+void
+mr_relay_hold (Job *job)
+{
+  if (job->held || job->ended)
+    return;
+  job->held = TRUE;
+  job->hedge_at = MR_NEVER;
+  job->work->held++;
+}
+
+static void
+S_unhold (Job *job)
+{
+  job->held = FALSE;
+  job->work->held--;
+}
+
+gboolean
+mr_relay_is_wary (const MrRelayWork *work)
+{
+  return work->have == 0 && (work->suspect || work->doubts > 0);
+}
+
+static gboolean
+S_is_out (const Job *job)
+{
+  return !job->ended && (job->waiting || job->doubts > 0 || mr_relay_job_calls (job) > 0);
+}
+
+MrTime
+mr_relay_trial_due (const MrRelayWork *work)
+{
+  if (work->held == 0)
+    return MR_NEVER;
+  for (guint i = 0; i < work->part_count; i++)
+    if (S_is_out (&work->jobs[i]))
+      return MR_NEVER;
+  return work->trial_at;
+}
+
+/* The held part whose shard can best do without one more target. */
+static Job *
+S_pick_trial (const MrRelayWork *work)
+{
+  Job *best = NULL;
+  guint best_usable = 0;
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      Job *job = &work->jobs[i];
+      double room = 0;
+      guint usable = job->held ? mr_relay_usable (job->service, &room) : 0;
+      if (job->held && (!best || usable > best_usable))
+        {
+          best = job;
+          best_usable = usable;
+        }
+    }
+  return best;
+}
+
+void
+mr_relay_give_up (MrRelay *r, MrTime now, MrRelayWork *work, MrCause cause)
+{
+  work->cause = cause;
+  mr_relay_finish (r, now, work, MR_VERDICT_REFUSED);
+}
+
+/* Where the next trial may end the third target, or is the only one that a quarantine has
+ * left, daemons that each try once would be too many. */
+gboolean
+mr_relay_is_anothers (MrRelay *r, const Content *content)
+{
+  return mr_evidence_at_bound (&content->evidence) && r->host->may_probe &&
+         !r->host->may_probe (r->host, content->fingerprint);
+}
+
+void
+mr_relay_begin_trial (MrRelay *r, MrTime now, MrRelayWork *work)
+{
+  Content *content = mr_relay_content (r, work->fingerprint);
+  if (!work->finder && mr_relay_is_anothers (r, content))
+    {
+      mr_relay_give_up (r, now, work, MR_CAUSE_SUSPECT);
+      return;
+    }
+  if (!work->trying && content->trials > 0)
+    {
+      work->trial_at = now + MR_TRIAL_GAP;
+      mr_relay_schedule (r, work);
+      return;
+    }
+  if (!work->trying)
+    content->trials++;
+  work->trying = TRUE;
+  work->suspect = TRUE;
+  work->one_by_one = TRUE;
+  work->base = content->evidence;
+  Job *job = S_pick_trial (work);
+  S_unhold (job);
+  work->trial = job;
+  r->counts.trials++;
+  mr_relay_place (r, now, job, job->sends > 0 ? MR_SEND_RETRY : MR_SEND_FIRST);
+  if (g_hash_table_contains (r->works, work))
+    mr_relay_schedule (r, work);
+}
+
+void
+mr_relay_go_on (MrRelay *r, MrTime now, Job *job)
+{
+  MrRelayWork *work = job->work;
+  if (work->probation && job->sends >= PROBATION_SENDS)
+    {
+      mr_relay_give_up (r, now, work, MR_CAUSE_QUARANTINED);
+      return;
+    }
+  if (!mr_relay_is_wary (work) || work->trial == job)
+    {
+      mr_relay_place (r, now, job, MR_SEND_RETRY);
+      return;
+    }
+  mr_relay_hold (job);
+  mr_relay_schedule (r, work);
+}
+
+/* From now on one call of the request at a time; what is out is called back, since most
+ * targets drop the work of a connection that closes. */
+void
+mr_relay_go_one_by_one (MrRelay *r, MrTime now, MrRelayWork *work, MrTime trial_at)
+{
+  if (work->one_by_one)
+    return;
+  work->suspect = TRUE;
+  work->one_by_one = TRUE;
+  work->trial_at = trial_at;
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      Job *job = &work->jobs[i];
+      if (job->ended)
+        continue;
+      work->ran |= mr_relay_job_calls (job) > 0;
+      mr_relay_withdraw_calls (r, now, job);
+      mr_relay_unqueue (job);
+      if (job->doubts == 0)
+        mr_relay_hold (job);
+    }
+  mr_relay_schedule (r, work);
+}
+
+void
+mr_relay_release (MrRelay *r, MrTime now, MrRelayWork *work)
+{
+  work->suspect = FALSE;
+  work->one_by_one = FALSE;
+  work->trial = NULL;
+  for (guint i = 0; i < work->part_count; i++)
+    {
+      Job *job = &work->jobs[i];
+      if (!job->held)
+        continue;
+      S_unhold (job);
+      mr_relay_place (r, now, job, job->sends > 0 ? MR_SEND_RETRY : MR_SEND_FIRST);
+      if (!g_hash_table_contains (r->works, work))
+        return;
+    }
+  mr_relay_schedule (r, work);
+}
