Soak: what stands for an ended searcher refuses connections as it would itself

The kernel refuses for a process that has ended at once. Now the proxy asks its server before it passes an end on. What stays is a limit of the product (docs/design/quarantine.md): an end behind something that goes on taking connections is not seen.

--- a/test/soak/proxy.c
+++ b/test/soak/proxy.c
@@ -1,10 +1,16 @@
 #include "proxy.h"
 
 #include "stream.h"
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 static const MrTime DELAY = 150 * MR_MS;
+/* An old connection of a server that has started again may end when the new process does
+ * not listen yet. */
+static const MrTime REOPEN = 300 * MR_MS;
 
 typedef struct Link Link;
 
@@ -34,6 +40,7 @@
   int port;
   int server_port;
   MrListener *listener; /* NULL: closed */
+  MrTime closed_at;
   SoakProxyMode mode;
   GQueue links;
 };
@@ -83,15 +90,32 @@
     mr_timers_set (link->proxy->timers, &to->timer, mr_now () + DELAY);
 }
 
-/* The end of one side is passed on, unless the path is silent. */
+static gboolean
+S_server_listens (const SoakProxy *proxy)
+{
+  struct sockaddr_in address = {
+    .sin_family = AF_INET,
+    .sin_port = htons ((guint16) proxy->server_port),
+    .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+  };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  gboolean listens = connect (fd, (const struct sockaddr *) &address, sizeof address) == 0;
+  close (fd);
+  return listens;
+}
+
+/* The end of one side is passed on, unless the path is silent.  An ended process refuses
+ * connections before anybody hears of it, and so does what stands for it. */
 static void
 S_ended (MrStreamHost *host, MrStream *stream, MrStreamEnd end)
 {
   End *from = (End *) host;
+  Link *link = from->link;
   (void) stream;
-  (void) end;
   from->stream = NULL;
-  S_link_free (from->link);
+  if (from == &link->server && end != MR_STREAM_REFUSED && !S_server_listens (link->proxy))
+    soak_proxy_set_open (link->proxy, FALSE);
+  S_link_free (link);
 }
 
 static void
@@ -151,7 +175,10 @@
 soak_proxy_set_open (SoakProxy *proxy, gboolean open)
 {
   if (!open)
-    g_clear_pointer (&proxy->listener, mr_listener_close);
+    {
+      g_clear_pointer (&proxy->listener, mr_listener_close);
+      proxy->closed_at = mr_now ();
+    }
   if (!open || proxy->listener)
     return;
   proxy->listener = mr_listener_new (proxy->loop, "127.0.0.1", proxy->port, S_accepted, proxy);
@@ -167,6 +194,13 @@
   proxy->mode = mode;
 }
 
+void
+soak_proxy_reopen (SoakProxy *proxy)
+{
+  if (!proxy->listener && mr_now () > proxy->closed_at + REOPEN)
+    soak_proxy_set_open (proxy, TRUE);
+}
+
 void
 soak_proxy_lose (SoakProxy *proxy)
 {
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -25,6 +25,9 @@
 /* While its server does not run, nobody listens at the proxy's port either. */
 void soak_proxy_set_open (SoakProxy *proxy, gboolean open);
 
+/* Its server runs: listens again if that was missed. */
+void soak_proxy_reopen (SoakProxy *proxy);
+
 /* Connections that stand now go silent for good; new ones work. */
 void soak_proxy_lose (SoakProxy *proxy);
 void soak_proxy_reset (SoakProxy *proxy);
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -45,8 +45,13 @@
   for (guint i = 0; i < SEARCHERS; i++)
     {
       Child *searcher = &s->searchers[i];
-      if (searcher->back_at != 0 || waitpid (searcher->pid, NULL, WNOHANG) != searcher->pid)
+      if (searcher->back_at != 0)
         continue;
+      if (waitpid (searcher->pid, NULL, WNOHANG) != searcher->pid)
+        {
+          soak_proxy_reopen (s->searcher_proxies[i]);
+          continue;
+        }
       soak_say (s, "searcher %u has ended", i);
       soak_proxy_set_open (s->searcher_proxies[i], FALSE);
       soak_withdraw (s, i);
