--- a/src/clock.h
+++ b/src/clock.h
@@ -21,3 +21,10 @@
   clock_gettime (CLOCK_BOOTTIME, &time);
   return time.tv_sec * MR_SECOND + time.tv_nsec / 1000;
 }
+
+/* Seconds since 1970, for what is told to other VMs; the clock may be set. */
+static inline guint32
+mr_unix_time (void)
+{
+  return (guint32) (g_get_real_time () / MR_SECOND);
+}
--- a/src/control_evidence.c
+++ b/src/control_evidence.c
@@ -9,12 +9,6 @@
 
 static const char kind[] = "quarantine";
 
-static guint32
-S_unix (void)
-{
-  return (guint32) (g_get_real_time () / MR_SECOND);
-}
-
 /* Tells those that send requests. */
 static void
 S_tell (const MrControlTask *task, MrFingerprint fingerprint, const MrEvidence *evidence)
@@ -37,7 +31,7 @@
 static void
 S_log (const char *name, const MrEvidence *evidence)
 {
-  MrStanding standing = mr_evidence_standing (evidence, S_unix ());
+  MrStanding standing = mr_evidence_standing (evidence, mr_unix_time ());
   MrLogLine *line = mr_log_begin (
       standing == MR_STANDING_QUARANTINED ? MR_LOG_WARNING : MR_LOG_NOTICE, MR_EVENT_EVIDENCE);
   mr_log_text (line, "content", mr_text (name));
@@ -87,7 +81,7 @@
       mr_registry_remove (task->registry, MR_OBJECT_EVIDENCE, name);
       return;
     }
-  if (!mr_quarantine_offer (task->quarantine, fingerprint, &evidence, S_unix (), &left_out))
+  if (!mr_quarantine_offer (task->quarantine, fingerprint, &evidence, mr_unix_time (), &left_out))
     {
       S_forget (task, fingerprint);
       return;
@@ -130,9 +124,9 @@
   if (!mr_fingerprint_read (mr_text (name), &fingerprint))
     return;
   MrEvidence known = mr_quarantine_get (task->quarantine, fingerprint);
-  if (known.targets == 0)
+  if (mr_evidence_ended (&known) == 0)
     return;
-  MrEvidence cleared = mr_evidence_clear (&known, S_unix ());
+  MrEvidence cleared = mr_evidence_clear (&known, mr_unix_time ());
   S_offer (task, name, &cleared);
 }
 
@@ -187,14 +181,15 @@
   MrControlTask *task = saving->task;
   char name[MR_FINGERPRINT_DIGITS + 1];
   mr_fingerprint_write (fingerprint, name);
-  gboolean quarantined = mr_evidence_standing (evidence, S_unix ()) == MR_STANDING_QUARANTINED;
+  gboolean quarantined =
+      mr_evidence_standing (evidence, mr_unix_time ()) == MR_STANDING_QUARANTINED;
   if (!quarantined && !g_hash_table_contains (task->saved, name))
     return;
   MrSavedEvidence *saved = S_saved (task, name);
   if (saved->busy || saved->evidence >= mr_evidence_pack (evidence) ||
       saving->now < saved->retry_at)
     return;
-  g_autofree char *json = mr_evidence_write (evidence, S_unix ());
+  g_autofree char *json = mr_evidence_write (evidence, mr_unix_time ());
   MrPlatformRequest *request = mr_platform_request_new (MR_PLATFORM_WRITE, kind, name);
   request->expected = saved->version;
   request->body = g_string_new (json);
@@ -210,7 +205,7 @@
   if (now < task->evidence_at)
     return;
   task->evidence_at = now + LOOK_GAP;
-  while (mr_quarantine_expire (task->quarantine, S_unix (), &expired))
+  while (mr_quarantine_expire (task->quarantine, mr_unix_time (), &expired))
     {
       S_forget (task, expired);
       mr_membership_set_digest (task->membership, mr_registry_digest (task->registry));
--- a/src/entry_task.c
+++ b/src/entry_task.c
@@ -204,12 +204,6 @@
   return TRUE;
 }
 
-static guint32
-S_unix (void)
-{
-  return (guint32) (g_get_real_time () / MR_SECOND);
-}
-
 /* FALSE, and answered, if the search is quarantined.  One on probation goes on to the
  * owners, which try it at one target; orders do, since their tickets may have a result. */
 static gboolean
@@ -219,8 +213,8 @@
   MrFingerprint fingerprint =
       mr_batch_content (chain->service_name, FALSE, content, context->content_key);
   MrEvidence evidence = mr_quarantine_get (context->quarantine, fingerprint);
-  if (mr_evidence_standing (&evidence, S_unix ()) != MR_STANDING_QUARANTINED ||
-      mr_evidence_on_probation (&evidence, S_unix ()))
+  if (mr_evidence_standing (&evidence, mr_unix_time ()) != MR_STANDING_QUARANTINED ||
+      mr_evidence_on_probation (&evidence, mr_unix_time ()))
     return TRUE;
   return S_refuse (chain, MR_RESULT_QUARANTINED, 0,
                    "the same has ended %u targets; it is sent to none any more",
@@ -431,7 +425,8 @@
   if (message->forget)
     mr_quarantine_remove (quarantine, message->fingerprint);
   else
-    mr_quarantine_offer (quarantine, message->fingerprint, &message->evidence, S_unix (), NULL);
+    mr_quarantine_offer (quarantine, message->fingerprint, &message->evidence, mr_unix_time (),
+                         NULL);
 }
 
 static void
--- a/src/fingerprint.c
+++ b/src/fingerprint.c
@@ -19,6 +19,18 @@
   return (MrFingerprint){ .high = hash.high64, .low = hash.low64 };
 }
 
+guint
+mr_fingerprint_hash (gconstpointer key)
+{
+  return (guint) ((const MrFingerprint *) key)->low;
+}
+
+gboolean
+mr_fingerprint_same (gconstpointer a, gconstpointer b)
+{
+  return mr_fingerprint_equal (*(const MrFingerprint *) a, *(const MrFingerprint *) b);
+}
+
 void
 mr_fingerprint_write (MrFingerprint fingerprint, char out[MR_FINGERPRINT_DIGITS + 1])
 {
--- a/src/fingerprint.h
+++ b/src/fingerprint.h
@@ -34,6 +34,10 @@
   return a.high == b.high && a.low == b.low;
 }
 
+/* For tables whose keys are pointers to fingerprints. */
+guint mr_fingerprint_hash (gconstpointer key);
+gboolean mr_fingerprint_same (gconstpointer a, gconstpointer b);
+
 /* False for a request whose content is not known. */
 static inline bool
 mr_fingerprint_is_set (MrFingerprint fingerprint)
--- a/src/health.c
+++ b/src/health.c
@@ -158,6 +158,12 @@
   return health->state == MR_HEALTH_UP;
 }
 
+bool
+mr_health_after_break (const MrHealth *health)
+{
+  return health->state == MR_HEALTH_SUSPECT && !health->silent;
+}
+
 const char *
 mr_health_name (MrHealthState state)
 {
--- a/src/health.h
+++ b/src/health.h
@@ -60,4 +60,6 @@
 MrHealthAction mr_health_tick (MrHealth *health, MrTime now);
 
 bool mr_health_usable (const MrHealth *health);
+/* TRUE if it is being probed because a connection broke: its process may just be ending. */
+bool mr_health_after_break (const MrHealth *health);
 const char *mr_health_name (MrHealthState state);
--- /dev/null
+++ b/src/prober.c
@@ -0,0 +1,222 @@
+#include "prober.h"
+
+#include "log.h"
+#include "stream.h"
+#include "timers.h"
+
+enum
+{
+  /* Connections of one probe.  An ending process may accept, by itself, one more that
+   * comes as its listener closes; a target that is over its cap resets any number. */
+  CONNECTIONS_MOST = 3,
+};
+
+/* One that stands this long after a break was accepted by a process that lives: twice the
+ * longest time that an ending one was seen to listen on. */
+static const MrTime STANDS_AFTER = 10 * MR_MS;
+/* From a reset to the next connection: longer than a listener outlives the connections
+ * that it has not handed out, unless the machine is busy. */
+static const MrTime AGAIN_AFTER = 2 * MR_MS;
+
+typedef enum
+{
+  PROBE_CONNECTING,
+  PROBE_STANDING, /* connected; may still be reset */
+  PROBE_PAUSING,  /* was reset: connects again */
+  PROBE_FAILED,   /* could not even begin */
+} ProbeState;
+
+typedef struct
+{
+  MrStreamHost host;
+  MrProber *prober;
+  GList link;
+  char *target;
+  char *ip;
+  int port;
+  gboolean after_break;
+  ProbeState state;
+  guint connections;
+  MrStream *stream; /* NULL while pausing, or failed */
+  MrTimer timer;
+} Probe;
+
+struct _MrProber
+{
+  MrProberHost *host;
+  MrLoop *loop;
+  MrTimers *timers;
+  GQueue probes; /* Probe */
+  MrProberCounts counts;
+};
+
+MrProber *
+mr_prober_new (MrProberHost *host, MrLoop *loop)
+{
+  MrProber *prober = g_new0 (MrProber, 1);
+  prober->host = host;
+  prober->loop = loop;
+  prober->timers = mr_timers_new ();
+  g_queue_init (&prober->probes);
+  return prober;
+}
+
+static void
+S_probe_free (Probe *probe)
+{
+  mr_timers_set (probe->prober->timers, &probe->timer, MR_NEVER);
+  g_queue_unlink (&probe->prober->probes, &probe->link);
+  g_free (probe->target);
+  g_free (probe->ip);
+  g_free (probe);
+}
+
+void
+mr_prober_free (MrProber *prober)
+{
+  if (!prober)
+    return;
+  while (prober->probes.head)
+    S_probe_free (prober->probes.head->data);
+  mr_timers_free (prober->timers);
+  g_free (prober);
+}
+
+static void
+S_close_stream (Probe *probe)
+{
+  if (probe->stream)
+    mr_stream_close (probe->stream);
+  probe->stream = NULL;
+}
+
+/* Frees @probe. */
+static void
+S_report (Probe *probe, gboolean answered)
+{
+  MrProberHost *host = probe->prober->host;
+  g_autofree char *target = g_strdup (probe->target);
+  S_close_stream (probe);
+  S_probe_free (probe);
+  host->probed (host, target, answered);
+}
+
+static void
+S_enter (Probe *probe, ProbeState state, MrTime until)
+{
+  probe->state = state;
+  mr_timers_set (probe->prober->timers, &probe->timer, until);
+}
+
+static void
+S_connect (Probe *probe, MrTime now)
+{
+  MrProber *prober = probe->prober;
+  probe->stream = mr_stream_connect (prober->loop, &probe->host, probe->ip, probe->port);
+  if (!probe->stream)
+    {
+      mr_log (MR_LOG_WARNING, MR_EVENT_CONNECT_FAILED, "target %s: %s", probe->target,
+              mr_status_message ());
+      S_enter (probe, PROBE_FAILED, now);
+      return;
+    }
+  probe->connections++;
+  prober->counts.connections++;
+  S_enter (probe, PROBE_CONNECTING, now + MR_CONNECT_WAIT);
+}
+
+static void
+S_opened (MrStreamHost *host, MrStream *stream)
+{
+  Probe *probe = (Probe *) host;
+  (void) stream;
+  if (!probe->after_break)
+    S_report (probe, TRUE);
+  else
+    S_enter (probe, PROBE_STANDING, mr_now () + STANDS_AFTER);
+}
+
+/* Nothing was asked; but somebody is there. */
+static void
+S_received (MrStreamHost *host, MrStream *stream, MrText bytes)
+{
+  (void) stream;
+  (void) bytes;
+  S_report ((Probe *) host, TRUE);
+}
+
+static void
+S_pause (Probe *probe)
+{
+  probe->prober->counts.repeated++;
+  mr_log (MR_LOG_NOTICE, MR_EVENT_PROBE_RESET,
+          "target %s took a connection and reset it: it is probed again", probe->target);
+  S_enter (probe, PROBE_PAUSING, mr_now () + AGAIN_AFTER);
+}
+
+static void
+S_ended (MrStreamHost *host, MrStream *stream, MrStreamEnd end)
+{
+  Probe *probe = (Probe *) host;
+  gboolean accepted = mr_stream_was_accepted (stream);
+  (void) end;
+  probe->stream = NULL;
+  if (accepted && probe->after_break && probe->connections < CONNECTIONS_MOST)
+    S_pause (probe);
+  else
+    S_report (probe, accepted);
+}
+
+void
+mr_prober_start (MrProber *prober, MrTime now, const MrTargetState *target)
+{
+  Probe *probe = g_new (Probe, 1);
+  *probe = (Probe){
+    .host = { .opened = S_opened, .received = S_received, .ended = S_ended },
+    .prober = prober,
+    .target = g_strdup (target->id),
+    .ip = g_strdup (target->ip),
+    .port = target->port,
+    .after_break = mr_health_after_break (&target->health),
+  };
+  probe->link.data = probe;
+  probe->timer.owner = probe;
+  g_queue_push_tail_link (&prober->probes, &probe->link);
+  S_connect (probe, now);
+}
+
+void
+mr_prober_forget (MrProber *prober, const char *target)
+{
+  GList *next = NULL;
+  for (GList *link = prober->probes.head; link; link = next)
+    {
+      Probe *probe = link->data;
+      next = link->next;
+      if (!g_str_equal (probe->target, target))
+        continue;
+      S_close_stream (probe);
+      S_probe_free (probe);
+    }
+}
+
+MrTime
+mr_prober_tick (MrProber *prober, MrTime now)
+{
+  for (MrTimer *timer = mr_timers_pop (prober->timers, now); timer;
+       timer = mr_timers_pop (prober->timers, now))
+    {
+      Probe *probe = timer->owner;
+      if (probe->state == PROBE_PAUSING)
+        S_connect (probe, now);
+      else
+        S_report (probe, probe->state == PROBE_STANDING);
+    }
+  return mr_timers_next (prober->timers);
+}
+
+const MrProberCounts *
+mr_prober_counts (const MrProber *prober)
+{
+  return &prober->counts;
+}
--- a/src/relay.c
+++ b/src/relay.c
@@ -63,18 +63,6 @@
   g_free (service);
 }
 
-static guint
-S_content_hash (gconstpointer key)
-{
-  return (guint) ((const MrFingerprint *) key)->low;
-}
-
-static gboolean
-S_content_equal (gconstpointer a, gconstpointer b)
-{
-  return mr_fingerprint_equal (*(const MrFingerprint *) a, *(const MrFingerprint *) b);
-}
-
 MrRelay *
 mr_relay_new (MrRelayHost *host, const MrRelayInfo *info)
 {
@@ -92,7 +80,7 @@
   r->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   r->works = g_hash_table_new (NULL, NULL);
   r->retired = g_ptr_array_new_with_free_func ((GDestroyNotify) mr_target_state_free);
-  r->contents = g_hash_table_new_full (S_content_hash, S_content_equal, NULL, g_free);
+  r->contents = g_hash_table_new_full (mr_fingerprint_hash, mr_fingerprint_same, NULL, g_free);
   r->doubts = g_ptr_array_new_with_free_func (g_free);
   r->unix_offset = info->unix_offset;
   r->timers = mr_timers_new ();
--- a/src/relay_crash.c
+++ b/src/relay_crash.c
@@ -206,7 +206,7 @@
 mr_relay_note_answered (MrRelay *r, MrTime now, MrFingerprint fingerprint)
 {
   Content *content = S_find (r, fingerprint);
-  if (!content || content->evidence.targets == 0)
+  if (!content || mr_evidence_ended (&content->evidence) == 0)
     return;
   S_clear (r, now, content);
   g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
@@ -246,7 +246,7 @@
 mr_relay_lift (MrRelay *r, MrTime now, MrFingerprint fingerprint)
 {
   const Content *content = S_find (r, fingerprint);
-  if (!content || content->evidence.targets == 0)
+  if (!content || mr_evidence_ended (&content->evidence) == 0)
     return FALSE;
   mr_relay_note_answered (r, now, fingerprint);
   return TRUE;
@@ -335,9 +335,9 @@
   if (work->trying && content->trials > 0)
     content->trials--;
   /* Without an answer the next attempt may come to any daemon. */
-  if (work->have == 0 && content->evidence.targets != 0 && !content->told)
+  if (work->have == 0 && mr_evidence_ended (&content->evidence) > 0 && !content->told)
     S_tell (r, content);
-  if (!content->told && content->evidence.targets == 0 && content->trials == 0)
+  if (!content->told && mr_evidence_ended (&content->evidence) == 0 && content->trials == 0)
     g_hash_table_remove (r->contents, &content->fingerprint);
 }
 
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -63,7 +63,7 @@
 S_append_relay (GString *out, const MrRelayTask *task)
 {
   const MrRelayCounts *counts = mr_relay_counts (task->relay);
-  const MrTargetClientCounts *client = mr_target_client_counts (task->client);
+  MrTargetClientCounts client = mr_target_client_counts (task->client);
   const struct
   {
     const char *name;
@@ -84,10 +84,11 @@
     { "relay_trials_total", counts->trials },
     { "relay_quarantined_total", counts->quarantined },
     { "relay_early_requests_total", task->early_count },
-    { "relay_connections_total", client->connections },
-    { "relay_reused_total", client->reused },
-    { "relay_skipped_answers_total", client->skipped },
-    { "relay_stray_bytes_total", client->stray },
+    { "relay_connections_total", client.connections },
+    { "relay_reused_total", client.reused },
+    { "relay_skipped_answers_total", client.skipped },
+    { "relay_stray_bytes_total", client.stray },
+    { "relay_probes_repeated_total", client.repeated },
   };
   for (gsize i = 0; i < G_N_ELEMENTS (counters); i++)
     S_append (out, counters[i].name, "counter", counters[i].value);
@@ -105,19 +106,13 @@
 
 static const char quarantine_path[] = "/v1/quarantine";
 
-static guint32
-S_unix (void)
-{
-  return (guint32) (g_get_real_time () / MR_SECOND);
-}
-
 static void
 S_add_content (MrFingerprint fingerprint, const MrEvidence *evidence, void *user)
 {
   GString *list = user;
   char content[MR_FINGERPRINT_DIGITS + 1];
   mr_fingerprint_write (fingerprint, content);
-  g_autofree char *json = mr_evidence_write (evidence, S_unix ());
+  g_autofree char *json = mr_evidence_write (evidence, mr_unix_time ());
   g_string_append_printf (list, "%s{\"content\":\"%s\",\"evidence\":%s}",
                           list->str[list->len - 1] == '[' ? "" : ",", content, json);
 }
@@ -170,7 +165,7 @@
 {
   guint *counts = user;
   (void) fingerprint;
-  counts[mr_evidence_standing (evidence, S_unix ())]++;
+  counts[mr_evidence_standing (evidence, mr_unix_time ())]++;
 }
 
 static void
--- a/src/stream.c
+++ b/src/stream.c
@@ -36,6 +36,7 @@
   struct lws *wsi;
   int fd;
   gboolean connecting;
+  gboolean accepted;
   gboolean closed;
   GString *out;
   guint64 sent;
@@ -162,6 +163,12 @@
   return (MrTime) info.tcpi_rtt;
 }
 
+gboolean
+mr_stream_was_accepted (const MrStream *stream)
+{
+  return stream->accepted;
+}
+
 /* The wsi is closed by the loop and not here: it may be the one whose callback
  * is running. */
 void
@@ -174,6 +181,19 @@
   lws_set_timeout (stream->wsi, PENDING_TIMEOUT_CLOSE_SEND, LWS_TO_KILL_ASYNC);
 }
 
+/* The error of the connection that is being made; 0: it stands.  One that stood and was
+ * reset before this process looked is told from one that was refused. */
+static int
+S_connect_error (MrStream *stream)
+{
+  int error = 0;
+  socklen_t len = sizeof error;
+  if (getsockopt (stream->fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0)
+    error = errno;
+  stream->accepted |= error == ECONNRESET || error == EPIPE;
+  return error;
+}
+
 static void
 S_end (MrStream *stream, MrStreamEnd end)
 {
@@ -238,14 +258,13 @@
     return;
   if (stream->connecting)
     {
-      int error = 0;
-      socklen_t len = sizeof error;
-      if (getsockopt (stream->fd, SOL_SOCKET, SO_ERROR, &error, &len) != 0 || error != 0)
+      if (S_connect_error (stream) != 0)
         {
           S_end (stream, MR_STREAM_REFUSED);
           return;
         }
       stream->connecting = FALSE;
+      stream->accepted = TRUE;
       stream->host->opened (stream->host, stream);
     }
   if (!stream->closed)
@@ -271,7 +290,11 @@
 S_stream_free (MrStream *stream)
 {
   if (!mr_loop_is_closing (stream->loop))
-    S_end (stream, MR_STREAM_RESET);
+    {
+      if (stream->connecting && !stream->closed)
+        S_connect_error (stream);
+      S_end (stream, MR_STREAM_RESET);
+    }
   g_string_free (stream->out, TRUE);
   g_free (stream);
 }
--- a/src/stream.h
+++ b/src/stream.h
@@ -32,12 +32,20 @@
   void (*ended) (MrStreamHost *host, MrStream *stream, MrStreamEnd end);
 };
 
+/* A connection to a target is made in one round trip and some 6 ms of the target's; one
+ * that takes this long meets a dead end. */
+#define MR_CONNECT_WAIT (400 * MR_MS)
+
 /* Starts to connect; NULL with a message if the system refuses at once. */
 MrStream *mr_stream_connect (MrLoop *loop, MrStreamHost *host, const char *ip, int port);
 
 /* Hands over who is called back. */
 void mr_stream_set_host (MrStream *stream, MrStreamHost *host);
 
+/* TRUE if the connection that this process opened has stood, even if it was reset before
+ * opened () could be called; to be asked from ended () on as well. */
+gboolean mr_stream_was_accepted (const MrStream *stream);
+
 /* Writes what the kernel takes and buffers the rest. */
 void mr_stream_write (MrStream *stream, MrText bytes);
 
--- a/src/target_client.c
+++ b/src/target_client.c
@@ -1,6 +1,7 @@
 #include "target_client.h"
 
 #include "log.h"
+#include "prober.h"
 #include "stream.h"
 #include "timers.h"
 
@@ -10,9 +11,6 @@
   ANSWER_BYTES_MAX = 8 * 1024 * 1024,
 };
 
-/* A connection is made in one round trip and some 6 ms of the target's; one
- * that takes this long meets a dead end. */
-static const MrTime CONNECT_WAIT = 400 * MR_MS;
 /* Idle connections are given up before the target closes them: a request that
  * crosses a close is lost.  Share of the time that the target states. */
 static const double IDLE_SHARE = 0.7;
@@ -39,7 +37,6 @@
   MrTimer timer;  /* end of connecting, or of idling */
   gboolean connecting;
   gboolean idle;
-  gboolean probe;
   gboolean used;       /* has carried a call */
   guint64 call_id;     /* 0: none */
   guint64 sent_before; /* bytes, when the call began */
@@ -51,13 +48,6 @@
   MrTime idle_most;
 } Connection;
 
-/* An end that could not be reported from within the call that caused it. */
-typedef struct
-{
-  guint64 call_id; /* 0: a probe */
-  char *target;
-} Failed;
-
 struct _MrTargetClient
 {
   MrTargetClientHost *host;
@@ -66,11 +56,16 @@
   GHashTable *pools; /* target -> Pool */
   GHashTable *calls; /* call id -> Connection */
   GQueue connections;
-  GQueue failed; /* Failed */
+  GArray *failed; /* ids of calls whose end could not be reported from within their begin */
   MrTimers *timers;
+  MrProberHost prober_host;
+  MrProber *prober;
   MrTargetClientCounts counts;
 };
 
+#define CLIENT_OF_PROBER_HOST(host)                                                                \
+  ((MrTargetClient *) (void *) ((char *) (host) -offsetof (MrTargetClient, prober_host)))
+
 static void
 S_pool_free (gpointer data)
 {
@@ -79,6 +74,13 @@
   g_free (pool);
 }
 
+static void
+S_probed (MrProberHost *host, const char *target, gboolean answered)
+{
+  MrTargetClient *client = CLIENT_OF_PROBER_HOST (host);
+  client->host->probed (client->host, target, answered);
+}
+
 MrTargetClient *
 mr_target_client_new (MrTargetClientHost *host, MrLoop *loop, const MrDialect *dialect)
 {
@@ -89,8 +91,10 @@
   client->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_pool_free);
   client->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   client->timers = mr_timers_new ();
+  client->failed = g_array_new (FALSE, FALSE, sizeof (guint64));
+  client->prober_host = (MrProberHost){ .probed = S_probed };
+  client->prober = mr_prober_new (&client->prober_host, loop);
   g_queue_init (&client->connections);
-  g_queue_init (&client->failed);
   return client;
 }
 
@@ -145,11 +149,8 @@
     return;
   while (client->connections.head)
     S_connection_free (client->connections.head->data);
-  for (Failed *f = g_queue_pop_head (&client->failed); f; f = g_queue_pop_head (&client->failed))
-    {
-      g_free (f->target);
-      g_free (f);
-    }
+  g_array_unref (client->failed);
+  mr_prober_free (client->prober);
   g_hash_table_unref (client->calls);
   g_hash_table_unref (client->pools);
   mr_timers_free (client->timers);
@@ -343,37 +344,15 @@
   Connection *c = (Connection *) host;
   c->connecting = FALSE;
   mr_timers_set (c->client->timers, &c->timer, MR_NEVER);
-  if (c->probe)
-    {
-      MrTargetClientHost *owner = c->client->host;
-      g_autofree char *target = g_strdup (c->pool->target);
-      S_close (c);
-      owner->probed (owner, target, TRUE);
-      return;
-    }
   mr_stream_write (stream, mr_text_of (c->waiting));
   g_string_free (c->waiting, TRUE);
   c->waiting = NULL;
 }
 
-static void
-S_fail_probe (Connection *c)
-{
-  MrTargetClientHost *owner = c->client->host;
-  g_autofree char *target = g_strdup (c->pool->target);
-  S_close (c);
-  owner->probed (owner, target, FALSE);
-}
-
 static void
 S_ended (MrStreamHost *host, MrStream *stream, MrStreamEnd end)
 {
   Connection *c = (Connection *) host;
-  if (c->probe)
-    {
-      S_fail_probe (c);
-      return;
-    }
   if (c->call_id == 0)
     {
       S_connection_free (c);
@@ -419,7 +398,7 @@
   mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .body = ANSWER_BYTES_MAX });
   c->all_link.data = c;
   g_queue_push_tail_link (&client->connections, &c->all_link);
-  mr_timers_set (client->timers, &c->timer, now + CONNECT_WAIT);
+  mr_timers_set (client->timers, &c->timer, now + MR_CONNECT_WAIT);
   client->counts.connections++;
   return c;
 }
@@ -443,14 +422,6 @@
   return c;
 }
 
-static void
-S_defer_failure (MrTargetClient *client, guint64 call_id, const char *target)
-{
-  Failed *failed = g_new (Failed, 1);
-  *failed = (Failed){ .call_id = call_id, .target = g_strdup (target) };
-  g_queue_push_tail (&client->failed, failed);
-}
-
 void
 mr_target_client_call (MrTargetClient *client, MrTime now, const MrTargetCall *call)
 {
@@ -459,7 +430,7 @@
     c = S_connect (client, now, call->target);
   if (!c)
     {
-      S_defer_failure (client, call->id, call->target->id);
+      g_array_append_val (client->failed, call->id);
       return;
     }
   c->call_id = call->id;
@@ -488,11 +459,7 @@
 void
 mr_target_client_probe (MrTargetClient *client, MrTime now, const MrTargetState *target)
 {
-  Connection *c = S_connect (client, now, target);
-  if (c)
-    c->probe = TRUE;
-  else
-    S_defer_failure (client, 0, target->id);
+  mr_prober_start (client->prober, now, target);
 }
 
 void
@@ -506,30 +473,18 @@
 void
 mr_target_client_forget (MrTargetClient *client, const MrTargetState *target)
 {
-  const Pool *pool = S_pool (client, target->id);
-  GList *next = NULL;
   mr_target_client_renew (client, target);
-  for (GList *link = client->connections.head; link; link = next)
-    {
-      Connection *c = link->data;
-      next = link->next;
-      if (c->pool == pool && c->probe)
-        S_close (c);
-    }
+  mr_prober_forget (client->prober, target->id);
 }
 
 static void
 S_report_failed (MrTargetClient *client)
 {
-  for (guint count = client->failed.length; count > 0; count--)
+  for (guint count = client->failed->len; count > 0; count--)
     {
-      Failed *failed = g_queue_pop_head (&client->failed);
-      if (failed->call_id)
-        client->host->ended (client->host, failed->call_id, MR_CALL_NOT_CONNECTED, NULL);
-      else
-        client->host->probed (client->host, failed->target, FALSE);
-      g_free (failed->target);
-      g_free (failed);
+      guint64 id = g_array_index (client->failed, guint64, 0);
+      g_array_remove_index (client->failed, 0);
+      client->host->ended (client->host, id, MR_CALL_NOT_CONNECTED, NULL);
     }
 }
 
@@ -541,18 +496,21 @@
        timer = mr_timers_pop (client->timers, now))
     {
       Connection *c = timer->owner;
-      if (c->probe)
-        S_fail_probe (c);
-      else if (c->call_id)
+      if (c->call_id)
         S_break (c, MR_CALL_NOT_CONNECTED);
       else
         S_close (c);
     }
-  return g_queue_is_empty (&client->failed) ? mr_timers_next (client->timers) : now;
+  MrTime next = mr_prober_tick (client->prober, now);
+  return client->failed->len > 0 ? now : MIN (next, mr_timers_next (client->timers));
 }
 
-const MrTargetClientCounts *
+MrTargetClientCounts
 mr_target_client_counts (const MrTargetClient *client)
 {
-  return &client->counts;
+  const MrProberCounts *probes = mr_prober_counts (client->prober);
+  MrTargetClientCounts counts = client->counts;
+  counts.connections += probes->connections;
+  counts.repeated = probes->repeated;
+  return counts;
 }
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -40,6 +40,7 @@
   guint64 reused;      /* calls on a connection that had carried one before */
   guint64 skipped;     /* answers to other requests */
   guint64 stray;       /* connections closed for bytes that belong to no call */
+  guint64 repeated;    /* probes made again, since their connection was reset */
 } MrTargetClientCounts;
 
 MrTargetClient *
@@ -61,4 +62,4 @@
  * long; returns when to come back. */
 MrTime mr_target_client_tick (MrTargetClient *client, MrTime now);
 
-const MrTargetClientCounts *mr_target_client_counts (const MrTargetClient *client);
+MrTargetClientCounts mr_target_client_counts (const MrTargetClient *client);
--- /dev/null
+++ b/test/platform/process_quarantine_starts.sh
@@ -0,0 +1,69 @@
+#!/usr/bin/env bash
+# A request that ends its searchers, at the moment at which all relays start again.
+#
+# What callers see: after a loss of all relays the first seconds are worse than the loss.
+# A request that had ended three searchers, and that was held back, comes again in the
+# moment at which the relays start.  They serve as soon as they know the routes and the
+# targets, and read what is quarantined after that; so it goes to one searcher of each
+# shard at once, and ends them all.
+set -u
+BUILD=$1
+. "$(dirname "$0")/lib.sh"
+trap stop_all EXIT
+start_platform 3
+
+SERVICES=([1]=a [2]=a [3]=b [4]=c)
+IDS=([1]=i-1 [2]=i-2 [3]=i-3 [4]=i-4)
+GENERATION=0
+INSISTING=()
+
+lives() { http "http://$(searcher_at "$1")/runs/x" >/dev/null 2>&1; } # NUMBER
+whole() { [ "$(ask "$1" /all/q "q$RANDOM")" = 200 ] && [ "$(field X-Missing-Parts)" = 0 ]; }
+all_whole() { whole 1 && whole 2 && whole 3; }
+
+# Starts anew, under another id, each searcher that has ended.
+revive() {
+  local i
+  GENERATION=$((GENERATION + 1))
+  for i in 1 2 3 4; do
+    lives $i && continue
+    wait "${PIDS[s$i]}" 2>/dev/null
+    withdraw "${IDS[$i]}"
+    IDS[i]="i-$i-$GENERATION"
+    start_searcher $i "${IDS[$i]}" "${SERVICES[$i]}"
+  done
+}
+
+# Such requests, one after the other, from before RELAY listens until it has served for
+# some time.
+insist() { # RELAY
+  local i
+  for ((i = 0; i < 60; i++)); do
+    curl -s -o /dev/null --max-time 2 -H "Host: h.test" -H "X-Request-Id: insist$1-$i" \
+      -H "X-Deadline-Ms: 1000" "http://127.0.0.1:$(relay_port "$1" 0)/all/crash"
+    sleep 0.01
+  done
+}
+
+for i in 1 2 3; do
+  ask $i /all/crash "crash$i" >/dev/null
+  sleep 0.3
+  revive
+  until_true 10 all_whole || fail "searches are not whole again"
+done
+saved() { http "http://$STORE/objects/quarantine" | grep -q marks; }
+until_true 5 saved || fail "the store has no quarantine: $(http "http://$STORE/objects/quarantine")"
+
+for round in 1 2 3 4; do
+  before=$(cat "$LOGS"/s*.log | grep -c '^run crash\|^run insist')
+  for r in 1 2 3; do stop r$r KILL; done
+  for r in 1 2 3; do start_relay $r "z$r"; done
+  for r in 1 2 3; do insist $r & INSISTING[r]=$!; done
+  for r in 1 2 3; do until_true 10 relay_ready $r || fail "relay $r is not ready"; done
+  wait "${INSISTING[@]}"
+  reached=$(($(cat "$LOGS"/s*.log | grep -c '^run crash\|^run insist') - before))
+  say "start $round of all relays: $reached calls reached searchers"
+  [ $reached = 0 ] || fail "$reached calls of a quarantined request reached searchers"
+  until_true 10 all_whole || fail "searches are not whole after the relays' start"
+done
+say "quarantine at a start: ok"
