Finding out whether a target has ended has a file of its own; one way to release a content

relay_crash.c (431 lines) becomes relay_doubt.c (calls that broke, probes, log lines) and relay_content.c (what is known, what becomes of requests). No change of behaviour: test_quarantine, test_dispatch, prop_relay (200 cases), the process tests pass.

--- a/src/relay.h
+++ b/src/relay.h
@@ -16,7 +16,8 @@
  *   relay_load.c     how loaded targets are, parts left out for it
  *   relay_time.c     what is due: second sends, soft and hard ends, silence
  *   relay_targets.c  what is known of targets
- *   relay_crash.c    targets that end while requests run there, and what they say of requests
+ *   relay_doubt.c    targets that end while requests run there
+ *   relay_content.c    what that says of requests, and what becomes of them
  *   relay_trial.c    requests that go to one target at a time
  *
  * What is measured and what was ruled out: docs/design/platform.md. */
--- a/src/relay_crash.c
+++ b/src/relay_content.c
@@ -1,77 +1,23 @@
-/* Targets that end while requests run there, and requests that end them.
+/* Contents that end their targets: what is known of them, and what becomes of requests.
  *
  * A content that ends each target that begins it took 20 of 30 targets with each arrival:
  * one a shard at once, then the next of each shard in its place, then all over again for
- * its caller's repeat; a third of all searches was answered meanwhile.  Here a break is
- * evidence only if the target is found gone after it, and only while no part of the
- * request has been answered, which clears it: a search of ten shards that meets a rack's
- * end is cleared by its next answer, some 30 ms later.  With two targets gone and no
- * answer all that is out is called back, and one part alone goes out as a trial.  Three
- * to eleven targets end under an arrival that nobody expects, and none later (virtual
- * clock, the shape of a small site: test_quarantine). */
+ * its caller's repeat; a third of all searches was answered meanwhile.  Here the end of a
+ * target (relay_doubt.c) is evidence only while no part of the request has been answered,
+ * which clears it: a search of ten shards that meets a rack's end is cleared by its next
+ * answer, some 30 ms later.  With two targets gone and no answer all that is out is called
+ * back, and one part alone goes out as a trial (relay_trial.c).  Three to eleven targets end
+ * under an arrival that nobody expects, and none later (virtual clock, the shape of a small
+ * site: test_quarantine). */
 #include "relay_private.h"
 
-#include "log.h"
-#include "safeguard.h"
-
 enum
 {
-  CONTENTS_LOGGED = 8, /* in one line */
-  BROKEN_KEPT = 64,    /* of a target; more calls than any has slots */
   /* Targets gone under a request without an answer, from which all its calls are called
    * back.  One is an accident: each target that ends by itself takes some calls along. */
   SUSPECT_ENDS = 2,
 };
 
-/* How long it may take to find out that a target is gone: round trips to another region,
- * on a VM that is busy.  One that is alive answers sooner; one whose VM is dark hangs, and
- * is no evidence: its calls don't break. */
-static const MrTime DOUBT_WAIT = 100 * MR_MS;
-
-/* Log. */
-
-static void
-S_log_ended (const MrTargetState *target)
-{
-  MrLogLine *line = mr_log_begin (MR_LOG_WARNING, MR_EVENT_TARGET_ENDED);
-  if (!line)
-    return;
-  g_autoptr (GString) contents = g_string_new ("[");
-  for (guint i = 0; i < MIN (target->broken->len, CONTENTS_LOGGED); i++)
-    {
-      char text[MR_FINGERPRINT_DIGITS + 1];
-      mr_fingerprint_write (g_array_index (target->broken, MrFingerprint, i), text);
-      g_string_append_printf (contents, "%s\"%s\"", i > 0 ? "," : "", text);
-    }
-  g_string_append_c (contents, ']');
-  mr_log_text (line, "target", mr_text (target->id));
-  mr_log_text (line, "address", mr_text (target->key));
-  mr_log_number (line, "calls", target->broken->len);
-  mr_log_json (line, "contents", mr_text_of (contents));
-  mr_log_end (line);
-}
-
-static void
-S_note_ended (MrRelay *r, MrTargetState *target)
-{
-  if (target->broken->len == 0)
-    return;
-  r->counts.ended++;
-  S_log_ended (target);
-  g_array_set_size (target->broken, 0);
-}
-
-void
-mr_relay_note_broken (MrRelay *r, MrTargetState *target, MrFingerprint fingerprint)
-{
-  if (target->broken->len < BROKEN_KEPT && mr_fingerprint_is_set (fingerprint))
-    g_array_append_val (target->broken, fingerprint);
-  if (target->health.state == MR_HEALTH_DOWN && target->health.absent)
-    S_note_ended (r, target);
-}
-
-/* Contents. */
-
 static guint32
 S_unix (const MrRelay *r, MrTime now)
 {
@@ -163,9 +109,8 @@
   return FALSE;
 }
 
-/* A target has ended under the call that @doubt is of. */
-static void
-S_add_evidence (MrRelay *r, MrTime now, const Doubt *doubt)
+void
+mr_relay_add_evidence (MrRelay *r, MrTime now, const Doubt *doubt)
 {
   if (S_is_being_answered (r, doubt->fingerprint))
     return;
@@ -190,6 +135,15 @@
   S_apply (r, now, content, doubt->work);
 }
 
+static void
+S_release_all (MrRelay *r, MrTime now, MrFingerprint fingerprint)
+{
+  g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
+  for (guint i = 0; i < works->len; i++)
+    if (g_hash_table_contains (r->works, g_ptr_array_index (works, i)))
+      mr_relay_release (r, now, g_ptr_array_index (works, i));
+}
+
 static void
 S_clear (MrRelay *r, MrTime now, Content *content)
 {
@@ -209,10 +163,7 @@
   if (!content || mr_evidence_ended (&content->evidence) == 0)
     return;
   S_clear (r, now, content);
-  g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
-  for (guint i = 0; i < works->len; i++)
-    if (g_hash_table_contains (r->works, g_ptr_array_index (works, i)))
-      mr_relay_release (r, now, g_ptr_array_index (works, i));
+  S_release_all (r, now, fingerprint);
 }
 
 void
@@ -231,15 +182,10 @@
   gboolean cleared = joined.cleared > content->evidence.cleared;
   content->evidence = joined;
   content->heard_at = now;
-  if (!cleared)
-    {
-      S_apply (r, now, content, NULL);
-      return;
-    }
-  g_autoptr (GPtrArray) works = S_works_of (r, fingerprint);
-  for (guint i = 0; i < works->len; i++)
-    if (g_hash_table_contains (r->works, g_ptr_array_index (works, i)))
-      mr_relay_release (r, now, g_ptr_array_index (works, i));
+  if (cleared)
+    S_release_all (r, now, fingerprint);
+  else
+    S_apply (r, now, content, NULL);
 }
 
 gboolean
@@ -291,44 +237,10 @@
   return MR_CAUSE_NONE;
 }
 
-/* Doubts. */
-
-static void
-S_leave_doubt (Doubt *doubt)
-{
-  if (doubt->work)
-    doubt->work->doubts--;
-  if (doubt->job)
-    doubt->job->doubts--;
-  doubt->work = NULL;
-  doubt->job = NULL;
-}
-
-/* What is still being found out of the request's calls counts without it, unless it was
- * answered. */
-static void
-S_leave_doubts (MrRelay *r, MrRelayWork *work)
-{
-  for (guint i = 0; work->doubts > 0 && i < r->doubts->len;)
-    {
-      Doubt *doubt = g_ptr_array_index (r->doubts, i);
-      gboolean own = doubt->work == work;
-      if (own)
-        S_leave_doubt (doubt);
-      if (!own || work->have == 0)
-        {
-          i++;
-          continue;
-        }
-      mr_timers_set (r->timers, &doubt->timer, MR_NEVER);
-      g_ptr_array_remove_index_fast (r->doubts, i);
-    }
-}
-
 void
 mr_relay_leave_content (MrRelay *r, MrRelayWork *work)
 {
-  S_leave_doubts (r, work);
+  mr_relay_leave_doubts (r, work);
   Content *content = S_find (r, work->fingerprint);
   if (!content)
     return;
@@ -340,92 +252,3 @@
   if (!content->told && mr_evidence_ended (&content->evidence) == 0 && content->trials == 0)
     g_hash_table_remove (r->contents, &content->fingerprint);
 }
-
-void
-mr_relay_doubt (MrRelay *r, MrTime now, Job *job, MrTargetState *target)
-{
-  MrRelayWork *work = job->work;
-  gboolean absent = target->health.state == MR_HEALTH_DOWN && target->health.absent;
-  if (!mr_fingerprint_is_set (work->fingerprint) || work->have > 0 ||
-      (!absent && target->health.state != MR_HEALTH_SUSPECT) || !MR_SAFEGUARD (MR_GUARD_QUARANTINE))
-    return;
-  Doubt *doubt = g_new (Doubt, 1);
-  *doubt = (Doubt){
-    .timed = TIMED_DOUBT,
-    .timer = { .owner = doubt },
-    .target = target,
-    .work = work,
-    .job = job,
-    .fingerprint = work->fingerprint,
-    .base = work->base,
-    .probation = work->probation,
-    .absent = absent,
-  };
-  work->doubts++;
-  job->doubts++;
-  g_ptr_array_add (r->doubts, doubt);
-  mr_timers_set (r->timers, &doubt->timer, absent ? now : now + DOUBT_WAIT);
-}
-
-static gboolean
-S_is_idle (const Job *job)
-{
-  return !job->ended && !job->held && !job->waiting && job->doubts == 0 &&
-         mr_relay_job_calls (job) == 0;
-}
-
-/* Takes @doubt, which has been taken out of the list. */
-static void
-S_resolve (MrRelay *r, MrTime now, Doubt *doubt, gboolean gone)
-{
-  MrRelayWork *work = doubt->work;
-  Job *job = doubt->job;
-  mr_timers_set (r->timers, &doubt->timer, MR_NEVER);
-  if (work)
-    {
-      work->doubts--;
-      job->doubts--;
-    }
-  if (gone)
-    S_add_evidence (r, now, doubt);
-  g_free (doubt);
-  if (!work || !g_hash_table_contains (r->works, work))
-    return;
-  if (S_is_idle (job))
-    mr_relay_go_on (r, now, job);
-  else
-    mr_relay_schedule (r, work);
-}
-
-void
-mr_relay_doubt_due (MrRelay *r, MrTime now, Doubt *doubt)
-{
-  guint place = 0;
-  g_ptr_array_find (r->doubts, doubt, &place);
-  g_ptr_array_steal_index_fast (r->doubts, place);
-  S_resolve (r, now, doubt, doubt->absent);
-}
-
-/* One that is of @target, taken out of the list; NULL if there is none. */
-static Doubt *
-S_take_doubt (MrRelay *r, const MrTargetState *target)
-{
-  for (guint i = 0; i < r->doubts->len; i++)
-    {
-      const Doubt *doubt = g_ptr_array_index (r->doubts, i);
-      if (doubt->target == target)
-        return g_ptr_array_steal_index_fast (r->doubts, i);
-    }
-  return NULL;
-}
-
-void
-mr_relay_note_probed (MrRelay *r, MrTime now, MrTargetState *target, gboolean answered)
-{
-  if (answered)
-    g_array_set_size (target->broken, 0); /* only the connections had broken */
-  else
-    S_note_ended (r, target);
-  for (Doubt *doubt = S_take_doubt (r, target); doubt; doubt = S_take_doubt (r, target))
-    S_resolve (r, now, doubt, !answered);
-}
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -206,7 +206,7 @@
 MrHealthAction mr_relay_note_target (
     MrRelay *relay, MrTime now, MrTargetState *target, MrCallOutcome outcome, MrTime started);
 
-/* Targets that end while requests run there (relay_crash.c). */
+/* Targets that end while requests run there (relay_doubt.c). */
 
 /* The connection of a call of @fingerprint to @target has broken; its health has been
  * told. */
@@ -217,16 +217,21 @@
  * ended, if that may be. */
 void mr_relay_doubt (MrRelay *relay, MrTime now, Job *job, MrTargetState *target);
 void mr_relay_doubt_due (MrRelay *relay, MrTime now, Doubt *doubt);
-/* A call of the job has ended without an answer and nothing is out for it: sends it
- * again, or holds it. */
-void mr_relay_go_on (MrRelay *relay, MrTime now, Job *job);
+/* What is still being found out of the request's calls counts without it, unless it was
+ * answered. */
+void mr_relay_leave_doubts (MrRelay *relay, MrRelayWork *work);
+
+/* Contents that end their targets (relay_content.c). */
+
+Content *mr_relay_content (MrRelay *relay, MrFingerprint fingerprint);
+/* A target has ended under the call that @doubt is of. */
+void mr_relay_add_evidence (MrRelay *relay, MrTime now, const Doubt *doubt);
 /* A target has answered @fingerprint: what was known against it is void. */
 void mr_relay_note_answered (MrRelay *relay, MrTime now, MrFingerprint fingerprint);
 /* Whether the request's content may be sent, and how. */
 MrCause mr_relay_admit_content (MrRelay *relay, MrTime now, MrRelayWork *work);
 /* The request has its verdict, or its caller has gone. */
 void mr_relay_leave_content (MrRelay *relay, MrRelayWork *work);
-Content *mr_relay_content (MrRelay *relay, MrFingerprint fingerprint);
 
 /* Parts that wait, and go out one by one (relay_trial.c). */
 
@@ -234,6 +239,9 @@
  * rather than a second target risked. */
 #define MR_TRIAL_GAP (150 * MR_MS)
 
+/* A call of the job has ended without an answer and nothing is out for it: sends it
+ * again, or holds it. */
+void mr_relay_go_on (MrRelay *relay, MrTime now, Job *job);
 /* TRUE while a second call of any part would be one too many. */
 gboolean mr_relay_is_wary (const MrRelayWork *work);
 void mr_relay_hold (Job *job);
--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -37,6 +37,21 @@
   announce "$1" "$2" "$3" ready
 }
 
+# What the searchers serve and are called, by number.
+SERVICES=([1]=a [2]=a [3]=b [4]=c)
+IDS=([1]=i-1 [2]=i-2 [3]=i-3 [4]=i-4)
+GENERATION=0
+
+lives() { http "http://$(searcher_at "$1")/runs/x" >/dev/null 2>&1; } # NUMBER
+
+# Starts searcher NUMBER, which has ended, anew, under an id of this generation.
+restart_ended() { # NUMBER
+  wait "${PIDS[s$1]}" 2>/dev/null
+  withdraw "${IDS[$1]}"
+  IDS[$1]="i-$1-$GENERATION"
+  start_searcher "$1" "${IDS[$1]}" "${SERVICES[$1]}"
+}
+
 # configure VERSION SHARDS: routes /all/ over the shards, /one/ (idempotent) and
 # /order/ (not) to the service "a".
 configure() {
@@ -83,6 +98,9 @@
     -H "X-Deadline-Ms: 3000" "$@" "http://127.0.0.1:$(relay_port "$relay" 0)$path"
 }
 
+whole() { [ "$(ask "$1" /all/q "q$RANDOM")" = 200 ] && [ "$(field X-Missing-Parts)" = 0 ]; }
+all_whole() { whole 1 && whole 2 && whole 3; }
+
 field() { sed -n "s/^$1: \(.*\)\r$/\1/ip" "$LOGS/head"; } # NAME, of the last answer
 
 runs() { # ID: on all searchers together
--- a/test/platform/process_quarantine.sh
+++ b/test/platform/process_quarantine.sh
@@ -13,13 +13,9 @@
 trap stop_all EXIT
 start_platform 3
 
-SERVICES=([1]=a [2]=a [3]=b [4]=c)
 # Calls of such requests that reached searchers in all, and targets that they ended.
 REACHED=0
 ENDED=0
-GENERATION=0
-
-lives() { http "http://$(searcher_at "$1")/runs/x" >/dev/null 2>&1; } # NUMBER
 
 # Counts what has happened since the last time, and starts anew, under another id, each
 # searcher that has ended.
@@ -33,18 +29,11 @@
     lives $i && continue
     SEEN[i]=0
     ENDED=$((ENDED + 1))
-    wait "${PIDS[s$i]}" 2>/dev/null
-    withdraw "${IDS[$i]}"
-    IDS[i]="i-$i-$GENERATION"
-    start_searcher $i "${IDS[$i]}" "${SERVICES[$i]}"
+    restart_ended $i
   done
 }
-IDS=([1]=i-1 [2]=i-2 [3]=i-3 [4]=i-4)
 SEEN=([1]=0 [2]=0 [3]=0 [4]=0) # such calls in a searcher's log, as counted last
 
-whole() { [ "$(ask "$1" /all/q "q$RANDOM")" = 200 ] && [ "$(field X-Missing-Parts)" = 0 ]; }
-all_whole() { whole 1 && whole 2 && whole 3; }
-
 # crash RELAY PATH ID [CURL ARGUMENTS]: such a request; it is never answered with success.
 crash() {
   local status
--- a/test/platform/process_quarantine_starts.sh
+++ b/test/platform/process_quarantine_starts.sh
@@ -12,25 +12,14 @@
 trap stop_all EXIT
 start_platform 3
 
-SERVICES=([1]=a [2]=a [3]=b [4]=c)
-IDS=([1]=i-1 [2]=i-2 [3]=i-3 [4]=i-4)
-GENERATION=0
 INSISTING=()
 
-lives() { http "http://$(searcher_at "$1")/runs/x" >/dev/null 2>&1; } # NUMBER
-whole() { [ "$(ask "$1" /all/q "q$RANDOM")" = 200 ] && [ "$(field X-Missing-Parts)" = 0 ]; }
-all_whole() { whole 1 && whole 2 && whole 3; }
-
 # Starts anew, under another id, each searcher that has ended.
 revive() {
   local i
   GENERATION=$((GENERATION + 1))
   for i in 1 2 3 4; do
-    lives $i && continue
-    wait "${PIDS[s$i]}" 2>/dev/null
-    withdraw "${IDS[$i]}"
-    IDS[i]="i-$i-$GENERATION"
-    start_searcher $i "${IDS[$i]}" "${SERVICES[$i]}"
+    lives $i || restart_ended $i
   done
 }
 
