Soak: all relays are killed at one moment, and what ends searchers is asked for as they start

Where the store held the quarantine at the loss, and nothing is wrong with the store since, calls of it count from the first moment of the start on.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -12,7 +12,8 @@
  *   not run  what was refused never ran
  *   asked    searchers run only what callers sent
  *   crasher  once a content has ended three searchers, and the news had its time, relays
- *            that were left alone send it to three at most
+ *            that were left alone send it to three at most, and so do relays that start all
+ *            at once and can read what the store holds of it
  *   blocked  and nothing else is blocked for it
  *   answered a relay that was left alone answers within the route's time
  *   heals    after the last fault every relay serves whole answers from the
@@ -34,6 +35,8 @@
 };
 
 static const MrTime HEAL = 12 * MR_SECOND;
+/* What ends searchers is asked for again and again for so long after a loss of all relays. */
+static const MrTime INSIST = 2 * MR_SECOND;
 
 int soak_first_port;
 
@@ -95,6 +98,12 @@
   mr_message_free (message);
 }
 
+static MrTime
+S_seconds (GRand *random, double least, double most)
+{
+  return (MrTime) (g_rand_double_range (random, least, most) * (double) MR_SECOND);
+}
+
 static MrTime
 S_on_tick (MrLoopHost *host, MrTime now)
 {
@@ -112,10 +121,16 @@
     }
   soak_note_ends (s);
   soak_restore (s, FALSE);
+  soak_note_store (s);
+  if (now >= s->loss.next && now < s->faults_end)
+    {
+      s->loss.next = now + S_seconds (s->loss.random, 8, 20);
+      soak_lose_all (s);
+    }
   if (now >= s->crasher.next && now < s->faults_end)
     {
-      s->crasher.next =
-          now + (MrTime) (g_rand_double_range (s->crasher.random, 0.05, 3) * (double) MR_SECOND);
+      gboolean starting = s->loss.last != 0 && now < s->loss.last + INSIST;
+      s->crasher.next = now + S_seconds (s->crasher.random, 0.05, starting ? 0.1 : 3);
       soak_ask_crasher (s);
     }
   if (!s->healing_checked && now >= s->faults_end)
@@ -193,14 +208,11 @@
 {
   for (guint i = 0; i < RELAYS; i++)
     {
-      g_autofree char *command =
-          g_strdup_printf ("curl -sS --max-time 2 http://127.0.0.1:%d/resolve?name=h",
-                           soak_first_port + RELAY_PORT + 10 * (int) i + 2);
-      g_autofree char *answer = NULL;
-      g_spawn_command_line_sync (command, &answer, NULL, NULL, NULL);
-      g_auto (GStrv) parts = g_strsplit (answer ? answer : "", "127.0.0.1:", -1);
+      g_autofree char *answer =
+          soak_fetch (soak_first_port + RELAY_PORT + 10 * (int) i + 2, "/resolve?name=h");
+      g_auto (GStrv) parts = g_strsplit (answer, "127.0.0.1:", -1);
       if (g_strv_length (parts) != RELAYS + 1)
-        soak_broken (s, "named: relay %u names '%s'", i, answer ? answer : "");
+        soak_broken (s, "named: relay %u names '%s'", i, answer);
     }
 }
 
@@ -269,12 +281,14 @@
     .random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 1),
     .late = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
   };
+  s.loss.random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 2);
   s.loop = mr_loop_new (&s.host, 2000);
   s.start = mr_now ();
   S_start_all (&s);
   s.now = mr_now ();
   s.next_request = s.now + 2 * MR_SECOND;
   s.crasher.next = s.now + 5 * MR_SECOND;
+  s.loss.next = s.now + S_seconds (s.loss.random, 10, 20);
   s.next_fault = s.now + 4 * MR_SECOND;
   s.faults_end = s.now + 4 * MR_SECOND + atoi (argv[3]) * MR_SECOND;
   s.end = MR_NEVER;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -50,6 +50,16 @@
   GHashTable *late; /* ids sent by relays that could know, later than the news takes */
 } Crasher;
 
+/* All relays are killed at one moment: what they know by then is in the store, or lost. */
+typedef struct
+{
+  GRand *random; /* its own, as the crasher's */
+  MrTime next;
+  MrTime last;            /* 0: not yet */
+  MrTime store_disturbed; /* or a relay's way to it, last */
+  gboolean saved;         /* the store held what had ended three searchers */
+} Loss;
+
 /* What became of an order. */
 typedef enum
 {
@@ -85,6 +95,7 @@
   MrTime now;
   MrTime start;
   Crasher crasher;
+  Loss loss;
   MrTime next_request;
   MrTime next_fault;
   MrTime faults_end;
@@ -112,6 +123,8 @@
 void soak_withdraw (Soak *s, guint index);
 /* A short HTTP exchange of the operator's with a stand-in; waits for it. */
 void soak_tell (int port, const char *method, const char *path, const char *body);
+/* What GET @path gives, new; empty if nothing. */
+char *soak_fetch (int port, const char *path);
 /* Puts the next version in force, with two or three services. */
 void soak_configure (Soak *s);
 
@@ -121,6 +134,11 @@
 void soak_ask_crasher (Soak *s);
 /* Finds out which searchers have ended by themselves. */
 void soak_note_ends (Soak *s);
+/* Keeps when the store, or a relay's way to it, was disturbed last. */
+void soak_note_store (Soak *s);
+void soak_lose_all (Soak *s);
+/* TRUE if relays that have started since the loss of all could read what is quarantined. */
+gboolean soak_store_tells (const Soak *s);
 /* A caller has waited for too long. */
 void soak_caller_overdue (MrTimer *timer);
 
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -315,7 +315,8 @@
   c->kind = ASK_ALL;
   c->crasher = TRUE;
   S_send (c, "GET /all/crash");
-  if (s->crasher.third_end != 0 && s->now > s->crasher.third_end + SETTLE && S_left_alone (c))
+  if (s->crasher.third_end != 0 && s->now > s->crasher.third_end + SETTLE &&
+      (S_left_alone (c) || soak_store_tells (s)))
     g_hash_table_add (s->crasher.late, g_strdup (c->id));
 }
 
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -39,6 +39,41 @@
   soak_withdraw (s, index);
 }
 
+void
+soak_note_store (Soak *s)
+{
+  gboolean disturbed = s->store_back != 0;
+  for (guint i = 0; i < RELAYS; i++)
+    disturbed |= s->proxies_back[i] != 0;
+  if (disturbed)
+    s->loss.store_disturbed = s->now;
+}
+
+gboolean
+soak_store_tells (const Soak *s)
+{
+  return s->loss.saved && s->loss.store_disturbed < s->loss.last;
+}
+
+void
+soak_lose_all (Soak *s)
+{
+  g_autofree char *held = soak_fetch (soak_first_port + STORE_PORT, "/objects/quarantine");
+  s->loss.last = s->now;
+  s->loss.saved = strstr (held, "\"quarantined\"") != NULL;
+  soak_say (s, "all relays are killed; the store %s what ends searchers",
+            s->loss.saved ? "knows" : "does not know");
+  for (guint i = 0; i < RELAYS; i++)
+    {
+      Child *relay = &s->relays[i];
+      MrTime back = (MrTime) (g_rand_double_range (s->loss.random, 0.05, 1) * (double) MR_SECOND);
+      kill (relay->pid, SIGKILL);
+      relay->disturbed = s->now;
+      relay->back_at = s->now + back;
+      relay->stopped = FALSE;
+    }
+}
+
 void
 soak_note_ends (Soak *s)
 {
@@ -67,6 +102,8 @@
 {
   SoakProxy *proxy = index < RELAYS ? s->store_proxies[index] : s->searcher_proxies[index - RELAYS];
   guint what = soak_pick (s, PROXY_MODES + 1);
+  if (index < RELAYS)
+    s->loss.store_disturbed = s->now;
   soak_say (s, "proxy %u: fault %u", index, what);
   if (what == 0)
     soak_proxy_reset (proxy);
--- a/test/soak/soak_processes.c
+++ b/test/soak/soak_processes.c
@@ -66,6 +66,16 @@
   waitpid (pid, NULL, 0);
 }
 
+char *
+soak_fetch (int port, const char *path)
+{
+  g_autofree char *command =
+      g_strdup_printf ("curl -sS --max-time 2 http://127.0.0.1:%d%s", port, path);
+  char *answer = NULL;
+  g_spawn_command_line_sync (command, &answer, NULL, NULL, NULL);
+  return answer ? answer : g_strdup ("");
+}
+
 /* Every second one keeps its id when it starts again. */
 static void
 S_searcher_id (const Soak *s, guint index, char *id)
