--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -130,7 +130,8 @@
   if (now >= s->crasher.next && now < s->faults_end)
     {
       gboolean starting = s->loss.last != 0 && now < s->loss.last + INSIST;
-      s->crasher.next = now + S_seconds (s->crasher.random, 0.05, starting ? 0.1 : 3);
+      s->crasher.next = now + (starting ? S_seconds (s->crasher.random, 0.002, 0.02)
+                                        : S_seconds (s->crasher.random, 0.05, 3));
       soak_ask_crasher (s);
     }
   if (!s->healing_checked && now >= s->faults_end)
