--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -43,7 +43,8 @@
 
 start_searcher() { # NAME PORT COUNT SLOTS CONNECTIONS CONNECT_US
   start "$1" "$BUILD/searcherd" --port "$2" --count "$3" --slots "$4" --connections "$5" \
-    --connect-us "$6" --service-us 2000 --records $RECORDS --shards $SHARDS --seed 7
+    --connect-us "$6" --service-us 2000 --records $RECORDS --shards $SHARDS --seed 7 \
+    ${CRASH_ON:+--crash-on "$CRASH_ON"}
 }
 
 DAEMON=merlinringd # or the build whose safeguards tests switch off
--- a/demo/searcherd.c
+++ b/demo/searcherd.c
@@ -63,10 +63,14 @@
   MrCatalogue *catalogue;
   Searcher *searchers;
   GHashTable *ran; /* ticket -> how often it ran, over all searchers */
+  MrTime crash_at; /* MR_NEVER: not to end by itself */
   GRand *random;
 } Process;
 
-static Process process;
+static Process process = { .crash_at = MR_NEVER };
+
+/* From the begin of a search that ends the process to that end. */
+static const MrTime CRASH_AFTER = 40 * MR_MS;
 
 static struct
 {
@@ -83,6 +87,7 @@
   int shards;
   int records;
   char *snapshot;
+  char *crash_on;
 } opt = {
   .ip = "127.0.0.1",
   .port = 9000,
@@ -181,6 +186,12 @@
     }
   if (!S_take_slot (s, request->id))
     return;
+  if (opt.crash_on && g_str_equal (mr_http_arg (request, "q", ""), opt.crash_on))
+    {
+      fprintf (stderr, "searcherd: begins what ends it\n");
+      process.crash_at = MIN (process.crash_at, mr_now () + CRASH_AFTER);
+      return;
+    }
   GString *reply = g_string_new (NULL);
   g_string_append_printf (reply, "{\"id\":\"%s%s\",\"snapshot\":\"%s\",\"shard\":\"%s\",\"hits\":",
                           mr_http_arg (request, "id", ""), s->wrong_id ? "9" : "",
@@ -362,7 +373,9 @@
 S_on_tick (MrLoopHost *host, MrTime now)
 {
   (void) host;
-  MrTime next = MR_NEVER;
+  if (now >= process.crash_at)
+    exit (EXIT_SUCCESS);
+  MrTime next = process.crash_at;
   for (int i = 0; i < opt.count; i++)
     next = MIN (next, S_end_jobs (&process.searchers[i], now));
   return next;
@@ -403,6 +416,7 @@
   { .name = "shards", .key = 'h', .arg = "N", .doc = "Shards of the catalogue" },
   { .name = "records", .key = 'r', .arg = "N", .doc = "Records of the catalogue" },
   { .name = "snapshot", .key = 'v', .arg = "NAME", .doc = "Snapshot held at the start" },
+  { .name = "crash-on", .key = 'x', .arg = "TEXT", .doc = "A search for TEXT ends the process" },
   { 0 },
 };
 
@@ -430,6 +444,8 @@
     opt.ip = arg;
   else if (key == 'v')
     opt.snapshot = arg;
+  else if (key == 'x')
+    opt.crash_on = arg;
   else if (key == 'g')
     opt.sigma = atof (arg);
   else
