Daemons of the product's own dialect keep quarantines in the platform, and read them before they are ready

Cause: only relays wrote what is quarantined to the store and read it; with the last daemon it was forgotten. A platform that answers a write with its version alone is taken at that.

--- a/src/control_evidence.c
+++ b/src/control_evidence.c
@@ -152,6 +152,17 @@
   S_join (task, object->name, &evidence);
 }
 
+/* A platform that answers a write with the version alone. */
+static void
+S_note_saved (MrSavedEvidence *saved, const MrPlatformResult *result)
+{
+  MrEvidence evidence;
+  if (!mr_evidence_read (mr_text_of (result->request->body), &evidence))
+    return;
+  saved->version = result->version;
+  saved->evidence = mr_evidence_pack (&evidence);
+}
+
 void
 mr_control_evidence_written (MrControlTask *task, MrTime now, const MrPlatformResult *result)
 {
@@ -163,6 +174,8 @@
     S_lift (task, name);
   else if (result->objects->len > 0)
     mr_control_evidence_stored (task, g_ptr_array_index (result->objects, 0));
+  else if (result->status == MR_OK)
+    S_note_saved (saved, result);
   task->evidence_at = MIN (task->evidence_at, now + RETRY_GAP);
 }
 
@@ -211,7 +224,7 @@
       mr_membership_set_digest (task->membership, mr_registry_digest (task->registry));
     }
   Saving saving = { .task = task, .now = now };
-  if (task->relay && task->platform_up && mr_watch_first (task->members, task->settings->name))
+  if (task->platform_up && mr_watch_first (task->members, task->settings->name))
     mr_quarantine_foreach (task->quarantine, S_save, &saving);
   *next = MIN (*next, task->evidence_at);
 }
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -108,14 +108,18 @@
                                                               : RELAY_WATCH_WAIT_MS;
 }
 
-/* Evidence spreads between daemons; the store's copy is for a start of all.  It is read by
- * those that watch, and by others if they begin with what the store holds; by these once the
- * store has answered: a whole fleet that started in an outage asked for it as well, 1,900
- * calls more on a day of 295 VMs. */
+/* Evidence spreads between daemons; the store's copy is for a start of all.  Of relays it is
+ * read by those that watch, and by others if they begin with what the store holds; by these
+ * once the store has answered: a whole fleet that started in an outage asked for it as well,
+ * 1,900 calls more on a day of 295 VMs. */
 static gboolean
 S_leaves_out (const MrControlTask *task, int index, gboolean watcher)
 {
-  return index == WATCH_EVIDENCE && !watcher && task->held->len == 0;
+  if (index == WATCH_DOCUMENTS)
+    return task->relay || !watcher;
+  if (index == WATCH_EVIDENCE)
+    return task->relay && !watcher && task->held->len == 0;
+  return task->relay != (index >= WATCH_CONFIGURATION);
 }
 
 void
@@ -127,8 +131,7 @@
   for (int i = 0; i < WATCHES; i++)
     {
       MrWatch *watch = &task->watches[i];
-      if (watch->busy || (i == WATCH_DOCUMENTS && !watcher) || S_leaves_out (task, i, watcher) ||
-          task->relay != (i >= WATCH_CONFIGURATION))
+      if (watch->busy || S_leaves_out (task, i, watcher))
         continue;
       if (watcher && watch->gap == 0)
         watch->due = MIN (watch->due, now + watch->pause); /* it has just become one */
@@ -181,6 +184,8 @@
       const MrPlatformObject *object = g_ptr_array_index (result->objects, i);
       if (index == WATCH_DOCUMENTS)
         S_on_listed_document (task, now, object);
+      else if (index == WATCH_EVIDENCE)
+        mr_control_evidence_stored (task, object);
       else if (!object->deleted)
         mr_spread_offer (task->spread, watch_kinds[index].object, mr_text (object->name),
                          object->version, mr_text_of (object->body), NULL);
@@ -317,7 +322,7 @@
   gboolean watcher = S_is_watcher (task);
   if (success && index == WATCH_VMS)
     S_on_vms (task, result);
-  else if (success && index >= WATCH_CONFIGURATION)
+  else if (success && task->relay)
     S_on_relay_list (task, now, index, result);
   else if (success)
     S_on_list (task, now, index, result);
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -106,6 +106,9 @@
                              MrTime now,
                              MrObjectKind kind,
                              const MrPlatformObject *object);
+/* TRUE once a daemon of the product's own dialect has read the quarantines, or has held all
+ * else (@rest) for as long as they are waited for. */
+gboolean mr_control_start_knows (MrControlTask *task, MrTime now, gboolean rest);
 void mr_control_start_tick (MrControlTask *task, MrTime now, MrTime *next);
 
 /* Sends @request, which it takes, to the platform. */
--- a/src/control_start.c
+++ b/src/control_start.c
@@ -46,6 +46,16 @@
   g_ptr_array_unref (task->held);
 }
 
+static void
+S_go_without (MrControlTask *task)
+{
+  if (task->hold_over)
+    return;
+  task->hold_over = TRUE;
+  mr_log (MR_LOG_WARNING, MR_EVENT_QUARANTINES_UNKNOWN,
+          "the store does not list what is quarantined; serving without");
+}
+
 /* A configuration comes from a peer, with all that the peer knew before it, or from here. */
 static gboolean
 S_holds (const MrControlTask *task)
@@ -87,6 +97,20 @@
   g_ptr_array_add (task->held, held);
 }
 
+/* A daemon that has no routes to hold is not ready until then. */
+gboolean
+mr_control_start_knows (MrControlTask *task, MrTime now, gboolean rest)
+{
+  if (task->watches[WATCH_EVIDENCE].done)
+    return TRUE;
+  if (rest && task->hold_until == 0)
+    task->hold_until = now + HOLD_MOST;
+  if (!rest || now < task->hold_until)
+    return FALSE;
+  S_go_without (task);
+  return TRUE;
+}
+
 void
 mr_control_start_tick (MrControlTask *task, MrTime now, MrTime *next)
 {
@@ -98,8 +122,7 @@
       return;
     }
   if (S_holds (task))
-    mr_log (MR_LOG_WARNING, MR_EVENT_QUARANTINES_UNKNOWN,
-            "the store does not list what is quarantined; serving without");
+    S_go_without (task);
   task->hold_over = TRUE;
   for (guint i = 0; i < task->held->len; i++)
     {
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -258,6 +258,8 @@
   gboolean read = task->watches[WATCH_ACCEPTED].done && task->watches[WATCH_SHARD_MAPS].done;
   gboolean synced = mr_spread_synced (task->spread);
   gboolean alone = !mr_membership_joined (task->membership);
+  if (!mr_control_start_knows (task, now, synced || read))
+    return;
   /* A read of the platform may be stale and a lone peer may be behind; what a
    * peer confirms, or nobody is there to confirm, is the best there is. */
   if (!synced && !(read && (now - task->started > CONFIRM_WAIT ||
