Gathered news as a struct; one loop decodes news and requests for bodies

spread.c kept untold news by a text key and parsed kind and name back out of it for each neighbour. wire_decode.c read lists of news and of requests in two loops of one shape. No change of behaviour: prop_wire, prop_decoders, prop_membership, test_control, test_joining pass.

--- a/src/spread.c
+++ b/src/spread.c
@@ -2,7 +2,6 @@
 
 #include "log.h"
 #include "membership.h"
-#include <stdlib.h>
 
 /* An object asked for is not asked for again before this. */
 static const MrTime GET_GAP = 500 * MR_MS;
@@ -32,6 +31,14 @@
 
 static const MrRange EVERYTHING = { 0 };
 
+/* News that is gathered, until the neighbours are told. */
+typedef struct
+{
+  MrObjectKind kind;
+  char *name;
+  char *teller; /* "": the platform */
+} Untold;
+
 struct _MrSpread
 {
   MrSpreadHost *host;
@@ -41,7 +48,7 @@
   GHashTable *missing;  /* "<kind>/<name>" of a peer's list, not here yet */
   GHashTable *compared; /* member -> MrTime* */
   GHashTable *differs;  /* member -> MrTime* since when its digest differs */
-  GHashTable *untold;   /* "<kind>/<name>" -> name of who told it; "": the platform */
+  GHashTable *untold;   /* "<kind>/<name>" -> Untold */
   MrTime tell_at;       /* MR_NEVER: nothing gathered */
   MrTime fetch_at;      /* when the bodies that are missing were asked for */
   MrTime listed_at;     /* first of the whole lists that count */
@@ -49,6 +56,15 @@
   gboolean synced;
 };
 
+static void
+S_untold_free (gpointer data)
+{
+  Untold *untold = data;
+  g_free (untold->name);
+  g_free (untold->teller);
+  g_free (untold);
+}
+
 MrSpread *
 mr_spread_new (MrSpreadHost *host, MrRegistry *registry, const char *self)
 {
@@ -60,7 +76,7 @@
   spread->missing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   spread->compared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   spread->differs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  spread->untold = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  spread->untold = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, S_untold_free);
   spread->tell_at = MR_NEVER;
   return spread;
 }
@@ -119,15 +135,13 @@
 {
   g_autoptr (GArray) list = g_array_new (FALSE, FALSE, sizeof (MrNews));
   GHashTableIter iter;
-  gpointer key = NULL;
-  gpointer teller = NULL;
+  gpointer item = NULL;
   g_hash_table_iter_init (&iter, spread->untold);
-  while (g_hash_table_iter_next (&iter, &key, &teller))
+  while (g_hash_table_iter_next (&iter, NULL, &item))
     {
-      const char *text = key;
-      const char *name = strchr (text, '/') + 1;
-      const MrObject *object = mr_registry_get (spread->registry, (MrObjectKind) atoi (text), name);
-      if (!object || g_str_equal (teller, neighbour))
+      const Untold *untold = item;
+      const MrObject *object = mr_registry_get (spread->registry, untold->kind, untold->name);
+      if (!object || g_str_equal (untold->teller, neighbour))
         continue;
       MrNews news = S_news (object);
       g_array_append_val (list, news);
@@ -189,8 +203,14 @@
     S_note_arrival (spread, kind, name);
   if (offer != MR_OFFER_NEW && offer != MR_OFFER_KEPT)
     return offer;
+  Untold *untold = g_new (Untold, 1);
+  *untold = (Untold){
+    .kind = kind,
+    .name = mr_text_dup (name),
+    .teller = g_strdup (from ? from : ""),
+  };
+  g_hash_table_replace (spread->untold, S_key (kind, name), untold);
   g_autofree char *own_name = mr_text_dup (name);
-  g_hash_table_replace (spread->untold, S_key (kind, name), g_strdup (from ? from : ""));
   spread->host->taken (spread->host, mr_registry_get (spread->registry, kind, own_name));
   return offer;
 }
--- a/src/wire_decode.c
+++ b/src/wire_decode.c
@@ -158,36 +158,40 @@
 }
 
 static void
-S_read_news (Reader *r, MrWireMessage *m)
+S_read_name (Reader *item, MrNews *news)
+{
+  news->kind = S_read_kind (item);
+  S_string (item, news->name, sizeof news->name);
+}
+
+/* Objects by kind and name and, with @versions, version. */
+static void
+S_read_named (Reader *r, MrWireMessage *m, gboolean versions)
 {
   Reader list = S_array (r, MR_TARGETS_MAX);
   m->news = g_new0 (MrNews, list.count + 1);
   while (!list.bad && list.next < list.count)
     {
-      Reader item = S_array (&list, 3);
+      Reader item = S_array (&list, versions ? 3 : 2);
       MrNews *news = &m->news[m->news_count++];
-      news->kind = S_read_kind (&item);
-      S_string (&item, news->name, sizeof news->name);
-      news->version = S_unsigned (&item, G_MAXUINT64);
+      S_read_name (&item, news);
+      if (versions)
+        news->version = S_unsigned (&item, G_MAXUINT64);
       list.bad = list.bad || item.bad;
     }
   r->bad = r->bad || list.bad;
 }
 
+static void
+S_read_news (Reader *r, MrWireMessage *m)
+{
+  S_read_named (r, m, TRUE);
+}
+
 static void
 S_read_get (Reader *r, MrWireMessage *m)
 {
-  Reader list = S_array (r, MR_TARGETS_MAX);
-  m->news = g_new0 (MrNews, list.count + 1);
-  while (!list.bad && list.next < list.count)
-    {
-      Reader item = S_array (&list, 2);
-      MrNews *news = &m->news[m->news_count++];
-      news->kind = S_read_kind (&item);
-      S_string (&item, news->name, sizeof news->name);
-      list.bad = list.bad || item.bad;
-    }
-  r->bad = r->bad || list.bad;
+  S_read_named (r, m, FALSE);
 }
 
 static void
@@ -199,8 +203,7 @@
     {
       Reader item = S_array (&list, 4);
       MrWireObject *object = &m->objects[m->object_count++];
-      object->news.kind = S_read_kind (&item);
-      S_string (&item, object->news.name, sizeof object->news.name);
+      S_read_name (&item, &object->news);
       object->news.version = S_unsigned (&item, G_MAXUINT64);
       object->body = S_text (&item);
       list.bad = list.bad || item.bad;
