--- a/src/relay.h
+++ b/src/relay.h
@@ -91,7 +91,8 @@
   MrTime took;
   MrCallOutcome outcome;
   gboolean ended;
-  MrTime heard; /* how long ago the target had answered anything, at the send */
+  guint64 excused; /* ends, or news of them, under a content that was answered lately */
+  MrTime heard;    /* how long ago the target had answered anything, at the send */
 } MrSendNote;
 
 typedef struct
--- a/src/relay_content.c
+++ b/src/relay_content.c
@@ -114,7 +114,10 @@
 {
   if (S_is_being_answered (r, doubt->fingerprint) ||
       mr_answered_lately (r->answered, now, doubt->fingerprint))
-    return;
+    {
+      r->counts.excused++;
+      return;
+    }
   Content *content = mr_relay_content (r, doubt->fingerprint);
   if (content->evidence.cleared != doubt->base.cleared)
     return; /* it has been answered since the call was sent */
@@ -194,7 +197,11 @@
   if (cleared)
     S_release_all (r, now, fingerprint);
   else if (mr_answered_lately (r->answered, now, fingerprint))
-    S_void (r, now, fingerprint); /* who lost targets under it may not have seen its answers */
+    {
+      /* Who lost targets under it may not have seen its answers. */
+      r->counts.excused++;
+      S_void (r, now, fingerprint);
+    }
   else
     S_apply (r, now, content, NULL);
 }
