process_quarantine: three series of one shape are one function

Requests to one service, orders and requests that end their searchers late went through three loops of the same lines. The checks are the same: 4 calls at most in six attempts each.

--- a/test/platform/process_quarantine.sh
+++ b/test/platform/process_quarantine.sh
@@ -68,38 +68,28 @@
 say "later, six times: $REACHED calls reached searchers, $ENDED ended"
 [ $REACHED -le 3 ] || fail "$REACHED calls of a request that had ended three reached searchers"
 
-# A request to one service, and an order, which is never sent twice: the third end is
-# the last.
-REACHED=0
-for i in 1 2 3 4 5 6; do
-  crash $((i % 3 + 1)) /one/crash "crash-one$i"
-  sleep 0.2
-  revive
-  until_true 10 all_whole || fail "searches are not whole again"
-done
-say "one service, six times: $REACHED calls reached searchers"
-[ $REACHED -le 4 ] || fail "$REACHED calls of a request to one service reached searchers"
-REACHED=0
-for i in 1 2 3 4 5 6; do
-  crash $((i % 3 + 1)) /order/crash "crash-order$i" -X POST -d same
-  sleep 0.2
-  revive
-  until_true 10 all_whole || fail "searches are not whole again"
-done
-say "an order, six times: $REACHED calls reached searchers"
-[ $REACHED -le 4 ] || fail "$REACHED calls of an order reached searchers"
+# six_times PATH ID WHAT [CURL ARGUMENTS]: the third end is the last.
+six_times() {
+  local i path=$1 id=$2 what=$3
+  shift 3
+  REACHED=0
+  for i in 1 2 3 4 5 6; do
+    crash $((i % 3 + 1)) "$path" "$id$i" "$@"
+    sleep 0.2
+    revive
+    until_true 10 all_whole || fail "searches are not whole again"
+  done
+  say "$what, six times: $REACHED calls reached searchers"
+  [ $REACHED -le 4 ] || fail "$REACHED calls of $what reached searchers"
+}
+
+# A request to one service, and an order, which is never sent twice.
+six_times /one/crash crash-one "a request to one service"
+six_times /order/crash crash-order "an order" -X POST -d same
 
 # The same of one whose searchers take connections a moment longer than they answer: a
 # probe that comes at once meets the listener of a process that is ending.
-REACHED=0
-for i in 1 2 3 4 5 6; do
-  crash $((i % 3 + 1)) /one/crash-late "crash-late$i"
-  sleep 0.2
-  revive
-  until_true 10 all_whole || fail "searches are not whole again"
-done
-say "one that ends late, six times: $REACHED calls reached searchers"
-[ $REACHED -le 4 ] || fail "$REACHED calls of a request that ends searchers late reached them"
+six_times /one/crash-late crash-late "a request that ends searchers late"
 
 # All relays are killed at once: what is left is in the store.
 for r in 1 2 3; do stop r$r KILL; done
