A start may spend a tenth of its share of second sends at once

Callers saw: of the searches that wait for a relay's start some lack a part that another searcher could serve (E1701, cause budget, the part's only call misdirected).

Why this is safe: a tenth of the share a start keeps a process that starts each second of a window within its share (test_restarts, three shares).

--- a/src/budget.c
+++ b/src/budget.c
@@ -8,8 +8,10 @@
   BUCKETS_IN_WINDOW = 20,
 };
 
-/* Starts of one process in a window: it takes a second or two from its end to the next. */
-static const double STARTS_IN_WINDOW = 5;
+/* Starts of one process in a window, as a rule: it takes a second or two from its end to the
+ * next; and at most. */
+static const double STARTS_USUAL = 5;
+static const double STARTS_MOST = 10;
 
 static void
 S_advance (MrWindowBudget *budget, const MrWindowTerms *terms, MrTime now)
@@ -34,6 +36,16 @@
   return sum;
 }
 
+/* What a process may spend before it has earned anything: with nothing, parts that one target
+ * refuses are left out of the first answers.  @own: its share of the allowance. */
+static double
+S_at_start (double own)
+{
+  if (own < STARTS_USUAL)
+    return 0;
+  return MAX (own / STARTS_MOST, 1);
+}
+
 void
 mr_window_budget_request (MrWindowBudget *budget, const MrWindowTerms *terms, MrTime now)
 {
@@ -61,11 +73,7 @@
   double grown = CLAMP ((double) (now - terms->born) / (double) terms->window, 0, 1);
   double own = terms->allowance * terms->share;
   double allowed = (terms->ratio * requests + own * grown) * terms->margin;
-  /* A relay is ready some 30 ms after its start: with nothing to spend it left out a part
-   * that one target refused.  One send a start keeps within the share of a process that
-   * starts this often in a window. */
-  if (own >= STARTS_IN_WINDOW)
-    allowed = MAX (allowed, 1);
+  allowed = MAX (allowed, S_at_start (own));
   if (spent + 1 > allowed * share)
     return false;
   budget->extras[budget->bucket % MR_WINDOW_BUCKETS]++;
--- a/test/test_fleet_shares.c
+++ b/test/test_fleet_shares.c
@@ -78,24 +78,30 @@
 static void
 test_restarts (void **state)
 {
+  static const double shares[] = { 1.0 / 6, 0.5, 1 };
   (void) state;
-  guint extra = 0;
-  for (guint life = 0; life < WINDOW; life++)
+  for (gsize i = 0; i < G_N_ELEMENTS (shares); i++)
     {
-      MrWindowBudget budget = { 0 };
-      MrWindowTerms reborn = terms;
-      reborn.born = (life + 1) * MR_SECOND;
-      for (guint step = 0; step < 100; step++)
-        while (mr_window_budget_spend (&budget, &reborn, reborn.born + step * 10 * MR_MS, 1))
-          extra++;
+      guint extra = 0;
+      for (guint life = 0; life < WINDOW; life++)
+        {
+          MrWindowBudget budget = { 0 };
+          MrWindowTerms reborn = terms;
+          reborn.share = shares[i];
+          reborn.born = (life + 1) * MR_SECOND;
+          for (guint step = 0; step < 100; step++)
+            while (mr_window_budget_spend (&budget, &reborn, reborn.born + step * 10 * MR_MS, 1))
+              extra++;
+        }
+      assert_true (extra <= terms.allowance * shares[i]);
     }
-  assert_true (extra <= terms.allowance * terms.share);
 }
 
 /* A relay that had just started left a part out of its answer, which said so: the first
  * target refused, and there was no second send yet, since the share grows from nothing.
- * One is there from the start, for failures and not for slowness; and none where the share
- * is so small that a few starts would go over it. */
+ * What a process may spend at once keeps a process that starts each second within its share:
+ * a tenth of that; one send at least, for failures and not for slowness; and none where the
+ * share is so small that a few starts would go over it. */
 static void
 test_first_send (void **state)
 {
@@ -105,9 +111,7 @@
     double use; /* of what is allowed, as hedges may */
     guint sends;
   } cases[] = {
-    { 1.0 / 6, 1, 1 },
-    { 1.0 / 6, 0.75, 0 },
-    { 1.0 / 60, 1, 0 },
+    { 1.0 / 6, 1, 1 }, { 1.0 / 6, 0.75, 0 }, { 1.0 / 60, 1, 0 }, { 1.0, 1, 6 }, { 1.0, 0.75, 4 },
   };
   (void) state;
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
