--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -283,7 +283,9 @@
 gboolean mr_relay_is_wary (const MrRelayWork *work);
 void mr_relay_hold (Job *job);
 /* The held part whose shard can best do without one more target; held no longer. */
-Job *mr_relay_take_held (MrRelay *relay, const MrRelayWork *work);
+Job *mr_relay_take_held (const MrRelayWork *work);
+/* The parts in the order in which targets of their shards are put at risk. */
+Job *mr_relay_nth_risk (const MrRelayWork *work, guint n);
 /* When the next part of a request that goes one by one is due; MR_NEVER: nothing is. */
 MrTime mr_relay_trial_due (const MrRelay *relay, const MrRelayWork *work);
 void mr_relay_begin_trial (MrRelay *relay, MrTime now, MrRelayWork *work);
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -179,7 +179,7 @@
     }
   for (guint i = 0; i < work->part_count && !mr_relay_is_wary (work); i++)
     {
-      Job *job = &work->jobs[i];
+      Job *job = mr_relay_nth_risk (work, i);
       if (now < S_hedge_due (work, job))
         continue;
       if (mr_relay_hedge (relay, now, job))
--- a/src/relay_trial.c
+++ b/src/relay_trial.c
@@ -53,16 +53,22 @@
   return other == 0 ? work->trial_at : MAX (work->trial_at, other + MR_TRIAL_GAP);
 }
 
+/* Copies of one content at several daemons put the same shard at risk, since a search can do
+ * without one; another content another shard. */
 Job *
-mr_relay_take_held (MrRelay *r, const MrRelayWork *work)
+mr_relay_nth_risk (const MrRelayWork *work, guint n)
+{
+  return &work->jobs[(work->fingerprint.low + n) % work->part_count];
+}
+
+Job *
+mr_relay_take_held (const MrRelayWork *work)
 {
   Job *best = NULL;
   guint best_usable = 0;
-  /* From a random one on: copies of a content at several daemons would all meet at one shard. */
-  guint first = (guint) g_rand_int_range (r->random, 0, (gint32) work->part_count);
   for (guint i = 0; i < work->part_count; i++)
     {
-      Job *job = &work->jobs[(first + i) % work->part_count];
+      Job *job = mr_relay_nth_risk (work, i);
       double room = 0;
       guint usable = job->held ? mr_relay_usable (job->service, &room) : 0;
       if (job->held && (!best || usable > best_usable))
@@ -112,7 +118,7 @@
   work->suspect = TRUE;
   work->one_by_one = TRUE;
   work->base = content->evidence;
-  Job *job = mr_relay_take_held (r, work);
+  Job *job = mr_relay_take_held (work);
   work->trial = job;
   r->counts.trials++;
   mr_relay_place (r, now, job, job->sends > 0 ? MR_SEND_RETRY : MR_SEND_FIRST);
