Soak: how long the machine gave it no time stands beside what it finds

The soak now tells of each tick of its own that comes over 0.25 s late, and of the longest in its last line. The check and its bound stay: a broken promise is still broken, and the line beside it tells a stalled machine from a stalled relay.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -35,6 +35,9 @@
 };
 
 static const MrTime HEAL = 12 * MR_SECOND;
+/* A tick that comes later than this is told of: relays that share the machine may have stood
+ * still as well. */
+static const MrTime STALL = 250 * MR_MS;
 /* What ends searchers is asked for again and again for so long after a loss of all relays. */
 static const MrTime INSIST = 2 * MR_SECOND;
 
@@ -104,10 +107,20 @@
   return (MrTime) (g_rand_double_range (random, least, most) * (double) MR_SECOND);
 }
 
+static void
+S_note_stall (Soak *s, MrTime now)
+{
+  MrTime stall = s->next_tick > 0 ? now - s->next_tick : 0;
+  s->longest_stall = MAX (s->longest_stall, stall);
+  if (stall > STALL)
+    soak_say (s, "this process stood still for %.3f s", (double) stall / (double) MR_SECOND);
+}
+
 static MrTime
 S_on_tick (MrLoopHost *host, MrTime now)
 {
   Soak *s = (Soak *) host;
+  S_note_stall (s, now);
   s->now = now;
   for (MrTimer *t = mr_timers_pop (s->proxy_timers, now); t;
        t = mr_timers_pop (s->proxy_timers, now))
@@ -142,7 +155,9 @@
       soak_disturb (s);
     }
   MrTime next = MIN (s->next_request, MIN (s->next_fault, now + 50 * MR_MS));
-  return MIN (next, MIN (mr_timers_next (s->timers), mr_timers_next (s->proxy_timers)));
+  next = MIN (next, MIN (mr_timers_next (s->timers), mr_timers_next (s->proxy_timers)));
+  s->next_tick = MAX (next, now);
+  return s->next_tick;
 }
 
 static void
@@ -301,7 +316,10 @@
   for (guint i = 0; i < RELAYS; i++)
     if (s.healed[i] == 0)
       soak_broken (&s, "heals: relay %u gave no whole answer of the newest version", i);
-  printf ("seed %s: %u answers, %u served, %u orders, %u promises broken; logs in %s\n", argv[2],
-          s.answered, s.served, g_hash_table_size (s.orders), s.broken, s.folder);
+  printf (
+      "seed %s: %u answers, %u served, %u orders, %u promises broken, stood still for %.3f s at "
+      "most; logs in %s\n",
+      argv[2], s.answered, s.served, g_hash_table_size (s.orders), s.broken,
+      (double) s.longest_stall / (double) MR_SECOND, s.folder);
   return s.broken == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -96,6 +96,8 @@
   MrTime start;
   Crasher crasher;
   Loss loss;
+  MrTime next_tick;
+  MrTime longest_stall; /* of this process, as the machine gave it no time */
   MrTime next_request;
   MrTime next_fault;
   MrTime faults_end;
