Known red: ends of targets whose entries are removed at once

Cause: the searcher's entry is removed in the millisecond of its end. The relay hears that first, takes the searcher for a leaving one (health LEAVING), and a break there raises no doubt (mr_relay_doubt).

On the users' platform entries of ended targets go after three heartbeats, or when they have left. To do: a break within half a second of the removal is an end, since planned ones serve on.

--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -226,6 +226,14 @@
   target->busy = 0;
 }
 
+/* The target's entry is removed; all daemons hear of it at once. */
+static void
+S_withdraw (World *w, const Target *target)
+{
+  for (guint i = 0; i < w->plan->daemons; i++)
+    mr_relay_target_gone (w->daemons[i].relay, w->now, target->id);
+}
+
 static void
 S_on_crash (World *w, const Call *cause)
 {
@@ -236,6 +244,11 @@
   S_end_process (w, target);
   if (++w->result->crashed == 3)
     w->third_crash = w->now;
+  if (w->plan->crasher.withdrawn)
+    {
+      S_withdraw (w, target);
+      return;
+    }
   S_at (w, w->now + S_ms (w->plan->crasher.back_ms), EVENT_BACK, NULL, target->index);
 }
 
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -63,6 +63,7 @@
   guint repeats;   /* by the caller of each copy, at once after an answer without success */
   double crash_ms; /* from a target's begin to its end, mean */
   double back_ms;  /* until it takes connections again */
+  bool withdrawn;  /* a target's entry goes in the moment of its end, and it does not come back */
   bool goes_on;    /* a target that has begun it ends, also once its connection is closed */
 } WorldCrasher;
 
