process_search says for how long its machine stood still

It had failed once beside heavy load; only the daemons' logs, read afterwards, showed that all processes had had no time for 5.8 s. A failure of the script now says for how long a process of its own came late. The checks are the same.

Shown: with that process stopped for 1.5 s a failure prints "this script stood still for up to 1478 ms".

--- a/demo/helpers.sh
+++ b/demo/helpers.sh
@@ -9,9 +9,25 @@
   printf 'FAILED: %s\n' "$*" >&2
   # shellcheck disable=SC2086
   tail -n 5 "$LOGS"/$LOG_GLOB >&2
+  [ ! -s "$LOGS/stall" ] || printf 'this script stood still for up to %s ms\n' "$(cat "$LOGS/stall")" >&2
   exit 1
 }
 
+# Notes in LOGS/stall the longest time, in ms, that the machine gave a process of this script
+# no time: its daemons may have stood still as well.
+watch_stalls() {
+  local at now late most=0
+  while :; do
+    at=${EPOCHREALTIME/[.,]/}
+    sleep 0.1
+    now=${EPOCHREALTIME/[.,]/}
+    late=$(((now - at) / 1000 - 100))
+    [ "$late" -le "$most" ] && continue
+    most=$late
+    printf '%d' "$most" >"$LOGS/stall"
+  done
+}
+
 # start NAME COMMAND...: runs it in the background, its log in LOGS.
 start() {
   local name=$1
--- a/test/process_search.sh
+++ b/test/process_search.sh
@@ -11,6 +11,7 @@
 BUILD=$1
 . "$(dirname "$0")/../demo/lib.sh"
 trap stop_all EXIT
+start stalls watch_stalls
 start_system
 
 for fault in wrong_snapshot wrong_id; do
