--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -282,7 +282,8 @@
 /* TRUE while a second call of any part would be one too many. */
 gboolean mr_relay_is_wary (const MrRelayWork *work);
 void mr_relay_hold (Job *job);
-/* The held part whose shard can best do without one more target; held no longer. */
+/* The held part whose shard can best do without one more target; held no longer.  There has
+ * to be one. */
 Job *mr_relay_take_held (const MrRelayWork *work);
 /* The parts in the order in which targets of their shards are put at risk. */
 Job *mr_relay_nth_risk (const MrRelayWork *work, guint n);
--- a/src/relay_trial.c
+++ b/src/relay_trial.c
@@ -77,6 +77,7 @@
           best_usable = usable;
         }
     }
+  g_assert (best);
   S_unhold (best);
   return best;
 }
