One function tells whether a request has a call out

relay_trial.c's S_has_calls was written again beside S_has_open_call of relay_end.c; both are mr_relay_has_calls now. The head of relay_content.c said that calls are called back at two ends; they are once an answer is overdue.

--- a/src/relay_content.c
+++ b/src/relay_content.c
@@ -6,9 +6,9 @@
  * target (relay_doubt.c) is evidence only while no part of the request has been answered,
  * which clears it: a search of ten shards that meets a rack's end is cleared by its next
  * answer, some 30 ms later.  With two targets gone and no answer all that is out is called
- * back, and one part alone goes out as a trial (relay_trial.c).  Three to eleven targets end
- * under an arrival that nobody expects, and none later (virtual clock, the shape of a small
- * site: test_quarantine). */
+ * back once an answer is overdue, and one part alone goes out as a trial (relay_trial.c).
+ * Twelve targets at most end under an arrival that nobody expects, and none later (virtual
+ * clock, the shape of a small site: test_quarantine). */
 #include "relay_private.h"
 
 enum
--- a/src/relay_end.c
+++ b/src/relay_end.c
@@ -46,20 +46,11 @@
     }
 }
 
-static gboolean
-S_has_open_call (const MrRelayWork *work)
-{
-  for (guint i = 0; i < work->part_count; i++)
-    if (mr_relay_job_calls (&work->jobs[i]) > 0)
-      return TRUE;
-  return FALSE;
-}
-
 void
 mr_relay_finish (MrRelay *r, MrTime now, MrRelayWork *work, MrVerdict verdict)
 {
   /* "Not run" is a promise: a call that is still out may yet run. */
-  gboolean may_run = (work->ran || S_has_open_call (work)) && MR_SAFEGUARD (MR_GUARD_NOT_RUN);
+  gboolean may_run = (work->ran || mr_relay_has_calls (work)) && MR_SAFEGUARD (MR_GUARD_NOT_RUN);
   MrTime linger = mr_relay_linger (r, now);
   if (verdict == MR_VERDICT_REFUSED && may_run)
     verdict = MR_VERDICT_FAILED;
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -363,6 +363,8 @@
 guint mr_relay_usable (const Service *service, double *room);
 
 guint mr_relay_job_calls (const Job *job);
+/* TRUE if a call of any part is out. */
+gboolean mr_relay_has_calls (const MrRelayWork *work);
 /* The job's calls are not wanted any more; they may run out until @until. */
 void mr_relay_orphan_calls (MrRelay *relay, MrTime now, Job *job, MrTime until);
 void mr_relay_end_job (MrRelay *relay, MrTime now, Job *job, MrCause cause);
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -91,6 +91,15 @@
   return count;
 }
 
+gboolean
+mr_relay_has_calls (const MrRelayWork *work)
+{
+  for (guint i = 0; i < work->part_count; i++)
+    if (mr_relay_job_calls (&work->jobs[i]) > 0)
+      return TRUE;
+  return FALSE;
+}
+
 void
 mr_relay_call_free (MrRelay *relay, Call *call)
 {
--- a/src/relay_trial.c
+++ b/src/relay_trial.c
@@ -164,15 +164,6 @@
  * many times as long as they usually take. */
 static const double OVERDUE_FACTOR = 1.5;
 
-static gboolean
-S_has_calls (const MrRelayWork *work)
-{
-  for (guint i = 0; i < work->part_count; i++)
-    if (mr_relay_job_calls (&work->jobs[i]) > 0)
-      return TRUE;
-  return FALSE;
-}
-
 /* Most targets drop the work of a connection that closes. */
 void
 mr_relay_recall (MrRelay *r, MrTime now, MrRelayWork *work)
@@ -204,7 +195,7 @@
     return;
   work->suspect = TRUE;
   work->one_by_one = TRUE;
-  if (now >= overdue || !S_has_calls (work))
+  if (now >= overdue || !mr_relay_has_calls (work))
     {
       mr_relay_recall (r, now, work);
       return;
