Two tests of how many targets a content ends share their loop

test_second_sends_wait_for_an_answer and test_further_contents_end_few differed by their content and bound alone.

--- a/test/test_quarantine.c
+++ b/test/test_quarantine.c
@@ -106,40 +106,43 @@
   assert_int_equal (failed, 0);
 }
 
-/* What callers saw: one search of ten shards ended 21 of 30 targets, a second one beside it
- * 25, and for three seconds other searches found shards without any.  The content ends a
- * target some 60 ms after its begin, also once the call's connection is closed; at 48 ms
- * none of the ten parts had been answered, and each was sent to a second target.  Proof:
- * the request's line (E1703) lists ten calls "why":"hedge" at one moment, 8 ms before the
- * first E1409, and each of their targets has an E1409 of its own 40 to 110 ms later. */
+/* Fails if @crasher ends more than @most targets in one of twenty seeds. */
 static void
-test_second_sends_wait_for_an_answer (void **state)
+S_check_ended (const char *name, const WorldCrasher *crasher, guint most)
 {
-  /* One target a shard, one second send, and the one that makes certain. */
-  const guint most = 10 + 1 + 1;
   guint failed = 0;
-  (void) state;
   for (guint seed = 1; seed <= 20; seed++)
     {
-      WorldPlan plan = { SITE,
-                         .crasher = { .count = 1,
-                                      .from_ms = 5000,
-                                      .crash_ms = 120,
-                                      .back_ms = 3000,
-                                      .goes_on = true },
-                         .news_ms = 20 };
-      plan.seed = seed;
+      WorldPlan plan = { SITE, .crasher = *crasher, .news_ms = 20 };
       WorldResult r;
+      plan.seed = seed;
       world_run (&plan, &r);
-      double credit = r.kinds[0].credit / MAX (r.kinds[0].asked, 1);
       if (seed == 1 || r.crashed > most)
-        printf ("second sends, seed %2u: ended %3u calls %3u, others' credit %.3f refused %u\n",
-                seed, r.crashed, r.crasher_calls, credit, r.kinds[0].refused);
+        printf ("%s, seed %2u: ended %3u calls %3u, others' credit %.3f refused %u\n", name, seed,
+                r.crashed, r.crasher_calls, r.kinds[0].credit / MAX (r.kinds[0].asked, 1),
+                r.kinds[0].refused);
       failed += r.crashed > most;
     }
   assert_int_equal (failed, 0);
 }
 
+/* What callers saw: one search of ten shards ended 21 of 30 targets, a second one beside it
+ * 25, and for three seconds other searches found shards without any.  The content ends a
+ * target some 60 ms after its begin, also once the call's connection is closed; at 48 ms
+ * none of the ten parts had been answered, and each was sent to a second target.  Proof:
+ * the request's line (E1703) lists ten calls "why":"hedge" at one moment, 8 ms before the
+ * first E1409, and each of their targets has an E1409 of its own 40 to 110 ms later. */
+static void
+test_second_sends_wait_for_an_answer (void **state)
+{
+  static const WorldCrasher crasher = {
+    .count = 1, .from_ms = 5000, .crash_ms = 120, .back_ms = 3000, .goes_on = true
+  };
+  (void) state;
+  /* One target a shard, one second send, and the one that makes certain. */
+  S_check_ended ("second sends", &crasher, 10 + 1 + 1);
+}
+
 /* What callers saw: a search that did no harm was answered 500 "quarantined" for half a
  * minute.  Two of its targets had ended under a content that two daemons had sent at one
  * moment; its trial went out at once, and met a third target that had begun the same content
@@ -181,33 +184,18 @@
 static void
 test_further_contents_end_few (void **state)
 {
+  static const WorldCrasher crasher = { .count = 4,
+                                        .from_ms = 3000,
+                                        .gap_ms = 4000,
+                                        .varies = true,
+                                        .repeats = 1,
+                                        .crash_ms = 60,
+                                        .back_ms = 3000,
+                                        .goes_on = true };
+  (void) state;
   /* One target a shard, a second send and a trial for the first; what makes certain for
    * each of the three others. */
-  const guint most = 10 + 1 + 1 + 3 * 3;
-  guint failed = 0;
-  (void) state;
-  for (guint seed = 1; seed <= 20; seed++)
-    {
-      WorldPlan plan = { SITE,
-                         .crasher = { .count = 4,
-                                      .from_ms = 3000,
-                                      .gap_ms = 4000,
-                                      .varies = true,
-                                      .repeats = 1,
-                                      .crash_ms = 60,
-                                      .back_ms = 3000,
-                                      .goes_on = true },
-                         .news_ms = 20 };
-      plan.seed = seed;
-      WorldResult r;
-      world_run (&plan, &r);
-      double credit = r.kinds[0].credit / MAX (r.kinds[0].asked, 1);
-      if (seed == 1 || r.crashed > most)
-        printf ("further contents, seed %2u: ended %3u calls %3u, others' credit %.3f refused %u\n",
-                seed, r.crashed, r.crasher_calls, credit, r.kinds[0].refused);
-      failed += r.crashed > most;
-    }
-  assert_int_equal (failed, 0);
+  S_check_ended ("further contents", &crasher, 10 + 1 + 1 + 3 * 3);
 }
 
 /* One service of three targets: there the next target is all that can be tried, and the
