--- a/src/relay_content.c
+++ b/src/relay_content.c
@@ -162,15 +162,16 @@
   S_tell (r, content);
 }
 
-/* What is known against @fingerprint counts no more. */
-static void
+/* What is known against @fingerprint counts no more.  FALSE if nothing was. */
+static gboolean
 S_void (MrRelay *r, MrTime now, MrFingerprint fingerprint)
 {
   Content *content = S_find (r, fingerprint);
   if (!content || mr_evidence_ended (&content->evidence) == 0)
-    return;
+    return FALSE;
   S_clear (r, now, content);
   S_release_all (r, now, fingerprint);
+  return TRUE;
 }
 
 void
@@ -211,11 +212,7 @@
 gboolean
 mr_relay_lift (MrRelay *r, MrTime now, MrFingerprint fingerprint)
 {
-  const Content *content = S_find (r, fingerprint);
-  if (!content || mr_evidence_ended (&content->evidence) == 0)
-    return FALSE;
-  S_void (r, now, fingerprint);
-  return TRUE;
+  return S_void (r, now, fingerprint);
 }
 
 void
