Callers of process_start ask as all others do; counts that only a test read are the test's

process_start had a copy of lib.sh's ask with files of its own; ask writes where ANSWER says now.

mr_quarantine_count and mr_quarantine_count_standing were called by test_evidence alone; the test counts by mr_quarantine_foreach, which the product uses. Its assertions are the same.

--- a/src/quarantine.c
+++ b/src/quarantine.c
@@ -105,24 +105,6 @@
   return entry ? entry->evidence : (MrEvidence){ 0 };
 }
 
-guint
-mr_quarantine_count (const MrQuarantine *q)
-{
-  return g_hash_table_size (q->entries);
-}
-
-guint
-mr_quarantine_count_standing (const MrQuarantine *q, MrStanding standing, guint32 unix_time)
-{
-  guint count = 0;
-  GHashTableIter iter;
-  gpointer item = NULL;
-  g_hash_table_iter_init (&iter, q->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &item))
-    count += mr_evidence_standing (&((const Entry *) item)->evidence, unix_time) == standing;
-  return count;
-}
-
 bool
 mr_quarantine_expire (MrQuarantine *q, guint32 unix_time, MrFingerprint *out)
 {
--- a/src/quarantine.h
+++ b/src/quarantine.h
@@ -32,10 +32,6 @@
 
 /* Nothing, with all counters 0, where nothing is known. */
 MrEvidence mr_quarantine_get (const MrQuarantine *quarantine, MrFingerprint fingerprint);
-guint mr_quarantine_count (const MrQuarantine *quarantine);
-guint mr_quarantine_count_standing (const MrQuarantine *quarantine,
-                                    MrStanding standing,
-                                    guint32 unix_time);
 
 /* Takes out one that is of no use any more; false if there is none. */
 bool mr_quarantine_expire (MrQuarantine *quarantine, guint32 unix_time, MrFingerprint *out);
--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -90,18 +90,21 @@
 
 relay_ready() { http -f "http://127.0.0.1:$(relay_port "$1" 1)/ready"; } # NUMBER
 
+# Where an answer is written: callers that ask side by side have each their own.
+ANSWER=$LOGS
+
 # ask RELAY PATH ID [CURL ARGUMENTS]: prints "STATUS\n" and writes head and body.
 ask() {
   local relay=$1 path=$2 id=$3
   shift 3
-  http -o "$LOGS/body" -D "$LOGS/head" -w '%{http_code}' -H "Host: h.test" -H "X-Request-Id: $id" \
+  http -o "$ANSWER/body" -D "$ANSWER/head" -w '%{http_code}' -H "Host: h.test" -H "X-Request-Id: $id" \
     -H "X-Deadline-Ms: 3000" "$@" "http://127.0.0.1:$(relay_port "$relay" 0)$path"
 }
 
 whole() { [ "$(ask "$1" /all/q "q$RANDOM")" = 200 ] && [ "$(field X-Missing-Parts)" = 0 ]; }
 all_whole() { whole 1 && whole 2 && whole 3; }
 
-field() { sed -n "s/^$1: \(.*\)\r$/\1/ip" "$LOGS/head"; } # NAME, of the last answer
+field() { sed -n "s/^$1: \(.*\)\r$/\1/ip" "$ANSWER/head"; } # NAME, of the last answer
 
 runs() { # ID: on all searchers together
   local i sum=0
--- a/test/platform/process_start.sh
+++ b/test/platform/process_start.sh
@@ -19,13 +19,12 @@
 
 # Asks as soon as the relay listens, again and again; notes the parts that are missing.
 ask_at_start() { # RELAY CALLER
-  local n=0 head="$LOGS/head-$1-$2"
+  local n=0 ANSWER="$LOGS/caller-$1-$2"
+  mkdir -p "$ANSWER"
   for _ in $(seq 1 400); do
     [ "$n" -lt $SEARCHES ] || return
-    if [ "$(http -o /dev/null -D "$head" -w '%{http_code}' -H "Host: h.test" \
-      -H "X-Request-Id: c$1.$2.$n" -H "X-Deadline-Ms: 3000" \
-      "http://127.0.0.1:$(relay_port "$1" 0)/all/q$1.$2.$n" 2>/dev/null)" = 200 ]; then
-      sed -n 's/^X-Missing-Parts: \(.*\)\r$/\1/ip' "$head" >>"$LOGS/missing"
+    if [ "$(ask "$1" "/all/q$1.$2.$n" "c$1.$2.$n" 2>/dev/null)" = 200 ]; then
+      field X-Missing-Parts >>"$LOGS/missing"
       n=$((n + 1))
     else
       sleep 0.01
--- a/test/test_evidence.c
+++ b/test/test_evidence.c
@@ -273,6 +273,29 @@
     }
 }
 
+typedef struct
+{
+  guint all;
+  guint quarantined;
+} Held;
+
+static void
+S_count_held (MrFingerprint fingerprint, const MrEvidence *evidence, void *user)
+{
+  Held *held = user;
+  (void) fingerprint;
+  held->all++;
+  held->quarantined += mr_evidence_quarantines (evidence);
+}
+
+static Held
+S_held (const MrQuarantine *q)
+{
+  Held held = { 0 };
+  mr_quarantine_foreach (q, S_count_held, &held);
+  return held;
+}
+
 /* Somebody sends a new content each second: the table stays as large as it is, quarantines
  * stay, and the latest suspicions. */
 static void
@@ -289,7 +312,7 @@
       assert_true (mr_quarantine_offer (q, S_content (i), &e, NOW + i, &left_out));
       assert_true (mr_fingerprint_is_set (left_out) == (i >= MR_QUARANTINE_MOST));
     }
-  assert_int_equal (mr_quarantine_count (q), MR_QUARANTINE_MOST);
+  assert_int_equal (S_held (q).all, MR_QUARANTINE_MOST);
   assert_int_equal (mr_quarantine_get (q, S_content (0)).marks[0], 9);
   assert_int_equal (mr_quarantine_get (q, S_content (3 * MR_QUARANTINE_MOST - 1)).marks[0], 7);
   MrEvidence old = { .marks = { 7 }, .occasions = 1, .at = NOW + 1 };
@@ -300,7 +323,7 @@
   while (mr_quarantine_expire (q, NOW + 100000, &expired))
     gone++;
   assert_int_equal (gone, MR_QUARANTINE_MOST - 1);
-  assert_int_equal (mr_quarantine_count_standing (q, MR_STANDING_QUARANTINED, NOW + 100000), 1);
+  assert_int_equal (S_held (q).quarantined, 1);
   mr_quarantine_free (q);
 }
 
