A call that breaks as its target's entry goes is the target's end

Callers saw, in the soak: a content that had ended three searchers reached four more.

The mend: a target that was not leaving and loses its entry, or has it taken over by another process, has ended if a call breaks within 0.5 s; planned leavers serve on for seconds.

The world of the tests had the removal of an entry written twice; S_withdraw serves both.

--- a/src/relay_doubt.c
+++ b/src/relay_doubt.c
@@ -20,6 +20,19 @@
  * is no evidence: its calls don't break. */
 static const MrTime DOUBT_WAIT = 100 * MR_MS;
 
+/* One whose entry is removed as planned serves on for seconds: a call that breaks this soon
+ * after the removal has met the target's end. */
+static const MrTime WITHDRAWN_LATELY = 500 * MR_MS;
+
+/* TRUE if @target is known to have ended: nobody need ask. */
+static gboolean
+S_is_gone (const MrTargetState *target, MrTime now)
+{
+  if (target->withdrawn_at != 0)
+    return now - target->withdrawn_at < WITHDRAWN_LATELY;
+  return target->health.state == MR_HEALTH_DOWN && target->health.absent;
+}
+
 static void
 S_log_ended (const MrTargetState *target)
 {
@@ -86,7 +99,7 @@
 {
   if (target->broken->len < BROKEN_KEPT && mr_fingerprint_is_set (fingerprint))
     g_array_append_val (target->broken, fingerprint);
-  if (target->health.state == MR_HEALTH_DOWN && target->health.absent)
+  if (S_is_gone (target, now))
     S_note_ended (r, now, target);
 }
 
@@ -124,9 +137,9 @@
 mr_relay_doubt (MrRelay *r, MrTime now, Job *job, MrTargetState *target)
 {
   MrRelayWork *work = job->work;
-  gboolean absent = target->health.state == MR_HEALTH_DOWN && target->health.absent;
+  gboolean gone = S_is_gone (target, now);
   if (!mr_fingerprint_is_set (work->fingerprint) || work->have > 0 ||
-      (!absent && target->health.state != MR_HEALTH_SUSPECT) || !MR_SAFEGUARD (MR_GUARD_QUARANTINE))
+      (!gone && target->health.state != MR_HEALTH_SUSPECT) || !MR_SAFEGUARD (MR_GUARD_QUARANTINE))
     return;
   Doubt *doubt = g_new (Doubt, 1);
   *doubt = (Doubt){
@@ -138,12 +151,12 @@
     .fingerprint = work->fingerprint,
     .base = work->base,
     .probation = work->probation,
-    .absent = absent,
+    .gone = gone,
   };
   work->doubts++;
   job->doubts++;
   g_ptr_array_add (r->doubts, doubt);
-  mr_timers_set (r->timers, &doubt->timer, absent ? now : now + DOUBT_WAIT);
+  mr_timers_set (r->timers, &doubt->timer, gone ? now : now + DOUBT_WAIT);
 }
 
 static gboolean
@@ -182,7 +195,7 @@
   guint place = 0;
   g_ptr_array_find (r->doubts, doubt, &place);
   g_ptr_array_steal_index_fast (r->doubts, place);
-  S_resolve (r, now, doubt, doubt->absent);
+  S_resolve (r, now, doubt, doubt->gone);
 }
 
 /* One that is of @target, taken out of the list; NULL if there is none. */
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -112,7 +112,7 @@
   MrFingerprint fingerprint;
   MrEvidence base; /* what was known when the call was sent */
   gboolean probation;
-  gboolean absent; /* it has been found out: nobody is there */
+  gboolean gone; /* it is known: the target has ended */
 } Doubt;
 
 enum
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -73,6 +73,8 @@
 S_take_out (MrRelay *r, MrTime now, MrTargetState *state)
 {
   GPtrArray *sets = g_ptr_array_new ();
+  if (state->health.state != MR_HEALTH_LEAVING)
+    state->withdrawn_at = now;
   mr_health_on_leaving (&state->health, now);
   state->health.leaving_at = now;
   g_hash_table_remove (r->targets, S_name (r, state));
--- a/src/target.h
+++ b/src/target.h
@@ -18,6 +18,8 @@
   guint connections; /* most that the target accepts in all */
   guint slots;       /* calls it serves at once; 0: not known */
   guint64 started;   /* of its process, Unix ms; 0: not told */
+  /* Its entry was removed, or is another process's, without its having left; 0: not. */
+  MrTime withdrawn_at;
   MrHealth health;
   MrLimit limit;
   guint in_flight;   /* calls whose slot may still be taken */
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -262,6 +262,13 @@
     target->pause_at += S_ms (w->plan->pause_gap_ms);
 }
 
+static gboolean
+S_takes_no_connections (const Target *target)
+{
+  return target->trouble == WORLD_REFUSES || target->trouble == WORLD_GONE ||
+         target->trouble == WORLD_ENDS || target->trouble == WORLD_VANISHES;
+}
+
 /* What a target sees: the first call of a request, or one more. */
 static void
 S_note_arrival (World *w, const Call *call)
@@ -299,8 +306,7 @@
   S_note_pause (w, target);
   if (call->dropped || target->trouble == WORLD_DARK)
     return;
-  if (target->trouble == WORLD_REFUSES || target->trouble == WORLD_GONE ||
-      target->trouble == WORLD_ENDS)
+  if (S_takes_no_connections (target))
     {
       S_reply (w, call, MR_CALL_NOT_CONNECTED);
       return;
@@ -627,14 +633,14 @@
       target->factor = begins ? event->factor : 0;
       if (!begins)
         continue;
-      if (event->trouble == WORLD_ENDS)
+      if (event->trouble == WORLD_ENDS || event->trouble == WORLD_VANISHES)
         S_end_process (w, target);
       if (event->trouble == WORLD_GONE || event->trouble == WORLD_LEAVES)
         target->leaving_at = w->now;
       if (event->trouble == WORLD_LEAVES)
         S_list (w, target, TRUE);
-      for (guint d = 0; d < w->plan->daemons && event->trouble == WORLD_GONE; d++)
-        mr_relay_target_gone (w->daemons[d].relay, w->now, target->id);
+      if (event->trouble == WORLD_GONE || event->trouble == WORLD_VANISHES)
+        S_withdraw (w, target);
     }
 }
 
@@ -801,8 +807,7 @@
     case EVENT_PROBED:
       {
         const Target *target = &w->targets[event->index];
-        gboolean lives = target->trouble != WORLD_DARK && target->trouble != WORLD_REFUSES &&
-                         target->trouble != WORLD_GONE && target->trouble != WORLD_ENDS;
+        gboolean lives = target->trouble != WORLD_DARK && !S_takes_no_connections (target);
         mr_relay_probe_end (daemon->relay, w->now, target->id, lives);
         S_wake (daemon, w->now);
         break;
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -28,15 +28,16 @@
 typedef enum
 {
   WORLD_NO_TROUBLE,
-  WORLD_GONE,    /* listed as gone and ended */
-  WORLD_DARK,    /* silent: calls hang */
-  WORLD_REFUSES, /* connections are refused */
-  WORLD_SLOW,    /* work takes `factor` times as long */
-  WORLD_ERRORS,  /* `factor` of the calls fail */
-  WORLD_SHEDS,   /* `factor` of the calls are refused, not run */
-  WORLD_BREAKS,  /* `factor` of the calls run and lose their answer */
-  WORLD_LEAVES,  /* listed as leaving */
-  WORLD_ENDS,    /* its process ends, with all connections; refuses until it is back */
+  WORLD_GONE,     /* listed as gone and ended */
+  WORLD_DARK,     /* silent: calls hang */
+  WORLD_REFUSES,  /* connections are refused */
+  WORLD_SLOW,     /* work takes `factor` times as long */
+  WORLD_ERRORS,   /* `factor` of the calls fail */
+  WORLD_SHEDS,    /* `factor` of the calls are refused, not run */
+  WORLD_BREAKS,   /* `factor` of the calls run and lose their answer */
+  WORLD_LEAVES,   /* listed as leaving */
+  WORLD_ENDS,     /* its process ends, with all connections; refuses until it is back */
+  WORLD_VANISHES, /* its process ends and its entry is removed, at one moment, for good */
 } WorldTrouble;
 
 typedef struct
