A loop whose host is sent no messages needs no function for them

Seven files had the same S_on_message that frees what never comes (ctl_http, demo/load, searcherd and platformd, the soak, the adapter's stand-in, test_target_client). MrLoopHost.on_message may be NULL now; the loop frees a message that comes all the same.

--- a/demo/load.c
+++ b/demo/load.c
@@ -230,13 +230,6 @@
 
 /* The loop. */
 
-static void
-S_on_message (MrLoopHost *host, MrMessage *message)
-{
-  (void) host;
-  mr_message_free (message);
-}
-
 static void
 S_give_up (Load *load, MrTime now)
 {
@@ -374,7 +367,7 @@
       return EXIT_FAILURE;
     }
   signal (SIGPIPE, SIG_IGN);
-  Load load = { .host = { .on_message = S_on_message, .on_tick = S_on_tick } };
+  Load load = { .host = { .on_tick = S_on_tick } };
   load.loop = mr_loop_new (&load.host, DESCRIPTORS);
   if (!load.loop)
     return EXIT_FAILURE;
--- a/demo/platformd.c
+++ b/demo/platformd.c
@@ -380,13 +380,6 @@
     S_error (p, request->id, 404, "no such path");
 }
 
-static void
-S_on_message (MrLoopHost *host, MrMessage *message)
-{
-  (void) host;
-  mr_message_free (message);
-}
-
 /* Ends one wait that is due. */
 static void
 S_end_wait (Platform *p, Waiting *waiting)
@@ -457,7 +450,7 @@
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
   signal (SIGPIPE, SIG_IGN);
   Platform p = {
-    .loop_host = { .on_message = S_on_message, .on_tick = S_on_tick },
+    .loop_host = { .on_tick = S_on_tick },
     .http_host = { .on_request = S_on_request },
     .kinds = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                     (GDestroyNotify) g_hash_table_unref),
--- a/demo/searcherd.c
+++ b/demo/searcherd.c
@@ -342,13 +342,6 @@
       }
 }
 
-static void
-S_on_message (MrLoopHost *host, MrMessage *message)
-{
-  (void) host;
-  mr_message_free (message);
-}
-
 static MrTime
 S_end_jobs (Searcher *s, MrTime now)
 {
@@ -460,7 +453,7 @@
   argp_parse (&argp, argc, argv, 0, NULL, NULL);
   opt.count = CLAMP (opt.count, 1, COUNT_MAX);
   signal (SIGPIPE, SIG_IGN);
-  process.loop_host = (MrLoopHost){ .on_message = S_on_message, .on_tick = S_on_tick };
+  process.loop_host = (MrLoopHost){ .on_tick = S_on_tick };
   process.loop = mr_loop_new (&process.loop_host, DESCRIPTORS);
   process.catalogue =
       mr_catalogue_new ((guint) opt.records, (guint) opt.shards, (guint32) opt.seed);
--- a/src/ctl_http.c
+++ b/src/ctl_http.c
@@ -21,13 +21,6 @@
   GString *answer;
 } Exchange;
 
-static void
-S_on_message (MrLoopHost *host, MrMessage *message)
-{
-  (void) host;
-  mr_message_free (message);
-}
-
 static MrTime
 S_on_tick (MrLoopHost *host, MrTime now)
 {
@@ -62,7 +55,7 @@
   mr_log_set_level (MR_LOG_ERROR);
   g_string_truncate (answer, 0);
   Exchange exchange = {
-    .host = { .on_message = S_on_message, .on_tick = S_on_tick },
+    .host = { .on_tick = S_on_tick },
     .answer = answer,
   };
   MrLoop *loop = mr_loop_new (&exchange.host, DESCRIPTORS);
--- a/src/loop.c
+++ b/src/loop.c
@@ -139,7 +139,10 @@
 mr_loop_step (MrLoop *loop)
 {
   for (MrMessage *m = mr_mailbox_take (loop->box); m; m = mr_mailbox_take (loop->box))
-    loop->host->on_message (loop->host, m);
+    if (loop->host->on_message)
+      loop->host->on_message (loop->host, m);
+    else
+      mr_message_free (m);
   S_tick (loop);
   lws_service (loop->context, 0);
 }
--- a/src/loop.h
+++ b/src/loop.h
@@ -16,7 +16,7 @@
 /* Vtable; first member of the task that runs the loop. */
 struct _MrLoopHost
 {
-  /* Takes ownership of @message. */
+  /* Takes ownership of @message.  NULL: nobody sends it any. */
   void (*on_message) (MrLoopHost *host, MrMessage *message);
   /* Called after each round; returns when it wants to be called again, or
    * MR_NEVER. */
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -555,13 +555,6 @@
   mr_stream_set_host (stream, &peer->host);
 }
 
-static void
-S_on_message (MrLoopHost *host, MrMessage *message)
-{
-  (void) host;
-  mr_message_free (message);
-}
-
 static void
 S_answer_listing (Peer *peer)
 {
@@ -611,7 +604,7 @@
       return EXIT_USAGE;
     }
   Server server = {
-    .host = { .on_message = S_on_message, .on_tick = S_on_tick },
+    .host = { .on_tick = S_on_tick },
     .timers = mr_timers_new (),
     .id = searcher ? argv[3] : NULL,
     .kinds = json_object (),
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -94,13 +94,6 @@
   soak_say (s, "faults end, version %u", s->version);
 }
 
-static void
-S_on_message (MrLoopHost *host, MrMessage *message)
-{
-  (void) host;
-  mr_message_free (message);
-}
-
 static MrTime
 S_seconds (GRand *random, double least, double most)
 {
@@ -283,7 +276,7 @@
   /* Static, for it lives as long as the process, as all that it owns does. */
   static Soak s;
   s = (Soak){
-    .host = { .on_message = S_on_message, .on_tick = S_on_tick },
+    .host = { .on_tick = S_on_tick },
     .timers = mr_timers_new (),
     .proxy_timers = mr_timers_new (),
     .random = g_rand_new_with_seed ((guint32) atoi (argv[2])),
--- a/test/test_target_client.c
+++ b/test/test_target_client.c
@@ -91,13 +91,6 @@
   f->answered = answered;
 }
 
-static void
-S_on_message (MrLoopHost *host, MrMessage *message)
-{
-  (void) host;
-  mr_message_free (message);
-}
-
 /* Often enough that the listener is closed on time. */
 static MrTime
 S_on_tick (MrLoopHost *host, MrTime now)
@@ -141,7 +134,7 @@
 static void
 S_play (const Case *c)
 {
-  Fixture f = { .loop_host = { .on_message = S_on_message, .on_tick = S_on_tick },
+  Fixture f = { .loop_host = { .on_tick = S_on_tick },
                 .client_host = { .ended = S_on_ended, .probed = S_on_probed } };
   MrLoop *loop = mr_loop_new (&f.loop_host, DESCRIPTORS);
   f.client = mr_target_client_new (&f.client_host, loop, NULL);
