--- a/src/call.h
+++ b/src/call.h
@@ -13,6 +13,7 @@
   MR_CALL_ERROR,         /* the target answered with a failure */
   MR_CALL_CANCELLED,     /* ended on our wish, as the target confirmed */
   MR_CALL_SILENT,        /* given up: neither answer nor confirmation */
+  MR_CALL_WITHDRAWN,     /* taken back by its sender before anything was sent */
 } MrCallOutcome;
 
 const char *mr_call_outcome_name (MrCallOutcome outcome);
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -42,6 +42,7 @@
   [WATCH_CONFIGURATION] = { "configurations", MR_OBJECT_CONFIGURATION },
   [WATCH_TARGETS] = { "targets", MR_OBJECT_TARGET },
   [WATCH_EVIDENCE] = { "quarantine", MR_OBJECT_EVIDENCE },
+  [WATCH_EVACUATIONS] = { "evacuations", MR_OBJECT_EVACUATION },
 };
 
 void
@@ -97,27 +98,34 @@
   return FALSE;
 }
 
+/* What tells that calls must not go somewhere. */
+static gboolean
+S_is_restriction (int index)
+{
+  return index == WATCH_EVIDENCE || index == WATCH_EVACUATIONS;
+}
+
 static int
 S_watch_wait_ms (const MrControlTask *task, int index)
 {
   if (!task->relay)
     return WATCH_WAIT_MS;
-  if (index == WATCH_EVIDENCE)
+  if (S_is_restriction (index))
     return RELAY_WATCH_WAIT_MS; /* daemons tell each other */
   return mr_watch_first (task->members, task->settings->name) ? FIRST_WATCH_WAIT_MS
                                                               : RELAY_WATCH_WAIT_MS;
 }
 
-/* Evidence spreads between daemons; the store's copy is for a start of all.  Of relays it is
- * read by those that watch, and by others if they begin with what the store holds; by these
- * once the store has answered: a whole fleet that started in an outage asked for it as well,
- * 1,900 calls more on a day of 295 VMs. */
+/* Evidence and evacuations spread between daemons.  Of relays they are read by those that
+ * watch, and by others if they begin with what the store holds; by these once the store has
+ * answered: a whole fleet that started in an outage asked for evidence as well, 1,900 calls
+ * more on a day of 295 VMs. */
 static gboolean
 S_leaves_out (const MrControlTask *task, int index, gboolean watcher)
 {
   if (index == WATCH_DOCUMENTS)
     return task->relay || !watcher;
-  if (index == WATCH_EVIDENCE)
+  if (S_is_restriction (index))
     return task->relay && !watcher && task->held->len == 0;
   return task->relay != (index >= WATCH_CONFIGURATION);
 }
@@ -151,6 +159,18 @@
     }
 }
 
+/* A watch that the store took while it answered nobody is never answered.  Watches of other
+ * kinds are shorter and tell when it answers again; this one is made anew then. */
+static void
+S_renew_evacuations (MrControlTask *task)
+{
+  MrWatch *watch = &task->watches[WATCH_EVACUATIONS];
+  if (!watch->done)
+    return;
+  watch->busy = FALSE;
+  watch->due = 0;
+}
+
 static void
 S_note_platform (MrControlTask *task, gboolean up)
 {
@@ -160,6 +180,8 @@
     return;
   task->platform_up = up;
   task->view_changed = TRUE;
+  if (up)
+    S_renew_evacuations (task);
   mr_listing_set_store (task->listing, mr_now (), up);
   mr_membership_set_cut_off (task->membership, mr_now (), !up);
   mr_log (up ? MR_LOG_NOTICE : MR_LOG_WARNING, up ? MR_EVENT_PLATFORM_UP : MR_EVENT_PLATFORM_DOWN,
@@ -175,6 +197,16 @@
                           now + rank * RANK_DELAY);
 }
 
+/* This platform's versions leave no room for what is made of them, and its removals have one
+ * of their own. */
+static void
+S_on_listed_evacuation (MrControlTask *task, const MrPlatformObject *object)
+{
+  MrPlatformObject spaced = *object;
+  spaced.version = MR_VERSIONS_APART * object->version;
+  mr_control_evacuation_stored (task, &spaced);
+}
+
 static void
 S_on_list (MrControlTask *task, MrTime now, int index, const MrPlatformResult *result)
 {
@@ -186,6 +218,8 @@
         S_on_listed_document (task, now, object);
       else if (index == WATCH_EVIDENCE)
         mr_control_evidence_stored (task, object);
+      else if (index == WATCH_EVACUATIONS)
+        S_on_listed_evacuation (task, object);
       else if (!object->deleted)
         mr_spread_offer (task->spread, watch_kinds[index].object, mr_text (object->name),
                          object->version, mr_text_of (object->body), NULL);
@@ -241,6 +275,11 @@
       mr_control_evidence_stored (task, object);
       return;
     }
+  if (index == WATCH_EVACUATIONS)
+    {
+      mr_control_evacuation_stored (task, object);
+      return;
+    }
   if (object->deleted)
     {
       if (index == WATCH_TARGETS)
@@ -282,6 +321,8 @@
       watch->listed = result->revision;
       if (index == WATCH_TARGETS)
         mr_listing_begin (task->listing, result->removed_version);
+      if (index == WATCH_EVACUATIONS)
+        mr_control_evacuation_list (task, result->removed_version);
     }
   for (guint i = 0; i < result->objects->len; i++)
     S_on_relay_object (task, now, index, g_ptr_array_index (result->objects, i));
@@ -298,6 +339,8 @@
     }
   if (full && index == WATCH_TARGETS)
     S_remove_unlisted (task, now);
+  if (full && index == WATCH_EVACUATIONS)
+    mr_control_evacuation_listed (task);
   watch->since = full ? watch->listed : MAX (watch->since, result->revision);
 }
 
@@ -329,8 +372,8 @@
   mr_watch_ended (&task->watches[index], now, success, watcher, g_rand_double (task->random));
   if (!success && index == WATCH_EVIDENCE && task->configuration)
     task->watches[index].due = now + EVIDENCE_RETRY;
-  if (!success && index == WATCH_EVIDENCE)
-    mr_control_start_refused (task, now);
+  if (!success && S_is_restriction (index))
+    mr_control_start_refused (task, now, index);
   /* The rest of a full listing, and the first watch after it, follow at once. */
   gboolean more = task->watches[index].after[0] != '\0';
   if (success && task->relay && (more || (watcher && result->request->since == 0)))
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -3,6 +3,7 @@
  *   control_peers.c     messages of other daemons
  *   control_platform.c  watches, the controller's reads and writes
  *   control_evidence.c  contents that end targets: told, saved, forgotten
+ *   control_evacuation.c  failure domains whose targets get no new work
  *   control_start.c     what is read from the store at a start */
 #pragma once
 
@@ -27,6 +28,7 @@
   WATCH_CONFIGURATION, /* of a relay, as all that follow */
   WATCH_TARGETS,
   WATCH_EVIDENCE,
+  WATCH_EVACUATIONS,
   WATCHES,
 };
 
@@ -64,16 +66,18 @@
   gboolean ready;
   gboolean platform_up;
   MrTime started;
-  MrJoining joining;            /* of a relay */
-  GPtrArray *held;              /* MrHeldOffer: read at the start, until the quarantines are */
-  MrTime hold_until;            /* at most */
-  gboolean hold_over;           /* nothing is held any more */
-  gboolean quarantines_refused; /* a call for them has failed since all else is read */
+  MrJoining joining;  /* of a relay */
+  GPtrArray *held;    /* MrHeldOffer: read at the start, until all that restricts is known */
+  MrTime hold_until;  /* at most */
+  gboolean hold_over; /* nothing is held any more */
+  gboolean restrictions_refused; /* a call for them has failed since all else is read */
   MrTime prune_at;
   MrTime traffic_at; /* when the next log line of traffic is due */
   MrQuarantine *quarantine;
-  GHashTable *saved;  /* content -> MrSavedEvidence: what the store holds */
-  MrTime evidence_at; /* next look at what is to be saved or forgotten */
+  GHashTable *saved;              /* content -> MrSavedEvidence: what the store holds */
+  MrTime evidence_at;             /* next look at what is to be saved or forgotten */
+  GHashTable *evacuations_listed; /* names in the full listing under way */
+  guint64 evacuations_version;    /* of that listing */
 };
 
 /* The store's copy of one content's evidence. */
@@ -100,15 +104,27 @@
 void mr_control_evidence_written (MrControlTask *task, MrTime now, const MrPlatformResult *result);
 void mr_control_evidence_tick (MrControlTask *task, MrTime now, MrTime *next);
 
+/* The store holds the evacuation @object, or has lost it. */
+void mr_control_evacuation_stored (MrControlTask *task, const MrPlatformObject *object);
+/* A full listing of evacuations begins, at @version; has ended: what it does not name is
+ * over. */
+void mr_control_evacuation_list (MrControlTask *task, guint64 version);
+void mr_control_evacuation_listed (MrControlTask *task);
+/* The object has a new version. */
+void mr_control_evacuation_taken (const MrObject *object);
+
 void mr_control_start_init (MrControlTask *task);
 void mr_control_start_clear (MrControlTask *task);
-/* Offers @object, which the store holds, now or once the quarantines are known. */
+/* Offers @object, which the store holds, now or once quarantines and evacuations are
+ * known. */
 void
 mr_control_start_offer (MrControlTask *task, MrObjectKind kind, const MrPlatformObject *object);
-/* A call for the quarantines has failed. */
-void mr_control_start_refused (MrControlTask *task, MrTime now);
-/* TRUE once a daemon of the product's own dialect has read the quarantines, or has held all
- * else (@rest) for as long as they are waited for. */
+/* A call of watch @index, for quarantines or evacuations, has failed. */
+void mr_control_start_refused (MrControlTask *task, MrTime now, int index);
+/* TRUE once nothing that was read from the store is held back. */
+gboolean mr_control_start_is_over (const MrControlTask *task);
+/* TRUE once a daemon of the product's own dialect has read quarantines and evacuations, or
+ * has held all else (@rest) for as long as they are waited for. */
 gboolean mr_control_start_knows (MrControlTask *task, MrTime now, gboolean rest);
 void mr_control_start_tick (MrControlTask *task, MrTime now, MrTime *next);
 
--- a/src/control_start.c
+++ b/src/control_start.c
@@ -1,25 +1,24 @@
 /* What a relay reads from the store at its start, while it holds no configuration.
  *
- * A relay that has routes and targets serves.  After a loss of all relays they were read
- * first and what is quarantined after them, so that for some 10 ms, and for as long as the
- * store took where it was slow, a request that ends its targets was sent to one target of
- * each shard at once (three of three in process_quarantine_starts; ten on a site of ten
- * shards, where three are the bound).  So all three are read together, and what was read is
- * offered, to this relay and to its peers, once the quarantines are there: whoever has a
- * configuration has had them before, by whatever way it came.
+ * A relay that has routes and targets serves.  Were these taken first, calls would go where
+ * they must not until what restricts them is read: a request that ends its targets was sent
+ * to one target of each shard at once (three of three in process_quarantine_starts).  So all
+ * is read together, and what was read is offered, to this relay and to its peers, once
+ * quarantines and evacuations are there: whoever has a configuration has had them before, by
+ * whatever way it came.
  *
- * A store that lists all but the quarantines holds a start up for HOLD_MOST.  One that falls
- * silent after it has listed the routes is not such a one: a relay without targets can't
- * serve, and where it gave up waiting then, nine calls of a quarantined request went out once
- * the store was back. */
+ * A store that lists all but these holds a start up for HOLD_MOST.  One that falls silent
+ * after it has listed the routes is not such a one: a relay without targets can't serve, and
+ * where it gave up waiting then, nine calls of a quarantined request went out once the store
+ * was back. */
 #include "control_private.h"
 
 #include "log.h"
 
 /* From when all else is read: a store that answers at all answers within this, or the searches
- * of all are worth more than what one content may end. */
+ * of all are worth more than what restricts some. */
 static const MrTime HOLD_MOST = 500 * MR_MS;
-/* Between two calls for the quarantines while all else waits for them. */
+/* Between two calls for what all else waits for. */
 static const MrTime ASK_GAP = 100 * MR_MS;
 
 struct _MrHeldOffer
@@ -51,21 +50,44 @@
   g_ptr_array_unref (task->held);
 }
 
+static const int restrictions[] = { WATCH_EVIDENCE, WATCH_EVACUATIONS };
+
+static gboolean
+S_knows (const MrControlTask *task, int index)
+{
+  return task->relay ? task->watches[index].since > 0 : task->watches[index].done;
+}
+
+static gboolean
+S_knows_restrictions (const MrControlTask *task)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (restrictions); i++)
+    if (!S_knows (task, restrictions[i]))
+      return FALSE;
+  return TRUE;
+}
+
 static void
 S_go_without (MrControlTask *task)
 {
   if (task->hold_over)
     return;
   task->hold_over = TRUE;
-  mr_log (MR_LOG_WARNING, MR_EVENT_QUARANTINES_UNKNOWN,
-          "the store does not list what is quarantined; serving without");
+  mr_log (MR_LOG_WARNING, MR_EVENT_START_WITHOUT, "the store does not list %s; serving without",
+          !S_knows (task, WATCH_EVACUATIONS) ? "evacuations" : "quarantines");
+}
+
+gboolean
+mr_control_start_is_over (const MrControlTask *task)
+{
+  return task->hold_over || S_knows_restrictions (task);
 }
 
-/* A configuration comes from a peer, with all that the peer knew before it, or from here. */
+/* A relay that is ready has all from the store, or from a peer that was. */
 static gboolean
 S_holds (const MrControlTask *task)
 {
-  return !task->configuration && !task->hold_over && task->watches[WATCH_EVIDENCE].since == 0;
+  return !task->ready && !mr_control_start_is_over (task);
 }
 
 void
@@ -91,7 +113,7 @@
 gboolean
 mr_control_start_knows (MrControlTask *task, MrTime now, gboolean rest)
 {
-  if (task->watches[WATCH_EVIDENCE].done)
+  if (S_knows_restrictions (task))
     return TRUE;
   if (rest && task->hold_until == 0)
     task->hold_until = now + HOLD_MOST;
@@ -107,23 +129,27 @@
   return task->watches[WATCH_CONFIGURATION].since > 0 && task->watches[WATCH_TARGETS].since > 0;
 }
 
-/* Where a call for the quarantines has failed before it is made again now, rather than when
- * its gap is over: the store answers. */
+/* Calls for what restricts that have failed before are made again now, rather than when
+ * their gap is over: the store answers. */
 static void
 S_begin_wait (MrControlTask *task, MrTime now)
 {
-  MrWatch *watch = &task->watches[WATCH_EVIDENCE];
   task->hold_until = now + HOLD_MOST;
-  task->quarantines_refused = FALSE;
-  watch->due = MIN (watch->due, now);
+  task->restrictions_refused = FALSE;
+  for (gsize i = 0; i < G_N_ELEMENTS (restrictions); i++)
+    {
+      MrWatch *watch = &task->watches[restrictions[i]];
+      if (!S_knows (task, restrictions[i]))
+        watch->due = MIN (watch->due, now);
+    }
 }
 
 void
-mr_control_start_refused (MrControlTask *task, MrTime now)
+mr_control_start_refused (MrControlTask *task, MrTime now, int index)
 {
-  task->quarantines_refused = TRUE;
+  task->restrictions_refused = TRUE;
   if (task->held->len > 0)
-    task->watches[WATCH_EVIDENCE].due = now + ASK_GAP;
+    task->watches[index].due = now + ASK_GAP;
 }
 
 void
@@ -134,7 +160,7 @@
   if (S_holds (task) && task->hold_until == 0 && S_has_rest (task))
     S_begin_wait (task, now);
   gboolean over = task->hold_until != 0 && now >= task->hold_until;
-  if (S_holds (task) && !(over && task->quarantines_refused))
+  if (S_holds (task) && !(over && task->restrictions_refused))
     {
       if (task->hold_until != 0 && !over)
         *next = MIN (*next, task->hold_until);
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -1,6 +1,7 @@
 #include "control_private.h"
 
 #include "accepted.h"
+#include "evacuation.h"
 #include "log.h"
 #include "metrics.h"
 #include "traffic.h"
@@ -174,6 +175,8 @@
   if (object->kind == MR_OBJECT_ACCEPTED)
     mr_controller_read (task->controller, mr_now (), "accepted", mr_text (object->name),
                         object->version, mr_text_of (object->body));
+  if (object->kind == MR_OBJECT_EVACUATION)
+    mr_control_evacuation_taken (object);
   if (object->kind == MR_OBJECT_EVIDENCE)
     mr_control_evidence_taken (task, object->name, object->version);
   else
@@ -209,6 +212,8 @@
   ViewBuild *build = user;
   if (object->kind == MR_OBJECT_VM)
     S_add_leaving (build->view, object);
+  if (object->kind == MR_OBJECT_EVACUATION && mr_evacuation_holds (object->version))
+    g_hash_table_add (build->view->evacuated, g_strdup (object->name));
   if (object->kind != MR_OBJECT_ACCEPTED)
     return;
   MrAccepted accepted;
@@ -240,7 +245,7 @@
 static void
 S_check_relay_ready (MrControlTask *task)
 {
-  gboolean read = task->watches[WATCH_TARGETS].since > 0;
+  gboolean read = task->watches[WATCH_TARGETS].since > 0 && mr_control_start_is_over (task);
   if (task->configuration && (read || mr_spread_synced (task->spread)))
     S_set_ready (task, read);
 }
@@ -472,6 +477,7 @@
   mr_control_platform_init (task);
   mr_control_evidence_init (task);
   mr_control_start_init (task);
+  task->evacuations_listed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   MrMember self = S_self (info->settings, info->seed, info->relay);
   task->registry = mr_registry_new ();
   task->membership = mr_membership_new (&task->membership_host, &self, info->seed);
@@ -515,6 +521,7 @@
   mr_controller_free (task->controller);
   mr_control_evidence_clear (task);
   mr_control_start_clear (task);
+  g_hash_table_unref (task->evacuations_listed);
   mr_listing_free (task->listing);
   mr_configuration_unref (task->configuration);
   g_hash_table_unref (task->records);
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -144,7 +144,7 @@
         {
           guint index = batch->order ? r : shard->replicas[r];
           MrTargetState *target = mr_layout_target (work->layout, index);
-          if (mr_health_usable (&target->health) && g_hash_table_add (seen, target))
+          if (mr_target_state_usable (target) && g_hash_table_add (seen, target))
             capacity += mr_limit_calls (&target->limit);
         }
     }
@@ -402,6 +402,12 @@
   mr_relay_probe_end (d->relay, now, key, answered);
 }
 
+void
+mr_dispatch_set_evacuated (MrDispatch *d, MrTime now, GHashTable *domains)
+{
+  mr_relay_set_evacuated (d->relay, now, domains);
+}
+
 void
 mr_dispatch_target_leaving (MrDispatch *d, MrTime now, const char *key, bool leaving)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -104,6 +104,9 @@
 /* News from the list of VMs or the shard map. */
 void mr_dispatch_target_leaving (MrDispatch *dispatch, MrTime now, const char *key, bool leaving);
 
+/* Failure domains whose targets get no new work, as a set of texts. */
+void mr_dispatch_set_evacuated (MrDispatch *dispatch, MrTime now, GHashTable *domains);
+
 /* Carries out what is due; returns when to come back, or MR_NEVER. */
 MrTime mr_dispatch_tick (MrDispatch *dispatch, MrTime now);
 
--- a/src/registry.c
+++ b/src/registry.c
@@ -20,6 +20,7 @@
     [MR_OBJECT_CONFIGURATION] = "configurations",
     [MR_OBJECT_TARGET] = "targets",
     [MR_OBJECT_EVIDENCE] = "quarantine",
+    [MR_OBJECT_EVACUATION] = "evacuations",
   };
   return names[kind];
 }
--- a/src/registry.h
+++ b/src/registry.h
@@ -33,8 +33,19 @@
   /* Targets ended under a content: its name is the fingerprint, its version the evidence
    * (quarantine.h), and it has no body. */
   MR_OBJECT_EVIDENCE = 6,
+  /* New work at the targets of a failure domain is to end: its name is the domain, its
+   * version tells whether that holds (evacuation.h), and it has no body. */
+  MR_OBJECT_EVACUATION = 7,
+  MR_OBJECT_KIND_LAST = MR_OBJECT_EVACUATION,
 } MrObjectKind;
 
+/* TRUE if the version of such an object tells all that there is to know of it. */
+static inline bool
+mr_object_is_bodiless (MrObjectKind kind)
+{
+  return kind == MR_OBJECT_EVIDENCE || kind == MR_OBJECT_EVACUATION;
+}
+
 typedef struct
 {
   MrObjectKind kind;
--- a/src/relay.c
+++ b/src/relay.c
@@ -6,6 +6,7 @@
   static const char *const names[] = {
     [MR_CAUSE_NONE] = "none",
     [MR_CAUSE_NO_TARGET] = "no-target",
+    [MR_CAUSE_EVACUATED] = "evacuated",
     [MR_CAUSE_OVERLOAD] = "overload",
     [MR_CAUSE_ATTEMPTS] = "attempts",
     [MR_CAUSE_BUDGET] = "budget",
@@ -130,6 +131,7 @@
   g_hash_table_unref (r->services);
   g_hash_table_unref (r->pools);
   g_ptr_array_unref (r->retired);
+  g_clear_pointer (&r->evacuated, g_hash_table_unref);
   g_ptr_array_unref (r->doubts);
   g_hash_table_unref (r->contents);
   mr_answered_free (r->answered);
--- a/src/relay.h
+++ b/src/relay.h
@@ -16,6 +16,7 @@
  *   relay_load.c     how loaded targets are, parts left out for it
  *   relay_time.c     what is due: second sends, soft and hard ends, silence
  *   relay_targets.c  what is known of targets
+ *   relay_evacuation.c  failure domains whose targets get no new work
  *   relay_doubt.c    targets that end while requests run there
  *   relay_content.c    what that says of requests, and what becomes of them
  *   relay_trial.c    requests that go to one target at a time
@@ -57,6 +58,7 @@
 {
   MR_CAUSE_NONE,
   MR_CAUSE_NO_TARGET,   /* every target of a service is down, leaving or unknown */
+  MR_CAUSE_EVACUATED,   /* every target that would be left is in an evacuated failure domain */
   MR_CAUSE_OVERLOAD,    /* the wait would outlast the caller's use for an answer */
   MR_CAUSE_ATTEMPTS,    /* every target that may be tried was */
   MR_CAUSE_BUDGET,      /* another send would go over the bound on extra load */
@@ -117,6 +119,9 @@
   /* The call has lingered for long enough: close its connection.  Its end is not
    * reported.  NULL if calls linger until the host reports their end. */
   void (*drop) (MrRelayHost *host, guint64 id);
+  /* Takes the call back if nothing of it has been sent; its end is not reported then.  FALSE
+   * if it stays out.  NULL: calls are never taken back. */
+  gboolean (*take_back) (MrRelayHost *host, guint64 id);
   /* FALSE while @target is known not to hold what @request asks for; NULL: all
    * targets of a set hold the same. */
   gboolean (*holds) (MrRelayHost *host, gpointer request, const MrTargetState *target, MrTime now);
@@ -206,6 +211,7 @@
   guint64 staged;      /* searches sent to one shard first */
   guint64 excused;     /* ends, or news of them, under a content that was answered lately */
   guint64 trials;      /* sends of suspect contents to one target, before any other */
+  guint64 withdrawn;   /* calls taken back before they were sent, their domain evacuated */
   guint64 quarantined; /* requests refused or given up since their content is quarantined */
 } MrRelayCounts;
 
@@ -235,6 +241,10 @@
 /* Mean time of a call of that kind of request; 0: not known. */
 double mr_relay_mean (const MrRelay *relay, const char *kind);
 
+/* Targets in the failure domains of the set @domains (texts) get no new work; those in other
+ * domains may have some again. */
+void mr_relay_set_evacuated (MrRelay *relay, MrTime now, GHashTable *domains);
+
 /* A target as it is known now, in @set besides the sets that it is in already;
  * @leaving ones get no new work.  With another start, or at another address, the id
  * belongs to another process: calls to the one before end as broken. */
--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -221,6 +221,7 @@
 static MrCause
 S_admit (MrRelayWork *work, MrTime now, MrTime *wait)
 {
+  MrCause none = MR_CAUSE_NO_TARGET;
   guint alive = 0;
   guint quick = 0;
   double room = 0;
@@ -232,8 +233,12 @@
   MrTime most = (MrTime) (WAIT_SHARE * (double) MIN (work->route->aim, work->hard_end - now));
   for (guint i = 0; i < work->part_count; i++)
     {
-      if (mr_relay_usable (work->jobs[i].service, &room) == 0)
-        continue;
+      const Service *service = work->jobs[i].service;
+      if (mr_relay_usable (service, &room) == 0)
+        {
+          none = none == MR_CAUSE_EVACUATED ? none : mr_relay_no_target_cause (service);
+          continue;
+        }
       alive++;
       MrTime expected = mr_relay_expected_wait (&work->jobs[i]);
       *wait = MAX (*wait, expected);
@@ -241,7 +246,7 @@
         quick++;
     }
   if (alive < work->needed)
-    return MR_CAUSE_NO_TARGET;
+    return none;
   work->spare = alive - work->needed;
   return quick < work->needed ? MR_CAUSE_OVERLOAD : MR_CAUSE_NONE;
 }
--- a/src/relay_choice.c
+++ b/src/relay_choice.c
@@ -110,7 +110,7 @@
   if (!tried)
     return;
   tried->seen |= outcome == MR_CALL_SHED;
-  if (outcome == MR_CALL_NOT_CONNECTED)
+  if (outcome == MR_CALL_NOT_CONNECTED || outcome == MR_CALL_WITHDRAWN)
     tried->state = tried->seen ? TRIED_REFUSED : TRIED_UNSEEN;
   if (outcome == MR_CALL_SHED)
     tried->state = TRIED_REFUSED;
@@ -125,6 +125,18 @@
   return !host->holds || host->holds (host, job->work->request, target, now);
 }
 
+MrCause
+mr_relay_no_target_cause (const Service *service)
+{
+  for (guint i = 0; i < service->targets->len; i++)
+    {
+      const MrTargetState *target = g_ptr_array_index (service->targets, i);
+      if (target->evacuated && mr_health_usable (&target->health))
+        return MR_CAUSE_EVACUATED;
+    }
+  return MR_CAUSE_NO_TARGET;
+}
+
 MrTargetState *
 mr_relay_pick (MrRelay *relay, MrTime now, const Job *job, gboolean *hope)
 {
@@ -137,12 +149,10 @@
   for (guint n = 0; n < targets->len; n++)
     {
       MrTargetState *target = g_ptr_array_index (targets, (n + offset) % targets->len);
-      gboolean usable = mr_health_usable (&target->health);
-      if ((!usable && target->health.state != MR_HEALTH_SUSPECT) ||
-          !mr_relay_may_go (relay, now, job, target))
+      if (!mr_target_state_hopeful (target) || !mr_relay_may_go (relay, now, job, target))
         continue;
       *hope = TRUE;
-      if (!usable || !mr_target_state_free_slot (target))
+      if (!mr_target_state_usable (target) || !mr_target_state_free_slot (target))
         continue;
       double cost = S_cost (relay, now, target);
       if (cost < best_cost)
--- a/src/relay_end.c
+++ b/src/relay_end.c
@@ -5,6 +5,8 @@
 /* When to come back where no target is known to work: a target is probed again
  * within this time. */
 static const MrTime RETRY_NO_TARGET = 400 * MR_MS;
+/* An evacuation lasts for seconds at least. */
+static const MrTime RETRY_EVACUATED = 1 * MR_SECOND;
 /* Another daemon may have found out by then whether a suspicion holds. */
 static const MrTime RETRY_SUSPECT = 300 * MR_MS;
 static const MrTime RETRY_MIN = 100 * MR_MS;
@@ -20,6 +22,8 @@
     wait = MAX (wait, mr_relay_expected_wait (&work->jobs[i]));
   if (work->cause == MR_CAUSE_NO_TARGET)
     wait = MAX (wait, RETRY_NO_TARGET);
+  if (work->cause == MR_CAUSE_EVACUATED)
+    wait = MAX (wait, RETRY_EVACUATED);
   if (work->cause == MR_CAUSE_SUSPECT)
     wait = MAX (wait, RETRY_SUSPECT);
   return CLAMP (wait, RETRY_MIN, RETRY_MAX);
@@ -151,7 +155,7 @@
 S_not_run (MrCallOutcome outcome)
 {
   return outcome == MR_CALL_SHED || outcome == MR_CALL_DRAINING || outcome == MR_CALL_MISDIRECTED ||
-         outcome == MR_CALL_NOT_CONNECTED;
+         outcome == MR_CALL_NOT_CONNECTED || outcome == MR_CALL_WITHDRAWN;
 }
 
 /* A call that the job waited for has ended without the wanted answer. */
@@ -162,7 +166,7 @@
   MrRelayWork *work = job->work;
   if (outcome == MR_CALL_BROKEN)
     mr_relay_doubt (r, now, job, target);
-  if (outcome == MR_CALL_NOT_CONNECTED)
+  if (outcome == MR_CALL_NOT_CONNECTED || outcome == MR_CALL_WITHDRAWN)
     job->sends--; /* no target has seen it */
   else
     job->reached = work->trial == job;
--- a/src/relay_load.c
+++ b/src/relay_load.c
@@ -59,7 +59,7 @@
   for (guint i = 0; i < service->targets->len; i++)
     {
       const MrTargetState *target = g_ptr_array_index (service->targets, i);
-      if (!mr_health_usable (&target->health) && target->health.state != MR_HEALTH_SUSPECT)
+      if (!mr_target_state_hopeful (target))
         continue;
       usable++;
       *room += mr_limit_calls (&target->limit);
@@ -104,7 +104,7 @@
   for (guint i = 0; i < job->service->targets->len; i++)
     {
       const MrTargetState *target = g_ptr_array_index (job->service->targets, i);
-      if (mr_health_usable (&target->health))
+      if (mr_target_state_usable (target))
         best = MIN (best, S_expected_time (target, now, work->kind));
     }
   if (best == G_MAXDOUBLE)
@@ -119,7 +119,7 @@
   for (guint i = 0; i < job->service->targets->len; i++)
     {
       const MrTargetState *target = g_ptr_array_index (job->service->targets, i);
-      if (mr_health_usable (&target->health) && mr_target_state_free_slot (target))
+      if (mr_target_state_usable (target) && mr_target_state_free_slot (target))
         return FALSE;
     }
   return TRUE;
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -84,6 +84,7 @@
     { "relay_ends_excused_total", counts->excused },
     { "relay_staged_total", counts->staged },
     { "relay_trials_total", counts->trials },
+    { "relay_withdrawn_total", counts->withdrawn },
     { "relay_quarantined_total", counts->quarantined },
     { "relay_early_requests_total", task->early_count },
     { "relay_connections_total", client.connections },
@@ -96,6 +97,8 @@
     S_append (out, counters[i].name, "counter", counters[i].value);
   S_append (out, "relay_open_requests", "gauge", mr_relay_open (task->relay));
   S_append (out, "relay_usable_targets", "gauge", mr_relay_usable_targets (task->relay));
+  S_append (out, "evacuated_domains", "gauge",
+            task->view ? g_hash_table_size (task->view->evacuated) : 0);
   S_append (out, "relay_caller_connections", "gauge", mr_caller_server_connections (task->callers));
   for (guint i = 1; i < G_N_ELEMENTS (task->statuses); i++)
     g_string_append_printf (
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -153,7 +153,7 @@
   gboolean hope = FALSE;
   MrTargetState *target = mr_relay_pick (relay, now, job, &hope);
   if (!hope)
-    cause = job->tried_count > 0 ? MR_CAUSE_ATTEMPTS : MR_CAUSE_NO_TARGET;
+    cause = job->tried_count > 0 ? MR_CAUSE_ATTEMPTS : mr_relay_no_target_cause (job->service);
   else if (S_may_send (relay, now, job, reason, &cause))
     {
       if (target)
@@ -234,7 +234,7 @@
 void
 mr_relay_pump_target (MrRelay *relay, MrTime now, MrTargetState *target)
 {
-  while (mr_health_usable (&target->health) && mr_target_state_free_slot (target))
+  while (mr_target_state_usable (target) && mr_target_state_free_slot (target))
     {
       Job *next = NULL;
       for (guint i = 0; i < target->sets->len; i++)
@@ -265,6 +265,6 @@
           continue;
         }
       mr_relay_unqueue (job);
-      mr_relay_end_job (relay, now, job, MR_CAUSE_NO_TARGET);
+      mr_relay_end_job (relay, now, job, mr_relay_no_target_cause (service));
     }
 }
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -196,16 +196,17 @@
   MrWindowTerms terms; /* that pools begin with */
   MrRelayShares shares;
   GRand *random;
-  GHashTable *pools;    /* name -> Pool */
-  GHashTable *services; /* name -> Service */
-  GHashTable *kinds;    /* route name -> Kind */
-  GHashTable *splits;   /* route name -> Split */
-  GHashTable *targets;  /* id, or address (by_address) -> MrTargetState */
-  GHashTable *calls;    /* id -> Call */
-  GHashTable *works;    /* set of MrRelayWork */
-  GPtrArray *retired;   /* MrTargetState of targets that are gone */
-  GHashTable *contents; /* MrFingerprint -> Content */
-  GPtrArray *doubts;    /* Doubt */
+  GHashTable *pools;     /* name -> Pool */
+  GHashTable *services;  /* name -> Service */
+  GHashTable *kinds;     /* route name -> Kind */
+  GHashTable *splits;    /* route name -> Split */
+  GHashTable *targets;   /* id, or address (by_address) -> MrTargetState */
+  GHashTable *calls;     /* id -> Call */
+  GHashTable *works;     /* set of MrRelayWork */
+  GHashTable *evacuated; /* set of failure domains; NULL: none */
+  GPtrArray *retired;    /* MrTargetState of targets that are gone */
+  GHashTable *contents;  /* MrFingerprint -> Content */
+  GPtrArray *doubts;     /* Doubt */
   MrAnswered *answered;
   EndedTarget ended[ENDED_KEPT];
   guint ended_count;   /* ever */
@@ -229,6 +230,8 @@
 MrHealthAction mr_relay_note_target (
     MrRelay *relay, MrTime now, MrTargetState *target, MrCallOutcome outcome, MrTime started);
 
+gboolean mr_relay_is_evacuated (const MrRelay *relay, const char *domain);
+
 /* Targets that end while requests run there (relay_doubt.c). */
 
 /* The connection of a call of @fingerprint to @target has broken; its health has been
@@ -309,6 +312,8 @@
 /* Best target that the job may be sent to now; NULL if there is none.  @hope is set if
  * one may have room later. */
 MrTargetState *mr_relay_pick (MrRelay *relay, MrTime now, const Job *job, gboolean *hope);
+/* Why no target of the service may be given work, now or soon. */
+MrCause mr_relay_no_target_cause (const Service *service);
 /* TRUE if the job may go to @target once that is usable and has room. */
 gboolean
 mr_relay_may_go (const MrRelay *relay, MrTime now, const Job *job, const MrTargetState *target);
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -147,6 +147,12 @@
   mr_target_client_drop (RELAY_TASK_OF (host, relay_host)->client, id);
 }
 
+static gboolean
+S_on_take_back (MrRelayHost *host, guint64 id)
+{
+  return mr_target_client_take_back (RELAY_TASK_OF (host, relay_host)->client, id);
+}
+
 static void
 S_on_probe (MrRelayHost *host, const MrTargetState *target)
 {
@@ -455,6 +461,7 @@
   task->relay_host = (MrRelayHost){
     .call = S_on_call,
     .drop = S_on_drop,
+    .take_back = S_on_take_back,
     .probe = S_on_probe,
     .renew = S_on_renew,
     .done = S_on_done,
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -51,7 +51,7 @@
 {
   S_carry_out (r, target, now, action);
   r->some_down |= target->health.state == MR_HEALTH_DOWN;
-  if (mr_health_usable (&target->health))
+  if (mr_target_state_usable (target))
     {
       mr_relay_pump_target (r, now, target);
       return;
@@ -169,6 +169,18 @@
   mr_relay_act (r, now, state, MR_HEALTH_NOTHING);
 }
 
+/* Its entry may name another failure domain than before. */
+static void
+S_set_domain (const MrRelay *r, MrTargetState *state, const char *domain)
+{
+  if (!g_str_equal (state->domain, domain))
+    {
+      g_free (state->domain);
+      state->domain = g_strdup (domain);
+    }
+  state->evacuated = mr_relay_is_evacuated (r, domain);
+}
+
 MrTargetState *
 mr_relay_target (MrRelay *r,
                  MrTime now,
@@ -189,6 +201,7 @@
     }
   if (!state)
     state = S_add_target (r, now, set, target, cold_for);
+  S_set_domain (r, state, target->domain);
   Service *service = mr_relay_service (r, set);
   if (!g_ptr_array_find (state->sets, service, NULL))
     {
@@ -262,8 +275,9 @@
 mr_relay_note_target (
     MrRelay *r, MrTime now, MrTargetState *target, MrCallOutcome outcome, MrTime started)
 {
-  /* These two say nothing of how well it works. */
-  if (outcome != MR_CALL_CANCELLED && outcome != MR_CALL_NO_SNAPSHOT)
+  /* These say nothing of how well it works. */
+  if (outcome != MR_CALL_CANCELLED && outcome != MR_CALL_NO_SNAPSHOT &&
+      outcome != MR_CALL_WITHDRAWN)
     mr_target_state_add_outcome (target, outcome != MR_CALL_ANSWER);
   switch (outcome)
     {
@@ -294,6 +308,8 @@
     case MR_CALL_CANCELLED:
       mr_health_on_word (&target->health, now);
       return MR_HEALTH_NOTHING;
+    case MR_CALL_WITHDRAWN:
+      return MR_HEALTH_NOTHING;
     }
   return MR_HEALTH_NOTHING;
 }
@@ -302,7 +318,7 @@
 S_count_usable (const MrTargetState *target, void *user)
 {
   guint *count = user;
-  if (mr_health_usable (&target->health))
+  if (mr_target_state_usable (target))
     (*count)++;
 }
 
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -92,6 +92,7 @@
   };
   mr_relay_set_shares (task->relay, &shares);
   S_take_configuration (task, view);
+  mr_relay_set_evacuated (task->relay, now, view->evacuated);
   S_take_targets (task, now, view);
   mr_view_unref (task->view);
   task->view = mr_view_ref (view);
--- a/src/spread.c
+++ b/src/spread.c
@@ -293,9 +293,8 @@
       const MrNews *news = &message->news[i];
       if (news->version <= mr_registry_version (spread->registry, news->kind, news->name))
         continue;
-      /* Evidence is told whole by its version: no round trip for a body, while which more
-       * targets may end. */
-      if (news->kind == MR_OBJECT_EVIDENCE)
+      /* No round trip for a body, while which calls would go where they must not. */
+      if (mr_object_is_bodiless (news->kind))
         {
           mr_spread_offer (spread, news->kind, mr_text (news->name), news->version, (MrText){ 0 },
                            message->sender);
--- a/src/target.c
+++ b/src/target.c
@@ -43,6 +43,19 @@
   g_free (state);
 }
 
+gboolean
+mr_target_state_usable (const MrTargetState *target)
+{
+  return mr_health_usable (&target->health) && !target->evacuated;
+}
+
+gboolean
+mr_target_state_hopeful (const MrTargetState *target)
+{
+  return mr_target_state_usable (target) ||
+         (target->health.state == MR_HEALTH_SUSPECT && !target->evacuated);
+}
+
 gboolean
 mr_target_state_free_slot (const MrTargetState *target)
 {
--- a/src/target.h
+++ b/src/target.h
@@ -20,6 +20,7 @@
   guint64 started;   /* of its process, Unix ms; 0: not told */
   /* Its entry was removed, or is another process's, without its having left; 0: not. */
   MrTime withdrawn_at;
+  gboolean evacuated; /* its failure domain is: no new work */
   MrHealth health;
   MrLimit limit;
   guint in_flight;   /* calls whose slot may still be taken */
@@ -47,6 +48,10 @@
                               void (*visit) (const MrTargetState *target, void *user),
                               void *user);
 
+/* May be given work. */
+gboolean mr_target_state_usable (const MrTargetState *target);
+/* May be given work now, or once it has shown that it lives. */
+gboolean mr_target_state_hopeful (const MrTargetState *target);
 gboolean mr_target_state_free_slot (const MrTargetState *target);
 
 /* FALSE while it is known not to hold the map's snapshot. */
--- a/src/target_client.c
+++ b/src/target_client.c
@@ -456,6 +456,16 @@
     S_close (c);
 }
 
+gboolean
+mr_target_client_take_back (MrTargetClient *client, guint64 id)
+{
+  Connection *c = g_hash_table_lookup (client->calls, &id);
+  if (!c || mr_stream_sent (c->stream) > c->sent_before)
+    return FALSE;
+  S_close (c);
+  return TRUE;
+}
+
 void
 mr_target_client_probe (MrTargetClient *client, MrTime now, const MrTargetState *target)
 {
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -51,6 +51,8 @@
 void mr_target_client_call (MrTargetClient *client, MrTime now, const MrTargetCall *call);
 /* Closes the call's connection; ended () is not called. */
 void mr_target_client_drop (MrTargetClient *client, guint64 id);
+/* The same, if nothing of the call has been sent; FALSE if it stays out. */
+gboolean mr_target_client_take_back (MrTargetClient *client, guint64 id);
 void mr_target_client_probe (MrTargetClient *client, MrTime now, const MrTargetState *target);
 /* Closes the idle connections to @target. */
 void mr_target_client_renew (MrTargetClient *client, const MrTargetState *target);
--- a/src/target_task.c
+++ b/src/target_task.c
@@ -409,6 +409,7 @@
   GHashTableIter iter;
   gpointer key = NULL;
   MrTime now = mr_now ();
+  mr_dispatch_set_evacuated (task->dispatch, now, view->evacuated);
   g_hash_table_iter_init (&iter, task->leaving);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     if (!g_hash_table_contains (view->leaving, key))
--- a/src/view.h
+++ b/src/view.h
@@ -21,6 +21,7 @@
   MrMemberList *members;
   GHashTable *services;           /* name -> MrServiceView */
   GHashTable *leaving;            /* set of "ip:port" of targets */
+  GHashTable *evacuated;          /* set of failure domains whose targets get no new work */
   MrConfiguration *configuration; /* of routes; NULL: none known */
   GPtrArray *targets;             /* MrTargetRecord, of all that are listed */
   gboolean ready;                 /* configuration is known well enough to serve */
--- a/src/wire_decode.c
+++ b/src/wire_decode.c
@@ -151,7 +151,7 @@
 static MrObjectKind
 S_read_kind (Reader *r)
 {
-  guint64 kind = S_unsigned (r, MR_OBJECT_EVIDENCE);
+  guint64 kind = S_unsigned (r, MR_OBJECT_KIND_LAST);
   if (kind == 0)
     r->bad = TRUE;
   return (MrObjectKind) MAX (kind, 1);
--- a/test/prop_relay.cpp
+++ b/test/prop_relay.cpp
@@ -129,6 +129,33 @@
   return p;
 }
 
+// A failure domain is evacuated beside the troubles of a schedule, perhaps another as well,
+// and is used again; calls wait for their connections.
+WorldPlan
+evacuating (guint32 seed)
+{
+  WorldPlan p = schedule (seed);
+  GRand *random = g_rand_new_with_seed (seed + 2);
+  p.seconds = 5;
+  p.replicas = 1 + pick (random, 4);
+  p.connect_ms = pick (random, 2) * 6;
+  for (guint i = 5; i < 8; i++)
+    {
+      guint first = pick (random, WORLD_DOMAINS);
+      double from = 1000 + pick (random, 3000);
+      if (i == 5 || pick (random, 2) > 0)
+        p.events[i] = WorldEvent{ WORLD_EVACUATED,
+                                  first,
+                                  first + pick (random, 2),
+                                  1,
+                                  from,
+                                  from + 1 + pick (random, 1500),
+                                  0 };
+    }
+  g_rand_free (random);
+  return p;
+}
+
 guint
 late_over_bound (const WorldResult &r)
 {
@@ -139,7 +166,8 @@
 broken_rules (const WorldResult &r)
 {
   return r.worst_window_extra + r.ran_twice + r.false_not_run + r.over_attempts + r.after_leaving +
-         r.longer_than_left + r.unanswered + r.late_verdicts + r.after_gone + r.shards_wrong;
+         r.after_evacuated + r.longer_than_left + r.unanswered + r.late_verdicts + r.after_gone +
+         r.shards_wrong;
 }
 
 WorldResult
@@ -215,6 +243,12 @@
                     RC_ASSERT (broken_rules (r) == 0U);
                   }) &&
        ok;
+  ok = rc::check ("no call reaches an evacuated failure domain",
+                  [&] {
+                    auto seed = *rc::gen::inRange<guint32> (0, 1U << 30);
+                    RC_ASSERT (broken_rules (run (evacuating (seed))) == 0U);
+                  }) &&
+       ok;
   for (guint32 seed = 1; seed <= 50; seed++)
     {
       guint count = broken_rules (run (outage (seed))) + broken_rules (run (leaving (seed)));
@@ -239,5 +273,9 @@
   ok = fails_without ("leaving", MR_GUARD_LEAVING, 400,
                       breaks (leaving, [] (const WorldResult &r) { return r.after_leaving; })) &&
        ok;
+  ok = fails_without (
+           "evacuation", MR_GUARD_EVACUATION, 400,
+           breaks (evacuating, [] (const WorldResult &r) { return r.after_evacuated; })) &&
+       ok;
   return ok ? 0 : 1;
 }
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -7,7 +7,6 @@
   ONE_WAY_US = 1500,
   HANDSHAKE_US = 6000,
   COLD_MS = 0,
-  DOMAINS = 3,
   LEAVING_US = 3000000, /* a leaving target may be given work for this long */
   RATIO_PERCENT = 20,
   ALLOWANCE = 52,
@@ -69,6 +68,8 @@
   MrTime leaving_at; /* listed as leaving or gone; 0: not */
 } Target;
 
+/* The domain of a target, and of a daemon, is its index modulo WORLD_DOMAINS. */
+
 struct Call
 {
   guint64 id;
@@ -77,6 +78,7 @@
   Ask *ask;
   MrCallOutcome outcome;
   gboolean dropped;
+  MrTime sent_at; /* once its connection stands */
   gboolean running;
   gboolean ran;
   gboolean lost; /* its target has ended */
@@ -137,7 +139,8 @@
   GPtrArray *calls;
   GHashTable *by_id[WORLD_DAEMONS_MAX]; /* call id -> Call */
   GPtrArray *asks;
-  MrTime third_crash; /* 0: not yet */
+  MrTime third_crash;                 /* 0: not yet */
+  MrTime evacuated_at[WORLD_DOMAINS]; /* 0: it is not */
   GPtrArray *news;
 };
 
@@ -281,7 +284,7 @@
       if (w->third_crash && w->now > w->third_crash + S_ms (WORLD_NEWS_MS))
         w->result->crasher_late++;
     }
-  if (call->target->index % DOMAINS != call->daemon->index % DOMAINS)
+  if (call->target->index % WORLD_DOMAINS != call->daemon->index % WORLD_DOMAINS)
     w->result->far_calls++;
   if (ask->sends[shard]++ > 0)
     {
@@ -303,8 +306,13 @@
 S_on_reach (World *w, Call *call)
 {
   Target *target = call->target;
+  MrTime evacuated_at = w->evacuated_at[target->index % WORLD_DOMAINS];
   S_note_pause (w, target);
-  if (call->dropped || target->trouble == WORLD_DARK)
+  if (call->dropped)
+    return;
+  if (evacuated_at != 0 && w->now > evacuated_at + ONE_WAY_US)
+    w->result->after_evacuated++;
+  if (target->trouble == WORLD_DARK)
     return;
   if (S_takes_no_connections (target))
     {
@@ -383,7 +391,19 @@
     w->result->longer_than_left++;
   if (target->leaving_at && w->now > target->leaving_at + LEAVING_US)
     w->result->after_leaving++;
-  S_at (w, w->now + ONE_WAY_US, EVENT_REACH, call, 0);
+  call->sent_at = w->now + S_ms (w->plan->connect_ms);
+  S_at (w, call->sent_at + ONE_WAY_US, EVENT_REACH, call, 0);
+}
+
+static gboolean
+S_on_take_back (MrRelayHost *host, guint64 id)
+{
+  const Daemon *daemon = (const Daemon *) host;
+  Call *call = g_hash_table_lookup (daemon->world->by_id[daemon->index], &id);
+  if (call->sent_at <= daemon->world->now)
+    return FALSE;
+  call->dropped = TRUE;
+  return TRUE;
 }
 
 static void
@@ -616,16 +636,40 @@
   info.connections = w->plan->connections;
   g_strlcpy (info.id, target->id, sizeof info.id);
   g_strlcpy (info.ip, "10.0.0.1", sizeof info.ip);
-  g_snprintf (info.domain, sizeof info.domain, "d%u", target->index % DOMAINS);
+  g_snprintf (info.domain, sizeof info.domain, "d%u", target->index % WORLD_DOMAINS);
   for (guint i = 0; i < w->plan->daemons; i++)
     mr_relay_target (w->daemons[i].relay, w->now, service, &info, leaving, COLD_MS);
 }
 
+/* All daemons hear of it at once. */
+static void
+S_evacuate (World *w, const WorldEvent *event, gboolean begins)
+{
+  g_autoptr (GHashTable) domains = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; i < WORLD_DOMAINS; i++)
+    {
+      if (i >= event->first && i <= event->last)
+        w->evacuated_at[i] = begins ? w->now : 0;
+      if (w->evacuated_at[i] != 0)
+        g_hash_table_add (domains, g_strdup_printf ("d%u", i));
+    }
+  for (guint i = 0; i < w->plan->daemons; i++)
+    {
+      mr_relay_set_evacuated (w->daemons[i].relay, w->now, domains);
+      S_wake (&w->daemons[i], w->now);
+    }
+}
+
 static void
 S_on_trouble (World *w, guint index)
 {
   const WorldEvent *event = &w->plan->events[index / 2];
   gboolean begins = index % 2 == 0;
+  if (event->trouble == WORLD_EVACUATED)
+    {
+      S_evacuate (w, event, begins);
+      return;
+    }
   for (guint i = event->first; i <= event->last && i < w->target_count; i += MAX (event->every, 1))
     {
       Target *target = &w->targets[i];
@@ -683,6 +727,7 @@
   static const MrRelayHost host = {
     .call = S_on_call,
     .drop = S_on_drop,
+    .take_back = S_on_take_back,
     .probe = S_on_probe,
     .renew = S_on_renew,
     .done = S_on_done,
@@ -694,7 +739,7 @@
     {
       Daemon *daemon = &w->daemons[i];
       char domain[8];
-      g_snprintf (domain, sizeof domain, "d%u", i % DOMAINS);
+      g_snprintf (domain, sizeof domain, "d%u", i % WORLD_DOMAINS);
       MrRelayInfo info = {
         .domain = domain,
         .policy = w->plan->policy ? w->plan->policy : &mr_relay_policy,
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -10,6 +10,7 @@
   WORLD_ROUTES_MAX = 3,
   WORLD_DAEMONS_MAX = 12,
   WORLD_TARGETS_MAX = 256,
+  WORLD_DOMAINS = 3,
   WORLD_NEWS_MS = 4000, /* within which all daemons know what one has learned */
 };
 
@@ -28,16 +29,17 @@
 typedef enum
 {
   WORLD_NO_TROUBLE,
-  WORLD_GONE,     /* listed as gone and ended */
-  WORLD_DARK,     /* silent: calls hang */
-  WORLD_REFUSES,  /* connections are refused */
-  WORLD_SLOW,     /* work takes `factor` times as long */
-  WORLD_ERRORS,   /* `factor` of the calls fail */
-  WORLD_SHEDS,    /* `factor` of the calls are refused, not run */
-  WORLD_BREAKS,   /* `factor` of the calls run and lose their answer */
-  WORLD_LEAVES,   /* listed as leaving */
-  WORLD_ENDS,     /* its process ends, with all connections; refuses until it is back */
-  WORLD_VANISHES, /* its process ends and its entry is removed, at one moment, for good */
+  WORLD_GONE,      /* listed as gone and ended */
+  WORLD_DARK,      /* silent: calls hang */
+  WORLD_REFUSES,   /* connections are refused */
+  WORLD_SLOW,      /* work takes `factor` times as long */
+  WORLD_ERRORS,    /* `factor` of the calls fail */
+  WORLD_SHEDS,     /* `factor` of the calls are refused, not run */
+  WORLD_BREAKS,    /* `factor` of the calls run and lose their answer */
+  WORLD_LEAVES,    /* listed as leaving */
+  WORLD_ENDS,      /* its process ends, with all connections; refuses until it is back */
+  WORLD_VANISHES,  /* its process ends and its entry is removed, at one moment, for good */
+  WORLD_EVACUATED, /* failure domains `first` to `last`, not targets, are evacuated */
 } WorldTrouble;
 
 typedef struct
@@ -87,7 +89,8 @@
   WorldRoute routes[WORLD_ROUTES_MAX];
   WorldEvent events[8];
   WorldCrasher crasher;
-  double news_ms; /* from a daemon that has evidence against a content to all others */
+  double connect_ms; /* a call waits so long for its connection before it is sent */
+  double news_ms;    /* from a daemon that has evidence against a content to all others */
 } WorldPlan;
 
 typedef struct
@@ -114,6 +117,7 @@
   guint false_not_run;      /* refused as not run, though it ran */
   guint over_attempts;    /* more targets of a shard than allowed, or one anew that may have run */
   guint after_leaving;    /* calls to a target later than the promised time after it was listed */
+  guint after_evacuated;  /* calls that reached an evacuated domain, later than one under way */
   guint longer_than_left; /* calls that were told more time than their caller had */
   guint unanswered;       /* neither a verdict nor gone by the end */
   guint late_verdicts;    /* later than the route's time limit and half a second */
--- /dev/null
+++ b/test/test_evacuation.c
@@ -0,0 +1,200 @@
+/* Evacuations of failure domains: what callers get meanwhile, on the virtual clock, and that
+ * every daemon of a fleet knows of them in time. */
+
+#include "evacuation.h"
+#include "fleet.h"
+#include "log.h"
+#include "relay_site.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+
+#include <cmocka.h>
+
+/* Versions are those of an object that is written, removed and written again. */
+static void
+test_versions (void **state)
+{
+  (void) state;
+  guint64 written = mr_evacuation_version (3 * MR_VERSIONS_APART, FALSE);
+  guint64 removed = mr_evacuation_version (3 * MR_VERSIONS_APART, TRUE);
+  guint64 again = mr_evacuation_version (4 * MR_VERSIONS_APART, FALSE);
+  assert_true (mr_evacuation_holds (written));
+  assert_false (mr_evacuation_holds (removed));
+  assert_true (mr_evacuation_holds (again));
+  assert_true (written < removed && removed < again);
+}
+
+/* Guards against calls to an evacuated domain, and against callers who wait or are refused
+ * more than what is left of the targets explains. */
+static void
+test_callers (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    WorldPlan plan;
+    double least[2]; /* credit of each kind, as a share of what was asked */
+  } cases[] = {
+    { "one of three",
+      { SITE, .events = { { WORLD_EVACUATED, 0, 0, 1, 4000, 0, 0 } } },
+      { 0.9, 0.9 } },
+    { "one, for three seconds",
+      { SITE, .events = { { WORLD_EVACUATED, 1, 1, 1, 4000, 7000, 0 } } },
+      { 0.93, 0.93 } },
+    { "one after the other",
+      { SITE, .events = { { WORLD_EVACUATED, 0, 0, 1, 4000, 8000, 0 },
+                          { WORLD_EVACUATED, 1, 1, 1, 8000, 12000, 0 },
+                          { WORLD_EVACUATED, 2, 2, 1, 12000, 16000, 0 } } },
+      { 0.9, 0.9 } },
+    { "calls wait for their connections",
+      { SITE, .connect_ms = 6, .events = { { WORLD_EVACUATED, 0, 0, 1, 4000, 0, 0 } } },
+      { 0.85, 0.85 } },
+    { "set again within a second",
+      { SITE, .events = { { WORLD_EVACUATED, 0, 0, 1, 4000, 4400, 0 },
+                          { WORLD_EVACUATED, 0, 0, 1, 4500, 0, 0 } } },
+      { 0.9, 0.9 } },
+    { "all, for two seconds",
+      { SITE, .events = { { WORLD_EVACUATED, 0, 2, 1, 4000, 6000, 0 } } },
+      { 0.85, 0.85 } },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      WorldResult r;
+      world_run (&cases[i].plan, &r);
+      for (guint k = 0; k < 2; k++)
+        {
+          double credit = r.kinds[k].credit / r.kinds[k].asked;
+          print_message ("%s, kind %u: credit %.3f, late %u, refused %u, failed %u of %u\n",
+                         cases[i].name, k, credit, r.kinds[k].late, r.kinds[k].refused,
+                         r.kinds[k].failed, r.kinds[k].asked);
+          if (credit < cases[i].least[k])
+            fail_msg ("%s", cases[i].name);
+        }
+      assert_int_equal (r.after_evacuated, 0);
+      assert_int_equal (r.false_not_run, 0);
+      assert_int_equal (r.unanswered, 0);
+    }
+}
+
+/* How soon all daemons know. */
+
+static const char domain[] = "d1";
+enum
+{
+  WRITTEN = 40 * MR_VERSIONS_APART,
+  MIDDLE = 73,
+  LARGE = 295,
+};
+
+static void
+S_watcher_learns (Fleet *fleet, guint64 version)
+{
+  for (guint i = 0; i < fleet->layout.count; i++)
+    {
+      FleetNode *node = &fleet->nodes[i];
+      if (!node->membership || !node->watcher ||
+          fleet->store_cut[fleet_domain (fleet, node->index)])
+        continue;
+      mr_spread_offer (node->spread, MR_OBJECT_EVACUATION, mr_text (domain), version, (MrText){ 0 },
+                       NULL);
+      node->due = 0;
+    }
+}
+
+static guint64 expected_version;
+
+static gboolean
+S_all_know (const Fleet *fleet)
+{
+  for (guint i = 0; i < fleet->layout.count; i++)
+    {
+      const FleetNode *node = &fleet->nodes[i];
+      if (node->membership &&
+          mr_registry_version (node->registry, MR_OBJECT_EVACUATION, domain) != expected_version)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static void
+S_domain_without_store (Fleet *fleet)
+{
+  fleet->store_cut[1] = TRUE;
+}
+
+static void
+S_domains_apart (Fleet *fleet)
+{
+  fleet_cut (fleet, 0, 1, TRUE);
+}
+
+static void
+S_one_way (Fleet *fleet)
+{
+  fleet_cut_one_way (fleet, 2, 0, TRUE);
+}
+
+/* Guards against daemons that go on sending to an evacuated domain: all know within the
+ * second that is aimed at, whichever of them reach the store, and the last word counts. */
+static void
+test_all_know (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    guint count;
+    void (*meanwhile) (Fleet *fleet);
+    double seconds;
+  } cases[] = {
+    { "six", 6, NULL, 0.1 },
+    { "seventy-three", MIDDLE, NULL, 0.3 },
+    { "hundreds", LARGE, NULL, 0.5 },
+    { "a domain without the store", MIDDLE, S_domain_without_store, 0.5 },
+    { "two domains cut from each other", MIDDLE, S_domains_apart, 0.5 },
+    { "a cut one way", LARGE, S_one_way, 0.5 },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const FleetLayout layout = {
+        .count = cases[i].count, .domains = 3, .regions = 1, .seeds = 3, .strong_each = 2
+      };
+      Fleet *fleet = fleet_new (&layout);
+      fleet_start_all (fleet, 300 * MR_MS, FALSE);
+      assert_true (fleet_run_until (fleet, fleet_agrees, 20 * MR_SECOND) < MR_NEVER);
+      if (cases[i].meanwhile)
+        cases[i].meanwhile (fleet);
+      const guint64 versions[] = {
+        mr_evacuation_version (WRITTEN, FALSE),
+        mr_evacuation_version (WRITTEN, TRUE),
+        mr_evacuation_version (WRITTEN + MR_VERSIONS_APART, FALSE),
+      };
+      for (gsize v = 0; v < G_N_ELEMENTS (versions); v++)
+        {
+          expected_version = versions[v];
+          S_watcher_learns (fleet, versions[v]);
+          MrTime took = fleet_run_until (fleet, S_all_know, 10 * MR_SECOND);
+          print_message ("%s, version %u: %.2f s\n", cases[i].name, (guint) v,
+                         (double) took / MR_SECOND);
+          if (took > (MrTime) (cases[i].seconds * MR_SECOND))
+            fail_msg ("%s", cases[i].name);
+        }
+      fleet_free (fleet);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_versions),
+    cmocka_unit_test (test_callers),
+    cmocka_unit_test (test_all_know),
+  };
+  mr_log_set_level (MR_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
