--- a/src/ctl.c
+++ b/src/ctl.c
@@ -44,6 +44,11 @@
   { "quarantine lift", "CONTENT", "Let a content be sent to targets again, by its fingerprint",
     "merlinringctl quarantine lift --entry 10.0.0.11:9100 6ea12fb25cac794dad0efd1471deb818",
     ctl_quarantine_lift },
+  { "evacuate", "DOMAIN",
+    "Give the targets of a failure domain no new work, until --undo takes it back",
+    "merlinringctl evacuate rack-a", ctl_evacuate },
+  { "evacuations", "", "Evacuated failure domains: since when, and held by how many daemons",
+    "merlinringctl evacuations", ctl_evacuations },
   { "explain", "REQUEST-ID [FILE...]",
     "A relayed request's story and the cause of its outcome, from log lines (standard input "
     "without files)",
@@ -79,6 +84,7 @@
   KEY_TICKET,
   KEY_VERSION,
   KEY_SVG,
+  KEY_UNDO,
   TIMEOUT_DEFAULT_MS = 5000,
 };
 
@@ -116,6 +122,7 @@
     .key = KEY_VERSION,
     .arg = "N",
     .doc = "document apply, edit: the version that the edit is based on" },
+  { .name = "undo", .key = KEY_UNDO, .doc = "evacuate: let the domain be used again" },
   { .name = "svg", .key = KEY_SVG, .arg = "FILE", .doc = "report: write plots to FILE" },
   { 0 },
 };
@@ -149,6 +156,8 @@
     options->json = TRUE;
   else if (key == KEY_WAIT)
     options->wait = TRUE;
+  else if (key == KEY_UNDO)
+    options->undo = TRUE;
   else if (key == KEY_TIMEOUT)
     options->timeout_ms = atoi (arg);
   else if (key == ARGP_KEY_ARGS)
--- a/src/ctl.h
+++ b/src/ctl.h
@@ -22,6 +22,7 @@
   const char *entry;    /* "ip:port" of a daemon */
   const char *platform; /* "ip:port" of the object API */
   gboolean json;
+  gboolean undo; /* evacuate: take it back */
   gboolean wait; /* document apply, edit: until in force on every member */
   int timeout_ms;
   const char *traffic_class;
@@ -84,6 +85,8 @@
 CtlExit ctl_report (const CtlOptions *options);
 CtlExit ctl_quarantine (const CtlOptions *options);
 CtlExit ctl_quarantine_lift (const CtlOptions *options);
+CtlExit ctl_evacuate (const CtlOptions *options);
+CtlExit ctl_evacuations (const CtlOptions *options);
 
 /* Calls @add with each line of @file that holds a JSON object; other lines are
  * passed over, since collected logs hold others too.  @line is borrowed. */
--- a/src/operator_pages.c
+++ b/src/operator_pages.c
@@ -26,6 +26,16 @@
     }
 }
 
+static void
+S_append_evacuated (GString *out, const MrView *view)
+{
+  GHashTableIter iter;
+  gpointer domain = NULL;
+  g_hash_table_iter_init (&iter, view->evacuated);
+  for (gboolean first = TRUE; g_hash_table_iter_next (&iter, &domain, NULL); first = FALSE)
+    g_string_append_printf (out, "%s\"%s\"", first ? "" : ",", (const char *) domain);
+}
+
 GString *
 mr_page_status (const MrEntryContext *context, const MrOperatorCounts *counts)
 {
@@ -43,6 +53,9 @@
                           view ? view->members->count : 0, counts->searches, counts->orders);
   if (view)
     S_append_services (out, view);
+  g_string_append (out, "],\"evacuated\":[");
+  if (view)
+    S_append_evacuated (out, view);
   g_string_append (out, "]}\n");
   return out;
 }
