Cold targets get no more calls than they bear, from all daemons together

A configuration may say how many calls a second a cold target is to get (cold_rate); nothing read it, and nothing bounded what the fleet sends. A target that turned cold again while it served was taken for a warm one, since only a new entry's word counted.

What a cold target can't take goes to others, or is refused at once.

Ruled out: a part for every daemon (of 24 in a domain each would have none); a part by the list of entries alone (a daemon that is cut off names itself, and its place is taken: over the bound at the first schedule).

--- a/src/configuration.c
+++ b/src/configuration.c
@@ -180,17 +180,28 @@
 S_read_service (MrConfiguration *c, const json_t *object)
 {
   double connections = 0;
+  double cold_rate = 0;
+  double cold_time = 0;
   char *name = NULL;
   MrStatus status = S_read_string (object, "service", "name", &name);
   if (status == MR_OK)
     status = S_read_number (object, name, "connections", 1, &connections);
+  if (status == MR_OK && json_object_get (object, "cold_rate"))
+    status = S_read_number (object, name, "cold_rate", 0, &cold_rate);
+  if (status == MR_OK && json_object_get (object, "cold_time"))
+    status = S_read_number (object, name, "cold_time", 0, &cold_time);
   if (status != MR_OK)
     {
       g_free (name);
       return status;
     }
   MrServiceInfo *service = g_new (MrServiceInfo, 1);
-  *service = (MrServiceInfo){ .name = name, .most_connections = (guint) connections };
+  *service = (MrServiceInfo){
+    .name = name,
+    .most_connections = (guint) connections,
+    .cold_rate = cold_rate,
+    .cold_time = (MrTime) (cold_time * MR_MS),
+  };
   g_hash_table_replace (c->services, service->name, service);
   return MR_OK;
 }
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -11,6 +11,8 @@
 {
   char *name;
   guint most_connections; /* that one target accepts from all daemons together */
+  double cold_rate;       /* calls a second that a cold target is to get; 0: any */
+  MrTime cold_time;       /* for which a target is cold after its start */
 } MrServiceInfo;
 
 typedef struct
--- a/src/relay.c
+++ b/src/relay.c
@@ -72,6 +72,7 @@
   r->policy = info->policy;
   r->domain = g_strdup (info->domain);
   r->terms = info->budget;
+  r->cold = info->cold;
   r->random = g_rand_new_with_seed (info->seed);
   r->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   r->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_service_free);
--- a/src/relay.h
+++ b/src/relay.h
@@ -184,11 +184,20 @@
 /* Of requests that callers send to be relayed. */
 extern const MrRelayPolicy mr_relay_policy;
 
+/* What a cold target bears from all daemons in any second: @factor times its rate and
+ * @slack. */
+typedef struct
+{
+  double factor;
+  double slack;
+} MrColdTerms;
+
 typedef struct
 {
   const char *domain; /* failure domain of this VM, NULL: all are near; borrowed */
   const MrRelayPolicy *policy;
   MrWindowTerms budget;
+  MrColdTerms cold;
   guint32 seed;
   MrTime unix_offset; /* of the clock that the relay is told, to that of Unix */
 } MrRelayInfo;
@@ -224,6 +233,7 @@
   double connections; /* of each target */
   double slots;       /* of each target */
   double allowance;   /* of second sends */
+  double cold;        /* of what a cold target bears */
 } MrRelayShares;
 
 void mr_relay_set_shares (MrRelay *relay, const MrRelayShares *shares);
--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -191,7 +191,7 @@
   for (guint i = 0; i < work->part_count; i++)
     {
       double load = 0;
-      if (mr_relay_job_crowded (&work->jobs[i]))
+      if (mr_relay_job_crowded (&work->jobs[i], now))
         load = mr_relay_job_load (&work->jobs[i], now) *
                sqrt (left / (double) work->jobs[i].service->pool->shortest);
       for (guint place = 0; place <= spare; place++)
@@ -234,13 +234,13 @@
   for (guint i = 0; i < work->part_count; i++)
     {
       const Service *service = work->jobs[i].service;
-      if (mr_relay_usable (service, &room) == 0)
+      if (mr_relay_usable (service, now, &room) == 0)
         {
           none = none == MR_CAUSE_EVACUATED ? none : mr_relay_no_target_cause (service);
           continue;
         }
       alive++;
-      MrTime expected = mr_relay_expected_wait (&work->jobs[i]);
+      MrTime expected = mr_relay_expected_wait (&work->jobs[i], now);
       *wait = MAX (*wait, expected);
       if (expected <= most)
         quick++;
--- a/src/relay_choice.c
+++ b/src/relay_choice.c
@@ -149,10 +149,10 @@
   for (guint n = 0; n < targets->len; n++)
     {
       MrTargetState *target = g_ptr_array_index (targets, (n + offset) % targets->len);
-      if (!mr_target_state_hopeful (target) || !mr_relay_may_go (relay, now, job, target))
+      if (!mr_target_state_hopeful (target, now) || !mr_relay_may_go (relay, now, job, target))
         continue;
       *hope = TRUE;
-      if (!mr_target_state_usable (target) || !mr_target_state_free_slot (target))
+      if (!mr_target_state_bears (target, now) || !mr_target_state_free_slot (target))
         continue;
       double cost = S_cost (relay, now, target);
       if (cost < best_cost)
--- a/src/relay_end.c
+++ b/src/relay_end.c
@@ -13,13 +13,13 @@
 static const MrTime RETRY_MAX = 2 * MR_SECOND;
 
 static MrTime
-S_retry_after (const MrRelayWork *work)
+S_retry_after (const MrRelayWork *work, MrTime now)
 {
   MrTime wait = 0;
   if (work->cause == MR_CAUSE_QUARANTINED)
     return 0; /* it is not to come back */
   for (guint i = 0; i < work->part_count; i++)
-    wait = MAX (wait, mr_relay_expected_wait (&work->jobs[i]));
+    wait = MAX (wait, mr_relay_expected_wait (&work->jobs[i], now));
   if (work->cause == MR_CAUSE_NO_TARGET)
     wait = MAX (wait, RETRY_NO_TARGET);
   if (work->cause == MR_CAUSE_EVACUATED)
@@ -63,13 +63,14 @@
   MrRelayResult result = {
     .verdict = verdict,
     .cause = work->cause,
-    .retry_after = verdict == MR_VERDICT_REFUSED ? S_retry_after (work) : 0,
+    .retry_after = verdict == MR_VERDICT_REFUSED ? S_retry_after (work, now) : 0,
     .part_count = work->part_count,
     .answers = work->answers,
     .missing = work->part_count - work->have,
     .may_have_run = may_run,
     .sends = work->sends,
-    .expected_wait = verdict == MR_VERDICT_REFUSED ? mr_relay_expected_wait (&work->jobs[0]) : 0,
+    .expected_wait =
+        verdict == MR_VERDICT_REFUSED ? mr_relay_expected_wait (&work->jobs[0], now) : 0,
   };
   S_count (r, verdict, result.missing);
   if (work->cause == MR_CAUSE_QUARANTINED)
--- a/src/relay_evacuation.c
+++ b/src/relay_evacuation.c
@@ -45,6 +45,7 @@
 S_return (MrRelay *r, MrTime now, MrTargetState *target)
 {
   mr_limit_on_cold (&target->limit);
+  mr_relay_assume_cold (target, now);
   mr_relay_pump_target (r, now, target);
 }
 
--- a/src/relay_load.c
+++ b/src/relay_load.c
@@ -32,34 +32,49 @@
   return MIN (most, MAX (slots, CALLS_MIN));
 }
 
+/* Calls that this daemon may send to one cold target in a span. */
+static guint
+S_cold_permits (const MrRelay *relay, const MrServiceInfo *info)
+{
+  if (!info || info->cold_rate <= 0)
+    return MR_COLD_UNBOUNDED;
+  return mr_cold_share_permits (relay->shares.cold,
+                                info->cold_rate * relay->cold.factor + relay->cold.slack);
+}
+
 void
 mr_relay_cap (const MrRelay *relay, const MrRelayWork *work, Service *service)
 {
   if (!work->configuration)
     return; /* its host sets the limits */
   guint64 version = mr_configuration_version (work->configuration);
-  if (service->capped_version == version && service->capped_share == relay->shares.connections)
+  if (service->capped_version == version && service->capped_share == relay->shares.connections &&
+      service->capped_cold == relay->shares.cold)
     return;
   const MrServiceInfo *info = mr_configuration_service (work->configuration, service->name);
   service->capped_version = version;
   service->capped_share = relay->shares.connections;
+  service->capped_cold = relay->shares.cold;
+  service->cold_time = info ? info->cold_time : 0;
+  guint permits = S_cold_permits (relay, info);
   for (guint i = 0; i < service->targets->len; i++)
     {
       MrTargetState *target = g_ptr_array_index (service->targets, i);
       double most = info ? info->most_connections : target->connections;
       mr_limit_set_most (&target->limit, S_most_calls (relay, target, most));
+      target->cold_permits = permits;
     }
 }
 
 guint
-mr_relay_usable (const Service *service, double *room)
+mr_relay_usable (const Service *service, MrTime now, double *room)
 {
   guint usable = 0;
   *room = 0;
   for (guint i = 0; i < service->targets->len; i++)
     {
       const MrTargetState *target = g_ptr_array_index (service->targets, i);
-      if (!mr_target_state_hopeful (target))
+      if (!mr_target_state_hopeful (target, now))
         continue;
       usable++;
       *room += mr_limit_calls (&target->limit);
@@ -81,14 +96,14 @@
 }
 
 MrTime
-mr_relay_expected_wait (const Job *job)
+mr_relay_expected_wait (const Job *job, MrTime now)
 {
   double room = 0;
   double ahead = 0;
   for (const GList *link = job->service->waiting.head; link; link = link->next)
     if (((const Job *) link->data)->work->route->rank <= job->work->route->rank)
       ahead++;
-  mr_relay_usable (job->service, &room);
+  mr_relay_usable (job->service, now, &room);
   return ahead > 0 && room > 0 ? (MrTime) (ahead * job->work->kind->mean / room) : 0;
 }
 
@@ -104,22 +119,22 @@
   for (guint i = 0; i < job->service->targets->len; i++)
     {
       const MrTargetState *target = g_ptr_array_index (job->service->targets, i);
-      if (mr_target_state_usable (target))
+      if (mr_target_state_bears (target, now))
         best = MIN (best, S_expected_time (target, now, work->kind));
     }
   if (best == G_MAXDOUBLE)
     return 0;
-  double expected = best + (double) mr_relay_expected_wait (job);
+  double expected = best + (double) mr_relay_expected_wait (job, now);
   return expected / (double) MAX (work->soft_end - now, 1);
 }
 
 gboolean
-mr_relay_job_crowded (const Job *job)
+mr_relay_job_crowded (const Job *job, MrTime now)
 {
   for (guint i = 0; i < job->service->targets->len; i++)
     {
       const MrTargetState *target = g_ptr_array_index (job->service->targets, i);
-      if (mr_target_state_usable (target) && mr_target_state_free_slot (target))
+      if (mr_target_state_bears (target, now) && mr_target_state_free_slot (target))
         return FALSE;
     }
   return TRUE;
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -47,6 +47,8 @@
   g_queue_push_tail_link (&target->open, &call->link);
   target->in_flight++;
   target->calls++;
+  if (now < target->cold_until)
+    mr_cold_window_note (&target->cold_calls, now);
   g_hash_table_insert (relay->calls, &call->id, call);
   relay->counts.calls++;
   if (reason == MR_SEND_HEDGE)
@@ -234,7 +236,7 @@
 void
 mr_relay_pump_target (MrRelay *relay, MrTime now, MrTargetState *target)
 {
-  while (mr_target_state_usable (target) && mr_target_state_free_slot (target))
+  while (mr_target_state_bears (target, now) && mr_target_state_free_slot (target))
     {
       Job *next = NULL;
       for (guint i = 0; i < target->sets->len; i++)
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -38,6 +38,8 @@
   /* What the targets' limits were set for. */
   guint64 capped_version;
   double capped_share;
+  double capped_cold;
+  MrTime cold_time; /* of a target that has started or come back */
 } Service;
 
 /* Running measures of one route's calls: requests of one route are alike. */
@@ -195,6 +197,7 @@
   char *domain;
   MrWindowTerms terms; /* that pools begin with */
   MrRelayShares shares;
+  MrColdTerms cold;
   GRand *random;
   GHashTable *pools;     /* name -> Pool */
   GHashTable *services;  /* name -> Service */
@@ -287,7 +290,7 @@
 void mr_relay_hold (Job *job);
 /* The held part whose shard can best do without one more target; held no longer.  There has
  * to be one. */
-Job *mr_relay_take_held (const MrRelayWork *work);
+Job *mr_relay_take_held (const MrRelayWork *work, MrTime now);
 /* The parts in the order in which targets of their shards are put at risk. */
 Job *mr_relay_nth_risk (const MrRelayWork *work, guint n);
 /* When the next part of a request that goes one by one is due; MR_NEVER: nothing is. */
@@ -326,6 +329,8 @@
 void mr_relay_note_sent (Job *job, const MrTargetState *target);
 void mr_relay_note_tried (Job *job, const MrTargetState *target, MrCallOutcome outcome);
 
+/* The target may be cold, though nothing has said so. */
+void mr_relay_assume_cold (MrTargetState *target, MrTime now);
 /* Carries out what a target's health asks for. */
 void mr_relay_act (MrRelay *relay, MrTime now, MrTargetState *target, MrHealthAction action);
 
@@ -345,10 +350,10 @@
 
 /* TRUE if every usable target of the job's service has all that it may have from
  * here in flight: it is slow for its load, and fewer calls would help. */
-gboolean mr_relay_job_crowded (const Job *job);
+gboolean mr_relay_job_crowded (const Job *job, MrTime now);
 
 /* Time until a job that is queued now gets room, from the queue before it. */
-MrTime mr_relay_expected_wait (const Job *job);
+MrTime mr_relay_expected_wait (const Job *job, MrTime now);
 
 /* A second send beside one that is under way; FALSE if none may go out now. */
 gboolean mr_relay_hedge (MrRelay *relay, MrTime now, Job *job);
@@ -365,7 +370,7 @@
 void mr_relay_cap (const MrRelay *relay, const MrRelayWork *work, Service *service);
 
 /* Usable targets of the service, and calls they have room for together. */
-guint mr_relay_usable (const Service *service, double *room);
+guint mr_relay_usable (const Service *service, MrTime now, double *room);
 
 guint mr_relay_job_calls (const Job *job);
 /* TRUE if a call of any part is out. */
--- a/src/relay_settings.h
+++ b/src/relay_settings.h
@@ -13,5 +13,8 @@
   int window_ms;          /* in which second sends are bounded */
   double extra_ratio;     /* second sends for each request */
   double extra_allowance; /* of the whole fleet, beside the ratio */
+  double cold_factor;     /* a cold target bears so many times its rate */
+  double cold_slack;      /* and so many calls a second more */
+  int domains;            /* failure domains that there are; 0: not known */
   int max_descriptors;
 } MrRelaySettings;
--- a/src/relay_stage.c
+++ b/src/relay_stage.c
@@ -45,7 +45,7 @@
   work->staged = TRUE;
   for (guint i = 0; i < work->part_count; i++)
     mr_relay_hold (&work->jobs[i]);
-  mr_relay_begin_job (r, now, mr_relay_take_held (work));
+  mr_relay_begin_job (r, now, mr_relay_take_held (work, now));
 }
 
 void
--- a/src/relay_targets.c
+++ b/src/relay_targets.c
@@ -24,6 +24,17 @@
           target->id, target->key, mr_health_name (target->health.state), heard);
 }
 
+/* Only where it matters to the target: elsewhere it would be passed over for nothing. */
+void
+mr_relay_assume_cold (MrTargetState *target, MrTime now)
+{
+  if (target->cold_permits == MR_COLD_UNBOUNDED)
+    return;
+  for (guint i = 0; i < target->sets->len; i++)
+    mr_target_state_set_cold (target, now,
+                              ((const Service *) g_ptr_array_index (target->sets, i))->cold_time);
+}
+
 /* Carries out what a target's health asks for. */
 static void
 S_carry_out (MrRelay *r, MrTargetState *target, MrTime now, MrHealthAction action)
@@ -39,6 +50,7 @@
       break;
     case MR_HEALTH_COLD:
       mr_limit_on_cold (&target->limit);
+      mr_relay_assume_cold (target, now);
       mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_UP, "target %s (%s) is back", target->id, target->key);
       break;
     case MR_HEALTH_NOTHING:
@@ -147,11 +159,10 @@
 }
 
 static MrTargetState *
-S_add_target (MrRelay *r, MrTime now, const char *set, const MrTarget *target, MrTime cold_for)
+S_add_target (MrRelay *r, const char *set, const MrTarget *target, MrTime cold_for)
 {
   g_autofree char *key = S_address (target);
   MrTargetState *state = mr_target_state_new (target, key);
-  state->cold_until = now + cold_for;
   g_hash_table_insert (r->targets, (gpointer) S_name (r, state), state);
   mr_log (MR_LOG_NOTICE, MR_EVENT_TARGET_KNOWN, "target %s (%s) of %s in %s, slow for %d ms yet",
           state->id, key, set, state->domain, (int) (cold_for / MR_MS));
@@ -200,8 +211,9 @@
       state = NULL;
     }
   if (!state)
-    state = S_add_target (r, now, set, target, cold_for);
+    state = S_add_target (r, set, target, cold_for);
   S_set_domain (r, state, target->domain);
+  mr_target_state_set_cold (state, now, cold_for);
   Service *service = mr_relay_service (r, set);
   if (!g_ptr_array_find (state->sets, service, NULL))
     {
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -80,17 +80,24 @@
 }
 
 static void
-S_on_view (MrRelayTask *task, MrView *view)
+S_set_shares (MrRelayTask *task, MrTime now, const MrView *view)
 {
-  MrTime now = mr_now ();
-  mr_entry_plan_clear (&task->plan);
-  task->plan = mr_entry_plan (view->members, task->settings->base.name);
   MrRelayShares shares = {
     .connections = task->plan.connections,
     .slots = task->plan.slots,
     .allowance = task->plan.allowance,
+    .cold = mr_cold_share_update (task->cold, now, view->members, &task->plan),
   };
   mr_relay_set_shares (task->relay, &shares);
+}
+
+static void
+S_on_view (MrRelayTask *task, MrView *view)
+{
+  MrTime now = mr_now ();
+  mr_entry_plan_clear (&task->plan);
+  task->plan = mr_entry_plan (view->members, task->settings->base.name);
+  S_set_shares (task, now, view);
   S_take_configuration (task, view);
   mr_relay_set_evacuated (task->relay, now, view->evacuated);
   S_take_targets (task, now, view);
@@ -157,6 +164,9 @@
   task->load_at = now + LOAD_GAP;
   *next = MIN (*next, task->load_at);
   S_announce (task);
+  /* A part of what cold targets bear comes with time, without news of members. */
+  if (task->view)
+    S_set_shares (task, now, task->view);
 }
 
 static void
@@ -233,6 +243,8 @@
   task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          (GDestroyNotify) mr_target_record_unref);
   task->early = mr_start_queue_new (mr_now ());
+  task->cold =
+      mr_cold_share_new (settings->base.name, settings->base.domain, (guint) settings->domains);
   task->content_key = mr_settings_content_key (&settings->base);
   mr_relay_request_init (task);
   mr_relay_pages_init (task);
@@ -244,6 +256,7 @@
         .policy = &mr_relay_policy,
         .seed = info->seed,
         .unix_offset = g_get_real_time () - mr_now (),
+        .cold = { .factor = settings->cold_factor, .slack = settings->cold_slack },
         .budget = {
           .window = settings->window_ms * MR_MS,
           .ratio = settings->extra_ratio,
@@ -273,6 +286,7 @@
   mr_target_client_free (task->client);
   mr_relay_free (task->relay);
   mr_start_queue_free (task->early);
+  mr_cold_share_free (task->cold);
   mr_entry_plan_clear (&task->plan);
   mr_view_unref (task->view);
   g_hash_table_unref (task->records);
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "caller_server.h"
+#include "cold_share.h"
 #include "entry_plan.h"
 #include "histogram.h"
 #include "message.h"
@@ -41,7 +42,8 @@
   MrCallerServer *metrics; /* NULL: not asked for */
   MrView *view;
   MrEntryPlan plan; /* of the view's members */
-  guint32 load;     /* thousandths of a core, in steps */
+  MrColdShare *cold;
+  guint32 load; /* thousandths of a core, in steps */
   guint32 announced_load;
   guint64 load_calls;  /* counted when the load was measured */
   MrTime load_at;      /* next measurement */
--- a/src/relay_trial.c
+++ b/src/relay_trial.c
@@ -62,7 +62,7 @@
 }
 
 Job *
-mr_relay_take_held (const MrRelayWork *work)
+mr_relay_take_held (const MrRelayWork *work, MrTime now)
 {
   Job *best = NULL;
   guint best_usable = 0;
@@ -70,7 +70,7 @@
     {
       Job *job = mr_relay_nth_risk (work, i);
       double room = 0;
-      guint usable = job->held ? mr_relay_usable (job->service, &room) : 0;
+      guint usable = job->held ? mr_relay_usable (job->service, now, &room) : 0;
       if (job->held && (!best || usable > best_usable))
         {
           best = job;
@@ -119,7 +119,7 @@
   work->suspect = TRUE;
   work->one_by_one = TRUE;
   work->base = content->evidence;
-  Job *job = mr_relay_take_held (work);
+  Job *job = mr_relay_take_held (work, now);
   work->trial = job;
   r->counts.trials++;
   mr_relay_place (r, now, job, job->sends > 0 ? MR_SEND_RETRY : MR_SEND_FIRST);
--- a/src/target.c
+++ b/src/target.c
@@ -22,6 +22,7 @@
   state->started = target->started;
   state->latency = LATENCY_FIRST;
   state->relative = 1;
+  state->cold_permits = MR_COLD_UNBOUNDED;
   mr_limit_init (&state->limit, target->slots);
   state->sets = g_ptr_array_new ();
   state->broken = g_array_new (FALSE, FALSE, sizeof (MrFingerprint));
@@ -49,11 +50,31 @@
   return mr_health_usable (&target->health) && !target->evacuated;
 }
 
+static gboolean
+S_is_over_cold (const MrTargetState *target, MrTime now)
+{
+  return now < target->cold_until && target->cold_permits != MR_COLD_UNBOUNDED &&
+         !mr_cold_window_allows (&target->cold_calls, now, target->cold_permits);
+}
+
 gboolean
-mr_target_state_hopeful (const MrTargetState *target)
+mr_target_state_bears (const MrTargetState *target, MrTime now)
+{
+  return mr_target_state_usable (target) && !S_is_over_cold (target, now);
+}
+
+gboolean
+mr_target_state_hopeful (const MrTargetState *target, MrTime now)
+{
+  gboolean lives = mr_target_state_usable (target) ||
+                   (target->health.state == MR_HEALTH_SUSPECT && !target->evacuated);
+  return lives && !S_is_over_cold (target, now);
+}
+
+void
+mr_target_state_set_cold (MrTargetState *target, MrTime now, MrTime cold_for)
 {
-  return mr_target_state_usable (target) ||
-         (target->health.state == MR_HEALTH_SUSPECT && !target->evacuated);
+  target->cold_until = MAX (target->cold_until, now + cold_for);
 }
 
 gboolean
--- a/src/target.h
+++ b/src/target.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "batch.h"
+#include "cold_share.h"
 #include "fingerprint.h"
 #include "health.h"
 #include "limit.h"
@@ -27,11 +28,14 @@
   double latency;    /* running mean of answers, us */
   double relative;   /* running mean of latency over that of the same kind of request; 1 is usual */
   double failing;    /* running share of calls that failed or were shed */
-  MrTime cold_until; /* slow until then: it has just started */
-  GQueue open;       /* calls not ended, oldest first; kept by the relay */
-  guint64 calls;     /* started, ever */
-  guint64 shed;      /* answers that refused for load */
-  guint64 lacks;     /* generation that it said it does not hold */
+  MrTime cold_until; /* slow until then: it has just started, or turned cold since */
+  /* Calls that this daemon may send it in MR_COLD_SPAN while it is cold; those sent. */
+  guint cold_permits;
+  MrColdWindow cold_calls;
+  GQueue open;   /* calls not ended, oldest first; kept by the relay */
+  guint64 calls; /* started, ever */
+  guint64 shed;  /* answers that refused for load */
+  guint64 lacks; /* generation that it said it does not hold */
   MrTime lacks_until;
   GPtrArray *sets; /* that it is in; kept by the relay */
   GArray *broken;  /* MrFingerprint of the calls that broke since it last took a connection */
@@ -48,10 +52,14 @@
                               void (*visit) (const MrTargetState *target, void *user),
                               void *user);
 
-/* May be given work. */
+/* May be given work, if it has room. */
 gboolean mr_target_state_usable (const MrTargetState *target);
-/* May be given work now, or once it has shown that it lives. */
-gboolean mr_target_state_hopeful (const MrTargetState *target);
+/* The same, and it is not cold or bears one more call from here at @now. */
+gboolean mr_target_state_bears (const MrTargetState *target, MrTime now);
+/* May be given work at @now, or once it has shown that it lives. */
+gboolean mr_target_state_hopeful (const MrTargetState *target, MrTime now);
+/* It is cold for @cold_for yet, perhaps for longer by earlier word. */
+void mr_target_state_set_cold (MrTargetState *target, MrTime now, MrTime cold_for);
 gboolean mr_target_state_free_slot (const MrTargetState *target);
 
 /* FALSE while it is known not to hold the map's snapshot. */
--- a/test/platform/test_store.c
+++ b/test/platform/test_store.c
@@ -3,6 +3,7 @@
 #include "adapter.h"
 
 #include "configuration.h"
+#include "evacuation.h"
 #include "registry.h"
 #include "target_record.h"
 
@@ -61,6 +62,39 @@
   mr_registry_free (registry);
 }
 
+/* Guards against an evacuation that is passed over for what its entry holds, or that an old
+ * removal ends. */
+static void
+test_evacuations (void **state)
+{
+  (void) state;
+  static const struct
+  {
+    const char *body;
+    guint64 version;
+    gboolean deleted;
+  } cases[] = {
+    { "{\"deleted\":false,\"object\":{\"meta\":{\"name\":\"z\",\"revision\":5},\"spec\":{}}}", 5,
+      FALSE },
+    { "{\"deleted\":false,\"object\":{\"meta\":{\"name\":\"z\",\"revision\":6},\"spec\":null}}", 6,
+      FALSE },
+    { "{\"deleted\":false,\"object\":{\"meta\":{\"name\":\"z\",\"revision\":7}}}", 7, FALSE },
+    { "{\"deleted\":true,\"object\":{\"meta\":{\"name\":\"z\",\"revision\":7}}}", 7, TRUE },
+  };
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *body =
+          g_strdup_printf ("{\"store_revision\":9,\"events\":[%s]}", cases[i].body);
+      MrPlatformResult *result = S_read ("evacuations", 4, 200, body);
+      assert_int_equal (result->objects->len, 1);
+      const MrPlatformObject *object = g_ptr_array_index (result->objects, 0);
+      guint64 version = mr_evacuation_version (object->version, object->deleted);
+      assert_int_equal (version / MR_VERSIONS_APART, cases[i].version);
+      assert_int_equal (mr_evacuation_holds (version), !cases[i].deleted);
+      mr_message_free (&result->base);
+    }
+}
+
 static void
 test_removal_follows_change (void **state)
 {
@@ -264,7 +298,8 @@
       "\"priority\":2,\"gather\":[\"x\",\"y\"],\"max_attempts\":2,\"top_k\":5,"
       "\"min_shard_share\":0.75},{\"name\":\"o\",\"host\":\"H.example\",\"path_prefix\":\"/a/b/\","
       "\"kind\":\"unsafe\",\"timeout_ms\":800,\"latency_target_ms\":80,\"priority\":0,"
-      "\"service\":\"x\",\"max_attempts\":1}],\"services\":[{\"name\":\"x\",\"max_conns\":40}],"
+      "\"service\":\"x\",\"max_attempts\":1}],\"services\":[{\"name\":\"x\",\"max_conns\":40},"
+      "{\"name\":\"y\",\"max_conns\":40,\"warmup_per_s\":12.5,\"warmup_s\":3.0}],"
       "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":262144,\"header_timeout_ms\":3000,"
       "\"idle_timeout_ms\":15000}}}]}");
   assert_int_equal (result->objects->len, 1);
@@ -281,6 +316,9 @@
   assert_false (single->repeatable);
   assert_null (mr_configuration_match (c, MR_TEXT ("h.example"), MR_TEXT ("/b/")));
   assert_int_equal (mr_configuration_service (c, "x")->most_connections, 40);
+  assert_true (mr_configuration_service (c, "x")->cold_rate == 0);
+  assert_true (mr_configuration_service (c, "y")->cold_rate == 12.5);
+  assert_int_equal (mr_configuration_service (c, "y")->cold_time, 3 * MR_SECOND);
   mr_configuration_unref (c);
   mr_message_free (&result->base);
 }
@@ -317,13 +355,10 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_old_removal),
-    cmocka_unit_test (test_removal_follows_change),
-    cmocka_unit_test (test_answers),
-    cmocka_unit_test (test_configuration),
-    cmocka_unit_test (test_questions),
-    cmocka_unit_test (test_entries),
-    cmocka_unit_test (test_unreadable_entries),
+    cmocka_unit_test (test_old_removal),   cmocka_unit_test (test_removal_follows_change),
+    cmocka_unit_test (test_answers),       cmocka_unit_test (test_evacuations),
+    cmocka_unit_test (test_configuration), cmocka_unit_test (test_questions),
+    cmocka_unit_test (test_entries),       cmocka_unit_test (test_unreadable_entries),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/prop_relay.cpp
+++ b/test/prop_relay.cpp
@@ -139,6 +139,10 @@
   p.seconds = 5;
   p.replicas = 1 + pick (random, 4);
   p.connect_ms = pick (random, 2) * 6;
+  p.cold_rate = pick (random, 3) * 4;
+  p.events[4] = WorldEvent{
+    WORLD_COLD, pick (random, 4), 8, 1 + pick (random, 2), 1500, 1600.0 + pick (random, 3000), 0
+  };
   for (guint i = 5; i < 8; i++)
     {
       guint first = pick (random, WORLD_DOMAINS);
@@ -166,8 +170,8 @@
 broken_rules (const WorldResult &r)
 {
   return r.worst_window_extra + r.ran_twice + r.false_not_run + r.over_attempts + r.after_leaving +
-         r.after_evacuated + r.longer_than_left + r.unanswered + r.late_verdicts + r.after_gone +
-         r.shards_wrong;
+         r.after_evacuated + r.cold_over + r.longer_than_left + r.unanswered + r.late_verdicts +
+         r.after_gone + r.shards_wrong;
 }
 
 WorldResult
--- a/test/relay_world.c
+++ b/test/relay_world.c
@@ -2,16 +2,18 @@
 
 #include <math.h>
 
+static const double COLD_FACTOR = 1.5;
+
 enum
 {
   ONE_WAY_US = 1500,
   HANDSHAKE_US = 6000,
-  COLD_MS = 0,
   LEAVING_US = 3000000, /* a leaving target may be given work for this long */
   RATIO_PERCENT = 20,
   ALLOWANCE = 52,
   WINDOW_US = 10000000,
   SLACK_US = 500000,
+  COLD_SLACK = 5,
   CRASHER_CONTENT = 1,
   POPULAR_CONTENT = 2, /* and the numbers that follow, by route */
 };
@@ -66,6 +68,8 @@
   WorldTrouble trouble;
   double factor;
   MrTime leaving_at; /* listed as leaving or gone; 0: not */
+  MrTime cold_until;
+  GQueue cold_calls; /* MrTime: arrivals in the last second, while it is cold */
 } Target;
 
 /* The domain of a target, and of a daemon, is its index modulo WORLD_DOMAINS. */
@@ -302,6 +306,20 @@
     w->result->over_attempts++;
 }
 
+static void
+S_note_cold (World *w, Target *target)
+{
+  double most = COLD_FACTOR * w->plan->cold_rate + COLD_SLACK;
+  MrTime *arrived = g_new (MrTime, 1);
+  *arrived = w->now;
+  g_queue_push_tail (&target->cold_calls, arrived);
+  for (MrTime *first = g_queue_peek_head (&target->cold_calls); w->now - *first >= MR_SECOND;
+       first = g_queue_peek_head (&target->cold_calls))
+    g_free (g_queue_pop_head (&target->cold_calls));
+  if (w->plan->cold_rate > 0 && target->cold_calls.length > most)
+    w->result->cold_over = MAX (w->result->cold_over, target->cold_calls.length - (guint) most);
+}
+
 static void
 S_on_reach (World *w, Call *call)
 {
@@ -312,6 +330,8 @@
     return;
   if (evacuated_at != 0 && w->now > evacuated_at + ONE_WAY_US)
     w->result->after_evacuated++;
+  if (w->now < target->cold_until)
+    S_note_cold (w, target);
   if (target->trouble == WORLD_DARK)
     return;
   if (S_takes_no_connections (target))
@@ -628,7 +648,7 @@
 /* Troubles. */
 
 static void
-S_list (World *w, const Target *target, gboolean leaving)
+S_list (World *w, const Target *target, gboolean leaving, MrTime cold_for)
 {
   char service[32];
   g_snprintf (service, sizeof service, "s%u", target->shard);
@@ -638,7 +658,7 @@
   g_strlcpy (info.ip, "10.0.0.1", sizeof info.ip);
   g_snprintf (info.domain, sizeof info.domain, "d%u", target->index % WORLD_DOMAINS);
   for (guint i = 0; i < w->plan->daemons; i++)
-    mr_relay_target (w->daemons[i].relay, w->now, service, &info, leaving, COLD_MS);
+    mr_relay_target (w->daemons[i].relay, w->now, service, &info, leaving, cold_for);
 }
 
 /* All daemons hear of it at once. */
@@ -679,10 +699,15 @@
         continue;
       if (event->trouble == WORLD_ENDS || event->trouble == WORLD_VANISHES)
         S_end_process (w, target);
+      if (event->trouble == WORLD_COLD && target->leaving_at == 0)
+        {
+          target->cold_until = S_ms (event->to_ms);
+          S_list (w, target, FALSE, target->cold_until - w->now);
+        }
       if (event->trouble == WORLD_GONE || event->trouble == WORLD_LEAVES)
         target->leaving_at = w->now;
       if (event->trouble == WORLD_LEAVES)
-        S_list (w, target, TRUE);
+        S_list (w, target, TRUE, 0);
       if (event->trouble == WORLD_GONE || event->trouble == WORLD_VANISHES)
         S_withdraw (w, target);
     }
@@ -696,8 +721,8 @@
   GString *json = g_string_new ("{\"version\":1,\"limits\":{\"head_bytes\":1,\"body_bytes\":1,"
                                 "\"head_time\":1,\"idle_time\":1},\"services\":[");
   for (guint i = 0; i < plan->shards; i++)
-    g_string_append_printf (json, "%s{\"name\":\"s%u\",\"connections\":%u}", i > 0 ? "," : "", i,
-                            plan->connections);
+    g_string_append_printf (json, "%s{\"name\":\"s%u\",\"connections\":%u,\"cold_rate\":%f}",
+                            i > 0 ? "," : "", i, plan->connections, plan->cold_rate);
   g_string_append (json, "],\"routes\":[");
   for (guint r = 0; r < WORLD_ROUTES_MAX && plan->routes[r].per_second > 0; r++)
     {
@@ -750,6 +775,7 @@
                     .share = 1.0 / w->plan->daemons,
                     .margin = MR_FLEET_MARGIN,
                     .born = 0 },
+        .cold = { .factor = COLD_FACTOR, .slack = COLD_SLACK },
       };
       *daemon = (Daemon){ .host = host, .world = w, .index = i, .tick_at = MR_NEVER };
       daemon->relay = mr_relay_new (&daemon->host, &info);
@@ -757,6 +783,7 @@
         .connections = 1 / (1.5 * w->plan->daemons),
         .slots = 1.0 / w->plan->daemons,
         .allowance = 1.0 / w->plan->daemons,
+        .cold = 1.0 / w->plan->daemons,
       };
       mr_relay_set_shares (daemon->relay, &shares);
     }
@@ -773,7 +800,7 @@
       target->pause_at = S_ms (g_rand_double (w->random) * w->plan->pause_gap_ms);
       g_snprintf (target->id, sizeof target->id, "t%u", i);
       g_queue_init (&target->queue);
-      S_list (w, target, FALSE);
+      S_list (w, target, FALSE, 0);
     }
 }
 
@@ -939,7 +966,10 @@
       g_array_unref (w->ledgers[i].extras);
     }
   for (guint i = 0; i < w->target_count; i++)
-    g_queue_clear (&w->targets[i].queue);
+    {
+      g_queue_clear (&w->targets[i].queue);
+      g_queue_clear_full (&w->targets[i].cold_calls, g_free);
+    }
   g_free (w->ledgers);
   g_ptr_array_unref (w->calls);
   g_ptr_array_unref (w->asks);
--- a/test/relay_world.h
+++ b/test/relay_world.h
@@ -39,6 +39,7 @@
   WORLD_LEAVES,    /* listed as leaving */
   WORLD_ENDS,      /* its process ends, with all connections; refuses until it is back */
   WORLD_VANISHES,  /* its process ends and its entry is removed, at one moment, for good */
+  WORLD_COLD,      /* listed as cold until the end of the event */
   WORLD_EVACUATED, /* failure domains `first` to `last`, not targets, are evacuated */
 } WorldTrouble;
 
@@ -89,6 +90,7 @@
   WorldRoute routes[WORLD_ROUTES_MAX];
   WorldEvent events[8];
   WorldCrasher crasher;
+  double cold_rate;  /* calls a second that a cold target is to get; 0: any */
   double connect_ms; /* a call waits so long for its connection before it is sent */
   double news_ms;    /* from a daemon that has evidence against a content to all others */
 } WorldPlan;
@@ -117,6 +119,7 @@
   guint false_not_run;      /* refused as not run, though it ran */
   guint over_attempts;    /* more targets of a shard than allowed, or one anew that may have run */
   guint after_leaving;    /* calls to a target later than the promised time after it was listed */
+  guint cold_over;        /* calls over what a cold target bears, in its worst second */
   guint after_evacuated;  /* calls that reached an evacuated domain, later than one under way */
   guint longer_than_left; /* calls that were told more time than their caller had */
   guint unanswered;       /* neither a verdict nor gone by the end */
