Test: daemons that have ended are not named to callers for over 8 s

At 6 and 73 daemons with single ends, a domain, half of them, beside cuts one and both ways, and one that comes back and ends again; at 295 a whole domain.

--- /dev/null
+++ b/test/test_directory.c
@@ -0,0 +1,206 @@
+/* What daemons tell callers of each other, on the virtual clock: whom they name, and how soon
+ * those that have fallen silent are left out. */
+
+#include "entry_plan.h"
+#include "fleet.h"
+#include "log.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+enum
+{
+  DOMAINS = 3,
+  SMALL = 6,
+  MIDDLE = 73,
+  LARGE = 295,
+  HUGE = 810,
+  COUNT_MAX = HUGE,
+  ASKED_EACH = 5, /* so many-th daemon is asked at a time */
+};
+
+/* A daemon that has ended is named for at most this long. */
+static const MrTime NAMED_MOST = 8 * MR_SECOND;
+static const MrTime STEP = 500 * MR_MS;
+
+typedef struct
+{
+  Fleet *fleet;
+  guint asked;             /* times, by which another fifth is asked each time */
+  MrTime ended[COUNT_MAX]; /* since when a daemon does not run; 0: it runs */
+} Site;
+
+static void
+S_kill (Site *site, guint index)
+{
+  fleet_kill (site->fleet, index);
+  site->ended[index] = site->fleet->now;
+}
+
+/* The daemons that @node names, by their places in the fleet. */
+static guint
+S_named (const FleetNode *node, guint *indices)
+{
+  MrMemberList *members = mr_membership_list (node->membership);
+  MrEntryPlan plan = mr_entry_plan (members, node->self.name);
+  guint count = plan.entries->len;
+  for (guint i = 0; i < count; i++)
+    indices[i] = (guint) ((const MrMember *) g_ptr_array_index (plan.entries, i))->peer_port - 1;
+  mr_entry_plan_clear (&plan);
+  mr_member_list_unref (members);
+  return count;
+}
+
+/* Answers that name a daemon longer after its end than is allowed, beside one that runs. */
+static guint
+S_count_late (Site *site)
+{
+  guint late = 0;
+  for (guint i = 0; i < site->fleet->layout.count; i++)
+    {
+      const FleetNode *node = &site->fleet->nodes[i];
+      guint indices[MR_ENTRIES_MAX];
+      if (!node->membership)
+        continue;
+      site->ended[i] = 0;
+      if (i % ASKED_EACH != site->asked % ASKED_EACH)
+        continue;
+      guint count = S_named (node, indices);
+      for (guint n = 0; n < count; n++)
+        late +=
+            site->ended[indices[n]] != 0 && site->fleet->now - site->ended[indices[n]] > NAMED_MOST;
+    }
+  site->asked++;
+  return late;
+}
+
+static void
+S_run (Site *site, MrTime span, guint *late)
+{
+  for (MrTime end = site->fleet->now + span; site->fleet->now < end;)
+    {
+      fleet_run (site->fleet, STEP);
+      *late += S_count_late (site);
+    }
+}
+
+/* The first that is named at daemon @at, in domain @domain. */
+static guint
+S_first_named (const Site *site, guint at, guint domain)
+{
+  guint indices[MR_ENTRIES_MAX];
+  guint count = S_named (&site->fleet->nodes[at], indices);
+  for (guint n = 0; n < count; n++)
+    if (fleet_domain (site->fleet, indices[n]) == domain)
+      return indices[n];
+  return indices[0];
+}
+
+static void
+S_kill_named (Site *site, guint *late)
+{
+  (void) late;
+  S_kill (site, S_first_named (site, 0, 1));
+  S_kill (site, S_first_named (site, 0, 2));
+}
+
+static void
+S_kill_beside_cut (Site *site, guint *late)
+{
+  fleet_cut (site->fleet, 0, 1, TRUE);
+  S_run (site, MR_SECOND, late);
+  S_kill (site, S_first_named (site, 0, 1));
+}
+
+static void
+S_kill_beside_one_way (Site *site, guint *late)
+{
+  fleet_cut_one_way (site->fleet, 1, 0, TRUE);
+  S_run (site, 6 * MR_SECOND, late);
+  S_kill (site, S_first_named (site, 2, 1));
+}
+
+static void
+S_kill_twice (Site *site, guint *late)
+{
+  guint index = S_first_named (site, 0, 1);
+  S_kill (site, index);
+  fleet_start_at (site->fleet, index, site->fleet->now + 1500 * MR_MS);
+  S_run (site, 3 * MR_SECOND, late);
+  S_kill (site, index);
+}
+
+static void
+S_kill_domain (Site *site, guint *late)
+{
+  (void) late;
+  for (guint i = 0; i < site->fleet->layout.count; i++)
+    if (fleet_domain (site->fleet, i) == 2)
+      S_kill (site, i);
+}
+
+static void
+S_kill_half (Site *site, guint *late)
+{
+  (void) late;
+  for (guint i = 1; i < site->fleet->layout.count; i += 2)
+    S_kill (site, i);
+}
+
+/* Guards against answers that send callers to daemons that have ended. */
+static void
+test_the_dead_are_not_named (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    void (*happen) (Site *site, guint *late);
+    guint most; /* daemons of the largest fleet that it is played with */
+  } cases[] = {
+    { "two killed", S_kill_named, MIDDLE },
+    { "killed beside a cut", S_kill_beside_cut, MIDDLE },
+    { "killed beside a cut one way", S_kill_beside_one_way, MIDDLE },
+    { "killed, back, killed again", S_kill_twice, MIDDLE },
+    { "a domain killed", S_kill_domain, LARGE },
+    { "half killed", S_kill_half, MIDDLE },
+  };
+  static const guint counts[] = { SMALL, MIDDLE, LARGE };
+  (void) state;
+  for (gsize c = 0; c < G_N_ELEMENTS (counts); c++)
+    for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+      {
+        if (counts[c] > cases[i].most)
+          continue;
+        const FleetLayout layout = { .count = counts[c],
+                                     .domains = DOMAINS,
+                                     .regions = 1,
+                                     .seeds = 3,
+                                     .strong_each = counts[c] > SMALL ? 2 : 0 };
+        g_autofree Site *site = g_new0 (Site, 1);
+        guint late = 0;
+        site->fleet = fleet_new (&layout);
+        fleet_start_all (site->fleet, 300 * MR_MS, FALSE);
+        S_run (site, 6 * MR_SECOND, &late);
+        cases[i].happen (site, &late);
+        S_run (site, NAMED_MOST + 3 * MR_SECOND, &late);
+        if (late > 0)
+          print_message ("%s of %u: %u answers\n", cases[i].name, counts[c], late);
+        assert_int_equal (late, 0);
+        fleet_free (site->fleet);
+      }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_the_dead_are_not_named),
+  };
+  mr_log_set_level (MR_LOG_ERROR);
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
