Soak: evacuations of a failure domain among its faults

One domain at a time is evacuated for 3 to 9 s and taken back for 0.2 to 4 s, from a generator of its own, so that the other faults of a seed stay as they were. A request that a relay was sent, a second after that was written, must not run there if the relay was left alone and some relay was in order to hear of it from a store that was.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -14,6 +14,8 @@
  *   crasher  once a content has ended three searchers, and the news had its time, relays
  *            that were left alone send it to three at most, and so do relays that start all
  *            at once and can read what the store holds of it
+ *   evacuated  a relay that was left alone sends nothing to a failure domain that has been
+ *            evacuated for EVACUATED_KNOWN, where the store was not disturbed
  *   blocked  and nothing else is blocked for it
  *   answered a relay that was left alone answers within the route's time
  *   heals    after the last fault every relay serves whole answers from the
@@ -85,6 +87,8 @@
 {
   s->healing_checked = TRUE;
   soak_restore (s, TRUE);
+  if (s->evacuation.since != 0)
+    soak_evacuate (s, FALSE);
   for (guint i = 0; i < SEARCHERS; i++)
     soak_tell (soak_first_port + SEARCHER_PORT + (int) i, "PUT", "/mode/ok", "");
   soak_configure (s);
@@ -140,6 +144,8 @@
                                         : S_seconds (s->crasher.random, 0.05, 3));
       soak_ask_crasher (s);
     }
+  if (now >= s->evacuation.next && now < s->faults_end)
+    soak_evacuate (s, s->evacuation.since == 0);
   if (!s->healing_checked && now >= s->faults_end)
     S_begin_healing (s);
   else if (!s->healing_checked && now >= s->next_fault)
@@ -187,11 +193,15 @@
         if (g_str_has_prefix (*line, "run "))
           {
             const char *id = *line + 4;
+            const SoakEvacuated *evacuated = g_hash_table_lookup (s->evacuation.sent, id);
+            if (evacuated && evacuated->domain == i % RELAYS)
+              soak_broken (s, "evacuated: '%s' ran in z%u", id, evacuated->domain);
             guint count = GPOINTER_TO_UINT (g_hash_table_lookup (runs, id)) + 1;
             g_hash_table_replace (runs, g_strdup (id), GUINT_TO_POINTER (count));
           }
     }
   S_check_crasher (s, runs);
+  soak_say (s, "%u requests were sent beside evacuations", g_hash_table_size (s->evacuation.sent));
   GHashTableIter iter;
   gpointer id = NULL;
   gpointer value = NULL;
@@ -290,6 +300,10 @@
     .random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 1),
     .late = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
   };
+  s.evacuation = (Evacuation){
+    .random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 3),
+    .sent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
+  };
   s.loss.random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 2);
   s.loop = mr_loop_new (&s.host, 2000);
   s.start = mr_now ();
@@ -297,6 +311,7 @@
   s.now = mr_now ();
   s.next_request = s.now + 2 * MR_SECOND;
   s.crasher.next = s.now + 5 * MR_SECOND;
+  s.evacuation.next = s.now + S_seconds (s.evacuation.random, 3, 6);
   s.loss.next = s.now + S_seconds (s.loss.random, 10, 20);
   s.next_fault = s.now + 4 * MR_SECOND;
   s.faults_end = s.now + 4 * MR_SECOND + atoi (argv[3]) * MR_SECOND;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -20,7 +20,7 @@
   SEARCHER_PROXY = 200, /* one a searcher: the address that is listed */
   RELAY_PORT = 300,     /* ten a relay: front, ready, directory, control */
   SERVICES = 3,
-  SEARCHERS = 6, /* two a service */
+  SEARCHERS = 6, /* two a service, each in a failure domain of its own */
   RELAYS = 3,
   REQUESTS_PER_SECOND = 80,
   RECORDS = 8,
@@ -60,6 +60,24 @@
   gboolean saved;         /* the store held what had ended three searchers */
 } Loss;
 
+/* A failure domain whose searchers are to get nothing. */
+typedef struct
+{
+  GRand *random; /* its own, as the crasher's */
+  MrTime next;   /* when it begins, or ends */
+  MrTime since;  /* 0: none is evacuated */
+  guint domain;
+  GHashTable *sent;              /* id -> SoakEvacuated, of requests whose relay has to know */
+  MrTime store_disturbed;        /* last */
+  MrTime path_disturbed[RELAYS]; /* a relay's way to the store, last */
+} Evacuation;
+
+typedef struct
+{
+  guint domain;
+  MrTime at;
+} SoakEvacuated;
+
 /* What became of an order. */
 typedef enum
 {
@@ -96,6 +114,7 @@
   MrTime start;
   Crasher crasher;
   Loss loss;
+  Evacuation evacuation;
   MrTime next_tick;
   MrTime longest_stall; /* of this process, as the machine gave it no time */
   MrTime next_request;
@@ -144,6 +163,8 @@
 /* A caller has waited for too long. */
 void soak_caller_overdue (MrTimer *timer);
 
+/* Begins an evacuation, or ends the one that stands. */
+void soak_evacuate (Soak *s, gboolean begins);
 /* Draws one fault; with SOAK_ONLY set, always that mode of all searchers. */
 void soak_disturb (Soak *s);
 /* Ends the faults that are due, or all. */
--- a/test/soak/soak_callers.c
+++ b/test/soak/soak_callers.c
@@ -9,6 +9,10 @@
 static const MrTime TIME_SLACK = 1200 * MR_MS;
 /* After a relay was disturbed its callers expect nothing for this long. */
 static const MrTime SETTLE = 4 * MR_SECOND;
+/* After a time of silence relays find out within this that their watches were swallowed. */
+static const MrTime STORE_SETTLE = 7 * MR_SECOND;
+/* An evacuation is in force on all relays within this. */
+static const MrTime EVACUATED_KNOWN = 1 * MR_SECOND;
 /* Callers use kept connections for four fifths of the idle time that they are
  * told, not longer. */
 static const MrTime IDLE_MOST = 12 * MR_SECOND;
@@ -294,6 +298,33 @@
     mr_stream_write (c->stream, mr_text_of (c->waiting));
 }
 
+/* TRUE if a relay was there to hear of the evacuation from the store, which was in order. */
+static gboolean
+S_was_heard (const Soak *s)
+{
+  const Evacuation *e = &s->evacuation;
+  if (e->since == 0 || e->since < e->store_disturbed + STORE_SETTLE)
+    return FALSE;
+  for (guint i = 0; i < RELAYS; i++)
+    if (s->relays[i].back_at == 0 && e->since > s->relays[i].disturbed + SETTLE &&
+        e->since > e->path_disturbed[i] + STORE_SETTLE)
+      return TRUE;
+  return FALSE;
+}
+
+/* Keeps the request if its relay has to know of the evacuation. */
+static void
+S_note_evacuation (const Caller *c)
+{
+  Soak *s = c->soak;
+  const Evacuation *e = &s->evacuation;
+  if (!S_was_heard (s) || s->now < e->since + EVACUATED_KNOWN || !S_left_alone (c))
+    return;
+  SoakEvacuated *sent = g_new (SoakEvacuated, 1);
+  *sent = (SoakEvacuated){ .domain = e->domain, .at = s->now };
+  g_hash_table_insert (s->evacuation.sent, g_strdup (c->id), sent);
+}
+
 void
 soak_ask (Soak *s)
 {
@@ -304,6 +335,7 @@
   c->kind = (AskKind) soak_pick (s, ASK_KINDS);
   c->crasher = FALSE;
   S_send (c, lines[c->kind]);
+  S_note_evacuation (c);
 }
 
 void
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -43,8 +43,14 @@
 soak_note_store (Soak *s)
 {
   gboolean disturbed = s->store_back != 0;
+  if (disturbed)
+    s->evacuation.store_disturbed = s->now;
   for (guint i = 0; i < RELAYS; i++)
-    disturbed |= s->proxies_back[i] != 0;
+    {
+      disturbed |= s->proxies_back[i] != 0;
+      if (s->proxies_back[i] != 0)
+        s->evacuation.path_disturbed[i] = s->now;
+    }
   if (disturbed)
     s->loss.store_disturbed = s->now;
 }
@@ -97,13 +103,44 @@
     }
 }
 
+/* What was sent last may have been held up, or be repeated, until the domain is used again. */
+static const MrTime EVACUATED_LAST = 2 * MR_SECOND;
+
+static gboolean
+S_is_too_late (gpointer id, gpointer sent, gpointer user)
+{
+  const Soak *s = user;
+  (void) id;
+  return ((const SoakEvacuated *) sent)->at > s->now - EVACUATED_LAST;
+}
+
+void
+soak_evacuate (Soak *s, gboolean begins)
+{
+  Evacuation *e = &s->evacuation;
+  if (begins)
+    e->domain = (guint) g_rand_int_range (e->random, 0, RELAYS);
+  else
+    g_hash_table_foreach_remove (e->sent, S_is_too_late, s);
+  g_autofree char *path = g_strdup_printf ("/objects/evacuations/z%u", e->domain);
+  soak_tell (soak_first_port + STORE_PORT, begins ? "PUT" : "DELETE", path, "{}");
+  soak_say (s, "z%u is %s", e->domain, begins ? "evacuated" : "used again");
+  e->since = begins ? s->now : 0;
+  double least = begins ? 3 : 0.2;
+  double most = begins ? 9 : 4;
+  e->next = s->now + (MrTime) (g_rand_double_range (e->random, least, most) * (double) MR_SECOND);
+}
+
 static void
 S_disturb_proxy (Soak *s, guint index)
 {
   SoakProxy *proxy = index < RELAYS ? s->store_proxies[index] : s->searcher_proxies[index - RELAYS];
   guint what = soak_pick (s, PROXY_MODES + 1);
   if (index < RELAYS)
-    s->loss.store_disturbed = s->now;
+    {
+      s->loss.store_disturbed = s->now;
+      s->evacuation.path_disturbed[index] = s->now;
+    }
   soak_say (s, "proxy %u: fault %u", index, what);
   if (what == 0)
     soak_proxy_reset (proxy);
