--- a/src/entry_plan.c
+++ b/src/entry_plan.c
@@ -15,6 +15,9 @@
 static const double OVERLAP = 1.5;
 /* A VM that can do less than the best by this factor is a smaller one. */
 static const guint32 SMALLER = 2;
+/* Of an address answer. */
+static const MrTime KEEP = 1 * MR_SECOND;
+static const MrTime KEEP_DOMAIN_LOSS = 3 * MR_SECOND;
 /* Part of the allowance for daemons that are no entries. */
 static const double OTHERS_ALLOWANCE = 0.15;
 
@@ -108,6 +111,13 @@
   return members->count == 1 && members->members[0].capacity < MR_SMALL_CAPACITY;
 }
 
+MrTime
+mr_entry_keep (guint domain_losses, MrTime most)
+{
+  MrTime keep = domain_losses > 0 ? KEEP_DOMAIN_LOSS : KEEP;
+  return most > 0 ? MIN (keep, most) : keep;
+}
+
 MrEntryPlan
 mr_entry_plan (const MrMemberList *members, const char *self)
 {
--- a/src/entry_plan.h
+++ b/src/entry_plan.h
@@ -11,6 +11,7 @@
  * for a while cost load only. */
 #pragma once
 
+#include "clock.h"
 #include "member.h"
 
 enum
@@ -33,5 +34,12 @@
   double allowance;   /* and of the fleet's allowance of second sends, 0 to 1 */
 } MrEntryPlan;
 
+/* For how long callers may keep an address answer, at most @most (0: not bounded).  Some keep
+ * one three times as long, so that a daemon that leaves is asked for that long, which is to fit
+ * the time that a planned stop has.  Where @domain_losses failure domains may be lost at once
+ * they keep it for longer: all daemons near a caller fall silent at one moment then, and whoever
+ * has to ask meanwhile waits for each of them in turn. */
+MrTime mr_entry_keep (guint domain_losses, MrTime most);
+
 MrEntryPlan mr_entry_plan (const MrMemberList *members, const char *self);
 void mr_entry_plan_clear (MrEntryPlan *plan);
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -48,7 +48,9 @@
       mr_caller_answer (caller, STATUS_UNAVAILABLE, (MrText){ 0 }, (MrText){ 0 });
       return;
     }
-  g_autoptr (GString) body = task->dialect->write_addresses (addresses, MR_ADDRESS_KEEP);
+  const MrRelaySettings *settings = task->settings;
+  MrTime keep = mr_entry_keep ((guint) settings->domain_losses, settings->keep_most_ms * MR_MS);
+  g_autoptr (GString) body = task->dialect->write_addresses (addresses, keep);
   mr_caller_answer (caller, STATUS_OK, mr_text (json_type), mr_text_of (body));
 }
 
--- a/src/relay_settings.h
+++ b/src/relay_settings.h
@@ -16,5 +16,7 @@
   double cold_factor;     /* a cold target bears so many times its rate */
   double cold_slack;      /* and so many calls a second more */
   int domains;            /* failure domains that there are; 0: not known */
+  int domain_losses;      /* failure domains that may be lost at once */
+  int keep_most_ms;       /* that callers keep an address answer; 0: not bounded */
   int max_descriptors;
 } MrRelaySettings;
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -64,11 +64,6 @@
 #define RELAY_TASK_OF(pointer, member)                                                             \
   ((MrRelayTask *) (void *) ((char *) (pointer) -offsetof (MrRelayTask, member)))
 
-/* Keep time of an address answer.  Some callers keep one three times as long, so
- * that a daemon that leaves is asked for that long; it must fit the time that a
- * planned stop has (6 s). */
-#define MR_ADDRESS_KEEP (1 * MR_SECOND)
-
 /* TRUE if this daemon can serve what the operators have put in force. */
 gboolean mr_relay_task_ready (const MrRelayTask *task);
 
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -195,10 +195,34 @@
       }
 }
 
+/* Guards against callers who have to ask again and again while all daemons near them are
+ * silent, and against answers that are kept for longer than the platform counts. */
+static void
+test_keep (void **state)
+{
+  static const struct
+  {
+    guint domain_losses;
+    MrTime most;
+    MrTime keep;
+  } cases[] = {
+    { 0, 0, 1 * MR_SECOND },
+    { 0, 5 * MR_SECOND, 1 * MR_SECOND },
+    { 1, 5 * MR_SECOND, 3 * MR_SECOND },
+    { 1, 0, 3 * MR_SECOND },
+    { 2, 2 * MR_SECOND, 2 * MR_SECOND },
+    { 0, 500 * MR_MS, 500 * MR_MS },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    assert_int_equal (mr_entry_keep (cases[i].domain_losses, cases[i].most), cases[i].keep);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_keep),
     cmocka_unit_test (test_the_dead_are_not_named),
   };
   mr_log_set_level (MR_LOG_ERROR);
