--- a/src/entry_plan.c
+++ b/src/entry_plan.c
@@ -170,8 +170,8 @@
           !g_ptr_array_find (list, member, NULL))
         S_add_in (list, member, regions);
     }
-  for (guint i = 0; list->len == 0 && i < plan->entries->len; i++)
-    g_ptr_array_add (list, g_ptr_array_index (plan->entries, i));
+  if (list->len == 0)
+    g_ptr_array_extend (list, plan->entries, NULL, NULL);
   return list;
 }
 
