Comments: hedges and retries, in place of second sends

The code has both and names them so (MR_SEND_HEDGE, MR_SEND_RETRY); the comments had a word of their own that stood for either. No code changes but the help text of merlinringctl report.

--- a/src/budget.c
+++ b/src/budget.c
@@ -59,7 +59,7 @@
                         MrTime now,
                         double share)
 {
-  /* An outage of a shard makes a second send of every call; without a hard bound
+  /* An outage of a shard makes a retry of every call; without a hard bound
    * the targets that still work get twice their load and fail too. */
   if (!MR_SAFEGUARD (MR_GUARD_RETRY_BUDGET))
     return true;
--- a/src/budget.h
+++ b/src/budget.h
@@ -1,4 +1,4 @@
-/* Bound on second sends of one service over a sliding window, for a fleet whose
+/* Bound on hedges and retries of one service over a sliding window, for a fleet whose
  * members do not ask each other: each member spends @ratio of its own requests
  * and its share of a fixed allowance, so that the sum over all members keeps
  * the bound of the fleet. */
@@ -19,7 +19,7 @@
 typedef struct
 {
   MrTime window;    /* in which the bound holds */
-  double ratio;     /* second sends for each request */
+  double ratio;     /* hedges and retries for each request */
   double allowance; /* of the whole fleet, beside the ratio */
   double share;     /* of the allowance that is this member's, 0 to 1 */
   double margin;    /* part of all this that is spent at most, 0 to 1 */
@@ -38,7 +38,7 @@
 /* Counts a request of the service. */
 void mr_window_budget_request (MrWindowBudget *budget, const MrWindowTerms *terms, MrTime now);
 
-/* Takes one second send out of the budget; false if that would go over @share
+/* Takes one hedge or retry out of the budget; false if that would go over @share
  * (0 to 1) of what is allowed. */
 bool mr_window_budget_spend (MrWindowBudget *budget,
                              const MrWindowTerms *terms,
--- a/src/ctl.c
+++ b/src/ctl.c
@@ -54,7 +54,7 @@
     "without files)",
     "merlinringctl explain 9c41d07be2a35f68 /var/log/relay-*.log", ctl_explain },
   { "report", "[FILE...]",
-    "Latency, second sends, refusals by cause and spread of configurations, from log lines",
+    "Latency, hedges and retries, refusals by cause and spread of configurations, from log lines",
     "merlinringctl report --svg run.svg /var/log/relay-*.log", ctl_report },
 };
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -26,7 +26,7 @@
   .hedge_quantile = 0.95, /* until a batch brings its document's */
   .hedge_first_share = 0.25,
   .hedge_min = 2 * MR_MS,
-  /* The document's bound is for second sends of both kinds. */
+  /* The document's bound is for hedges and retries together. */
   .hedge_share = 1,
   .mean_first_share = 0.01,
   .loaded = 0, /* owners share a target's slots exactly */
@@ -40,7 +40,7 @@
   .by_address = TRUE,
 };
 
-/* Second sends beside the document's share, in each window: single failures of a
+/* Hedges and retries beside the document's share, in each window: single failures of a
  * quiet service stay repairable, and a daemon that has just started can repair
  * the connections that it loses first (a lost target of 12 shards needs 12).  The
  * bound is for one daemon, so there is nothing to wait for after a start. */
--- a/src/entry_plan.h
+++ b/src/entry_plan.h
@@ -31,7 +31,7 @@
   gboolean is_entry;  /* this daemon is one of them */
   double connections; /* this daemon's share of a target's connections, 0 to 1 */
   double slots;       /* and of its slots, 0 to 1 */
-  double allowance;   /* and of the fleet's allowance of second sends, 0 to 1 */
+  double allowance;   /* and of the fleet's allowance of hedges and retries, 0 to 1 */
 } MrEntryPlan;
 
 /* For how long callers may keep an address answer, at most @most (0: not bounded).  Some keep
--- a/src/relay.h
+++ b/src/relay.h
@@ -12,9 +12,9 @@
  *   relay_end.c      ends of calls, verdicts
  *   relay_admit.c    admission, splits, who is turned away
  *   relay_choice.c   choice of a target
- *   relay_place.c    queues, starts, second sends
+ *   relay_place.c    queues, starts, hedges, retries
  *   relay_load.c     how loaded targets are, parts left out for it
- *   relay_time.c     what is due: second sends, soft and hard ends, silence
+ *   relay_time.c     what is due: hedges, soft and hard ends, silence
  *   relay_targets.c  what is known of targets
  *   relay_evacuation.c  failure domains whose targets get no new work
  *   relay_doubt.c    targets that end while requests run there
@@ -151,14 +151,14 @@
 typedef struct
 {
   /* Of the calls of one kind of request, this share is left alone: slower ones
-   * are worth a second send.  It can be set for each pool. */
+   * are worth a hedge.  It can be set for each pool. */
   double hedge_quantile;
   double hedge_first_share; /* of the aim, before enough is measured */
   MrTime hedge_min;
-  double hedge_share;      /* of the budget that second sends for slowness may use */
+  double hedge_share;      /* of the budget that hedges may use */
   double mean_first_share; /* of the aim, before anything is measured */
   /* Median time of a kind's calls over the least of late, from which targets count
-   * as loaded: then a second send for slowness goes only to one that has half of
+   * as loaded: then a hedge goes only to one that has half of
    * its calls free.  0: never, since a free slot here is one at the target. */
   double loaded;
   /* A call is doubted after this many times the mean, within bounds. */
@@ -209,7 +209,7 @@
   guint64 calls;
   guint64 hedges;
   guint64 retries;
-  guint64 over_budget; /* second sends that the budget forbade */
+  guint64 over_budget; /* hedges and retries that the budget forbade */
   guint64 left_out;    /* parts, for load */
   guint64 partial;
   guint64 refused;
@@ -233,14 +233,14 @@
 {
   double connections; /* of each target */
   double slots;       /* of each target */
-  double allowance;   /* of second sends */
+  double allowance;   /* of hedges and retries */
   double cold;        /* of what a cold target bears */
 } MrRelayShares;
 
 void mr_relay_set_shares (MrRelay *relay, const MrRelayShares *shares);
 
 /* Targets that serve alike form a set, which has a queue.  The sets of one pool
- * share the budget for second sends.  A service is a set and a pool of its own,
+ * share the budget for hedges and retries.  A service is a set and a pool of its own,
  * unless it was told otherwise here. */
 void mr_relay_add_set (MrRelay *relay, const char *set, const char *pool);
 /* No request may use it any more. */
--- a/src/relay_choice.c
+++ b/src/relay_choice.c
@@ -7,7 +7,7 @@
 /* A target whose oldest call has gone unanswered for this many times the usual
  * stands still (a pause, a crash, a lost path): it gets first sends only if
  * there is no other.  Searchers that pause for 250 ms every 6 s meet a third of
- * all wide searches; passing them over costs no second send. */
+ * all wide searches; passing them over costs no hedge. */
 static const double STALLED_FACTOR = 2.5;
 static const MrTime STALLED_MIN = 15 * MR_MS;
 static const double STALLED_COST = 50;
@@ -60,9 +60,9 @@
 }
 
 /* The bound is on targets that one request may be sent to, so that one that has
- * refused may be asked again: it costs a second send, as another would.  Once only:
+ * refused may be asked again: it costs a retry, as another would.  Once only:
  * targets that refuse everything were sent 27 calls of one request in a millisecond,
- * and the second sends of all others with them. */
+ * and the retries of all others with them. */
 static gboolean
 S_may_ask_again (const Job *job, const Tried *tried)
 {
--- a/src/relay_doubt.c
+++ b/src/relay_doubt.c
@@ -2,7 +2,7 @@
  *
  * A call whose connection breaks says nothing of its target: it may have reset a connection
  * over its cap, forgotten an idle one, or ended.  Its probe tells (prober.h).  Until then a
- * request without any answer waits with second sends, and what turns out is evidence
+ * request without any answer waits with hedges and retries, and what turns out is evidence
  * against its content (relay_content.c). */
 #include "relay_private.h"
 
--- a/src/relay_end.c
+++ b/src/relay_end.c
@@ -194,9 +194,9 @@
     mr_relay_go_on (r, now, job);
 }
 
-/* A call that lost to a second send would have taken longer than this.  Where it
+/* A call that lost to a hedge would have taken longer than this.  Where it
  * is cancelled nothing else tells; left out, the quantile would sink until half
- * of the second sends went to ordinary calls. */
+ * of the hedges went to ordinary calls. */
 static void
 S_note_lost_calls (const MrRelay *r, MrTime now, const Job *job)
 {
--- a/src/relay_log.c
+++ b/src/relay_log.c
@@ -19,7 +19,7 @@
       note->took);
 }
 
-/* Calls that explain the outcome: second sends, and calls without an answer. */
+/* Calls that explain the outcome: hedges, retries, and calls without an answer. */
 static GString *
 S_notes (const GArray *sends)
 {
--- a/src/relay_place.c
+++ b/src/relay_place.c
@@ -189,7 +189,7 @@
 {
   MrCause cause = MR_CAUSE_NONE;
   gboolean hope = FALSE;
-  /* With others waiting for room a second send would take the place of a first. */
+  /* With others waiting for room a hedge would take the place of a first call. */
   if (!S_free_place (job) || !S_nobody_waits (job->service->pool))
     return FALSE;
   MrTargetState *target = mr_relay_pick (relay, now, job, &hope);
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -52,7 +52,7 @@
   double mean;     /* us */
   double usual;    /* median, us; a few slow targets don't move it */
   double unloaded; /* least median of late, us */
-  MrTime slow;     /* a call that takes longer is worth a second send */
+  MrTime slow;     /* a call that takes longer is worth a hedge */
 } Kind;
 
 /* What a timer belongs to; first member of its owner. */
@@ -356,7 +356,7 @@
 /* Time until a job that is queued now gets room, from the queue before it. */
 MrTime mr_relay_expected_wait (const Job *job, MrTime now);
 
-/* A second send beside one that is under way; FALSE if none may go out now. */
+/* A hedge beside the call that is under way; FALSE if none may go out now. */
 gboolean mr_relay_hedge (MrRelay *relay, MrTime now, Job *job);
 
 /* Gives room at the service's targets to the jobs that wait; ends those that no
--- a/src/relay_settings.h
+++ b/src/relay_settings.h
@@ -10,8 +10,8 @@
   int directory_port;     /* callers ask here for addresses */
   int metrics_port;       /* 0: none */
   int grace_ms;           /* from the order to stop until the process is killed */
-  int window_ms;          /* in which second sends are bounded */
-  double extra_ratio;     /* second sends for each request */
+  int window_ms;          /* in which hedges and retries are bounded */
+  double extra_ratio;     /* hedges and retries for each request */
   double extra_allowance; /* of the whole fleet, beside the ratio */
   double cold_factor;     /* a cold target bears so many times its rate */
   double cold_slack;      /* and so many calls a second more */
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -6,7 +6,7 @@
 };
 
 const MrRelayPolicy mr_relay_policy = {
-  /* With a budget of one second send in five requests, the slowest tenth can be
+  /* With a budget of one hedge or retry in five requests, the slowest tenth can be
    * sent again and half of the budget is left for failures. */
   .hedge_quantile = 0.92,
   .hedge_first_share = 0.25,
@@ -14,9 +14,9 @@
   /* What is left repairs calls that failed. */
   .hedge_share = 0.75,
   .mean_first_share = 0.2,
-  /* Or second sends make loaded targets slower.  Three times the usual load, on the
+  /* Or hedges make loaded targets slower.  Three times the usual load, on the
    * virtual clock: 0.89 and 0.69 of the worth of the two kinds without it, 0.90 and
-   * 0.71 with it, 0.91 and 0.75 without any second sends; on a calm day or with a
+   * 0.71 with it, 0.91 and 0.75 without any hedge or retry; on a calm day or with a
    * few slow targets nothing changes (0.01 to 0.03 less if it held always). */
   .loaded = 1.2,
   /* A searcher's ordinary pause (250 ms) is not a reason to close its
@@ -34,9 +34,9 @@
   .asks = 2,
 };
 
-/* A second send that found no target is tried again after this. */
+/* A hedge that found no target is tried again after this. */
 static const MrTime HEDGE_AGAIN = 5 * MR_MS;
-/* Without an answer the next second send of a request goes out when it is this many times
+/* Without an answer the next hedge of a request goes out when it is this many times
  * as old as at the last one. */
 static const int LONE_HEDGE_SPACING = 3;
 /* Requests remember the targets they tried; none lasts as long as this. */
@@ -133,7 +133,7 @@
 }
 
 /* While no part has been answered the content itself may be what its targets fail under, so
- * second sends go one at a time: each puts one more target at risk.  One that is answered
+ * hedges go one at a time: each puts one more target at risk.  One that is answered
  * lets the others go at once. */
 static MrTime
 S_hedge_due (const MrRelayWork *work, const Job *job)
