--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -145,7 +145,7 @@
     .fingerprint = request->fingerprint,
     .soft_end = shards ? arrived + S_patience (request) : MR_NEVER,
     .hard_end = MIN (request->deadline - reserve, arrived + route->time_limit),
-    .recall_at = MR_NEVER,
+    .cancel_at = MR_NEVER,
     .part_count = route->kind >= MR_ROUTE_SHARDS ? route->part_count : 1,
     .needed = S_needed_shards (route),
   };
--- a/src/relay_content.c
+++ b/src/relay_content.c
@@ -69,7 +69,7 @@
 
 /* Evidence. */
 
-/* An order that is out may have run: it is neither called back, since it could not be sent
+/* An order that is out may have run: it is neither cancelled, since it could not be sent
  * again, nor given up. */
 static gboolean
 S_is_order_out (const MrRelayWork *work)
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -173,7 +173,7 @@
   gboolean trying;     /* counts among its content's trials */
   gboolean probation;  /* tries a quarantined content once more */
   Job *trial;          /* the part that is out, or on its way */
-  MrTime recall_at;    /* when its calls are called back; MR_NEVER: they are not */
+  MrTime cancel_at;    /* when its calls are cancelled; MR_NEVER: they are not */
   MrTime trial_at;     /* not before */
   MrTime next_hedge;   /* not before, while no part has been answered */
   guint held;          /* parts */
@@ -297,11 +297,11 @@
 /* When the next part of a request that goes one by one is due; MR_NEVER: nothing is. */
 MrTime mr_relay_trial_due (const MrRelay *relay, const MrRelayWork *work);
 void mr_relay_begin_trial (MrRelay *relay, MrTime now, MrRelayWork *work);
-/* From now on one call of the request at a time; what is out is called back once an answer
+/* From now on one call of the request at a time; those in flight are cancelled once an answer
  * is overdue. */
 void mr_relay_go_one_by_one (MrRelay *relay, MrTime now, MrRelayWork *work);
-/* Calls back what is out. */
-void mr_relay_recall (MrRelay *relay, MrTime now, MrRelayWork *work);
+/* Cancels the calls in flight. */
+void mr_relay_cancel_calls (MrRelay *relay, MrTime now, MrRelayWork *work);
 /* Its content is cleared: what is held goes out. */
 void mr_relay_release (MrRelay *relay, MrTime now, MrRelayWork *work);
 void mr_relay_give_up (MrRelay *relay, MrTime now, MrRelayWork *work, MrCause cause);
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -149,7 +149,7 @@
   MrTime due = work->hard_end;
   if (work->have >= work->needed && work->soft_end < due)
     due = work->soft_end;
-  due = MIN (due, work->recall_at);
+  due = MIN (due, work->cancel_at);
   due = MIN (due, mr_relay_trial_due (relay, work));
   for (guint i = 0; i < work->part_count && !mr_relay_is_wary (work); i++)
     {
@@ -176,9 +176,9 @@
       mr_relay_finish (relay, now, work, MR_VERDICT_MERGE);
       return;
     }
-  if (now >= work->recall_at)
+  if (now >= work->cancel_at)
     {
-      mr_relay_recall (relay, now, work);
+      mr_relay_cancel_calls (relay, now, work);
       return;
     }
   if (now >= mr_relay_trial_due (relay, work))
--- a/src/relay_trial.c
+++ b/src/relay_trial.c
@@ -42,7 +42,7 @@
 MrTime
 mr_relay_trial_due (const MrRelay *r, const MrRelayWork *work)
 {
-  if (work->held == 0 || work->recall_at != MR_NEVER)
+  if (work->held == 0 || work->cancel_at != MR_NEVER)
     return MR_NEVER;
   for (guint i = 0; i < work->part_count; i++)
     if (S_is_out (&work->jobs[i]))
@@ -166,9 +166,9 @@
 
 /* Most targets drop the work of a connection that closes. */
 void
-mr_relay_recall (MrRelay *r, MrTime now, MrRelayWork *work)
+mr_relay_cancel_calls (MrRelay *r, MrTime now, MrRelayWork *work)
 {
-  work->recall_at = MR_NEVER;
+  work->cancel_at = MR_NEVER;
   /* Whose calls showed it tries first. */
   work->trial_at = work->finder ? now : now + MR_TRIAL_GAP;
   for (guint i = 0; i < work->part_count; i++)
@@ -197,10 +197,10 @@
   work->one_by_one = TRUE;
   if (now >= overdue || !mr_relay_has_calls (work))
     {
-      mr_relay_recall (r, now, work);
+      mr_relay_cancel_calls (r, now, work);
       return;
     }
-  work->recall_at = overdue;
+  work->cancel_at = overdue;
   mr_relay_schedule (r, work);
 }
 
@@ -210,7 +210,7 @@
   work->suspect = FALSE;
   work->one_by_one = FALSE;
   work->staged = FALSE;
-  work->recall_at = MR_NEVER;
+  work->cancel_at = MR_NEVER;
   work->trial = NULL;
   for (guint i = 0; i < work->part_count; i++)
     {
