--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -286,8 +286,8 @@
 /* A call of the job has ended without an answer and nothing is out for it: sends it
  * again, or holds it. */
 void mr_relay_go_on (MrRelay *relay, MrTime now, Job *job);
-/* TRUE while a second call of any part would be one too many. */
-gboolean mr_relay_is_wary (const MrRelayWork *work);
+/* TRUE while only one call of the request may be in flight that puts a target at risk. */
+gboolean mr_relay_is_suspicious (const MrRelayWork *work);
 void mr_relay_hold (Job *job);
 /* The held part whose shard can best do without one more target; held no longer.  There has
  * to be one. */
--- a/src/relay_stage.c
+++ b/src/relay_stage.c
@@ -51,7 +51,7 @@
 void
 mr_relay_end_stage (MrRelay *r, MrTime now, MrRelayWork *work)
 {
-  if (!work->staged || mr_relay_is_wary (work))
+  if (!work->staged || mr_relay_is_suspicious (work))
     return;
   mr_relay_release (r, now, work);
 }
--- a/src/relay_time.c
+++ b/src/relay_time.c
@@ -151,7 +151,7 @@
     due = work->soft_end;
   due = MIN (due, work->cancel_at);
   due = MIN (due, mr_relay_trial_due (relay, work));
-  for (guint i = 0; i < work->part_count && !mr_relay_is_wary (work); i++)
+  for (guint i = 0; i < work->part_count && !mr_relay_is_suspicious (work); i++)
     {
       const Job *job = &work->jobs[i];
       MrTime hedge_due = S_hedge_due (work, job);
@@ -186,7 +186,7 @@
       mr_relay_begin_trial (relay, now, work);
       return;
     }
-  for (guint i = 0; i < work->part_count && !mr_relay_is_wary (work); i++)
+  for (guint i = 0; i < work->part_count && !mr_relay_is_suspicious (work); i++)
     {
       Job *job = mr_relay_nth_risk (work, i);
       if (now < S_hedge_due (work, job))
--- a/src/relay_trial.c
+++ b/src/relay_trial.c
@@ -24,7 +24,7 @@
 }
 
 gboolean
-mr_relay_is_wary (const MrRelayWork *work)
+mr_relay_is_suspicious (const MrRelayWork *work)
 {
   return work->have == 0 && (work->suspect || work->doubts > 0);
 }
@@ -151,7 +151,7 @@
       mr_relay_give_up (r, now, work, MR_CAUSE_QUARANTINED);
       return;
     }
-  if (!mr_relay_is_wary (work) || work->trial == job)
+  if (!mr_relay_is_suspicious (work) || work->trial == job)
     {
       mr_relay_place (r, now, job, MR_SEND_RETRY);
       return;
