--- a/src/relay_evacuation.c
+++ b/src/relay_evacuation.c
@@ -19,11 +19,13 @@
 static void
 S_withdraw_unsent (MrRelay *r, MrTime now, GHashTable *added)
 {
+  if (!r->host->take_back)
+    return;
   g_autoptr (GArray) ids = g_array_new (FALSE, FALSE, sizeof (guint64));
   GHashTableIter iter;
   gpointer item = NULL;
   g_hash_table_iter_init (&iter, r->calls);
-  while (r->host->take_back && g_hash_table_iter_next (&iter, NULL, &item))
+  while (g_hash_table_iter_next (&iter, NULL, &item))
     {
       const Call *call = item;
       if (S_has (added, call->target->domain))
