A watch that is renewed has one call at a time, as before

With the watch of evacuations, a relay makes that watch anew when the store answers again, and the call that was still out counted on: its end took the place of the new one's, so that each outage left one call more at the platform, at a time and for good, and a call that timed out half a minute later told that the store was down. Calls of a watch are numbered now, and the end of one that does not count is passed over.

test_renewed_watch; process_evacuation, process_silenced_watch, process_store, process_quarantine_starts, process_start pass.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -154,7 +154,7 @@
       g_strlcpy (request->after, watch->after, sizeof request->after);
       if (watcher && watch->done && watch->gap == 0 && watch->since > 0)
         request->wait_ms = S_watch_wait_ms (task, i);
-      watch->busy = TRUE;
+      request->call = mr_watch_begin (watch);
       mr_control_platform_request (task, request);
     }
 }
@@ -165,10 +165,8 @@
 S_renew_evacuations (MrControlTask *task)
 {
   MrWatch *watch = &task->watches[WATCH_EVACUATIONS];
-  if (!watch->done)
-    return;
-  watch->busy = FALSE;
-  watch->due = 0;
+  if (watch->done)
+    mr_watch_renew (watch);
 }
 
 static void
@@ -417,30 +415,35 @@
                          (MrStatus) result->status, result->version);
 }
 
+/* The watch that @request is a call of; WATCHES if it is a read or a write. */
+static int
+S_watch_of (const MrPlatformRequest *request)
+{
+  const char *kind = request->action == MR_PLATFORM_VMS ? "vms" : request->kind;
+  if (request->action != MR_PLATFORM_LIST && request->action != MR_PLATFORM_VMS)
+    return WATCHES;
+  int index = 0;
+  while (index < WATCHES && !g_str_equal (watch_kinds[index].kind, kind))
+    index++;
+  return index;
+}
+
 void
 mr_control_platform_result (MrControlTask *task, const MrPlatformResult *result)
 {
   MrTime now = mr_now ();
+  int index = S_watch_of (result->request);
+  if (index < WATCHES && !mr_watch_is_current (&task->watches[index], result->request->call))
+    return;
   gboolean up = result->status == MR_OK || result->status == MR_ERROR_NOT_FOUND ||
                 result->status == MR_ERROR_CONFLICT;
   S_note_platform (task, up);
-  switch (result->request->action)
-    {
-    case MR_PLATFORM_READ:
-      S_on_read_result (task, now, result);
-      return;
-    case MR_PLATFORM_WRITE:
-      S_on_write_result (task, now, result);
-      return;
-    case MR_PLATFORM_LIST:
-    case MR_PLATFORM_VMS:
-      for (int i = 0; i < WATCHES; i++)
-        if (g_str_equal (watch_kinds[i].kind, result->request->action == MR_PLATFORM_VMS
-                                                  ? "vms"
-                                                  : result->request->kind))
-          S_on_watch_result (task, now, i, result);
-      return;
-    }
+  if (result->request->action == MR_PLATFORM_READ)
+    S_on_read_result (task, now, result);
+  else if (result->request->action == MR_PLATFORM_WRITE)
+    S_on_write_result (task, now, result);
+  else if (index < WATCHES)
+    S_on_watch_result (task, now, index, result);
 }
 
 void
--- a/src/message.h
+++ b/src/message.h
@@ -123,6 +123,7 @@
   guint64 since;               /* of LIST; 0: everything */
   char after[MR_NAME_MAX + 1]; /* of LIST: names that follow this one */
   guint wait_ms;               /* of LIST; over 0 makes it a watch */
+  guint call;                  /* of LIST and VMS: its number among those of its watch */
   guint64 expected;            /* of WRITE */
   GString *body;
 } MrPlatformRequest;
--- a/src/watch.c
+++ b/src/watch.c
@@ -100,6 +100,26 @@
   return READ_GAP * MAX (1, readers / READERS_AT_ONCE);
 }
 
+guint
+mr_watch_begin (MrWatch *watch)
+{
+  watch->busy = TRUE;
+  return ++watch->calls;
+}
+
+void
+mr_watch_renew (MrWatch *watch)
+{
+  watch->busy = FALSE;
+  watch->due = 0;
+}
+
+bool
+mr_watch_is_current (const MrWatch *watch, guint call)
+{
+  return watch->busy && watch->calls == call;
+}
+
 void
 mr_watch_ended (MrWatch *watch, MrTime now, gboolean success, gboolean watcher, double jitter)
 {
--- a/src/watch.h
+++ b/src/watch.h
@@ -38,6 +38,7 @@
   guint64 listed;              /* revision of the full listing under way */
   char after[MR_NAME_MAX + 1]; /* of a full listing: the page to read next */
   gboolean busy;               /* the call is out */
+  guint calls;                 /* begun, ever: the number of the one that counts */
   gboolean done;               /* it has succeeded at least once */
   MrTime due;
   MrTime gap;    /* after a failure; doubles */
@@ -49,5 +50,13 @@
  * sum of their calls stays the same in a large fleet. */
 MrTime mr_watch_read_gap (guint readers);
 
+/* A call begins; its number. */
+guint mr_watch_begin (MrWatch *watch);
+/* The call that is out, if any, counts no more, and the next is due now. */
+void mr_watch_renew (MrWatch *watch);
+/* FALSE for the end of a call in whose place another has begun, or is due: were it taken for
+ * that one's, there would be one call more at a time after each renewal. */
+bool mr_watch_is_current (const MrWatch *watch, guint call);
+
 /* The call has ended; sets when the next is due.  @jitter: 0 to 1, random. */
 void mr_watch_ended (MrWatch *watch, MrTime now, gboolean success, gboolean watcher, double jitter);
--- a/test/test_fleet_shares.c
+++ b/test/test_fleet_shares.c
@@ -440,15 +440,40 @@
     }
 }
 
+/* Guards against one call more at the platform, at a time and for good, after each renewal of a
+ * watch whose call is still out. */
+static void
+test_renewed_watch (void **state)
+{
+  (void) state;
+  MrWatch watch = { 0 };
+  guint first = mr_watch_begin (&watch);
+  assert_true (mr_watch_is_current (&watch, first));
+  mr_watch_renew (&watch);
+  assert_false (mr_watch_is_current (&watch, first));
+  assert_false (watch.busy);
+  guint second = mr_watch_begin (&watch);
+  assert_false (mr_watch_is_current (&watch, first));
+  assert_true (mr_watch_is_current (&watch, second));
+  mr_watch_ended (&watch, MR_SECOND, true, true, 0.5);
+  assert_false (mr_watch_is_current (&watch, second));
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_window),         cmocka_unit_test (test_restarts),
-    cmocka_unit_test (test_first_send),     cmocka_unit_test (test_entries),
-    cmocka_unit_test (test_entries_spread), cmocka_unit_test (test_entries_at_a_start),
-    cmocka_unit_test (test_relay_watchers), cmocka_unit_test (test_outage_for_all),
-    cmocka_unit_test (test_first_watcher),  cmocka_unit_test (test_merge),
+    cmocka_unit_test (test_renewed_watch),
+    cmocka_unit_test (test_window),
+    cmocka_unit_test (test_restarts),
+    cmocka_unit_test (test_first_send),
+    cmocka_unit_test (test_entries),
+    cmocka_unit_test (test_entries_spread),
+    cmocka_unit_test (test_entries_at_a_start),
+    cmocka_unit_test (test_relay_watchers),
+    cmocka_unit_test (test_outage_for_all),
+    cmocka_unit_test (test_first_watcher),
+    cmocka_unit_test (test_merge),
     cmocka_unit_test (test_timers),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
