--- a/src/cold_share.c
+++ b/src/cold_share.c
@@ -18,7 +18,6 @@
 
 struct _MrColdShare
 {
-  char *self;
   char *domain;
   guint domains;
   GHashTable *seen; /* member -> Seen */
@@ -27,10 +26,9 @@
 };
 
 MrColdShare *
-mr_cold_share_new (const char *self, const char *domain, guint domains)
+mr_cold_share_new (const char *domain, guint domains)
 {
   MrColdShare *share = g_new0 (MrColdShare, 1);
-  share->self = g_strdup (self);
   share->domain = g_strdup (domain);
   share->domains = domains;
   share->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -43,7 +41,6 @@
   if (!share)
     return;
   g_hash_table_unref (share->seen);
-  g_free (share->self);
   g_free (share->domain);
   g_free (share);
 }
--- a/src/cold_share.h
+++ b/src/cold_share.h
@@ -14,7 +14,7 @@
 typedef struct _MrColdShare MrColdShare;
 
 /* @domains: how many failure domains there are at least, as far as settings say; 0: unknown. */
-MrColdShare *mr_cold_share_new (const char *self, const char *domain, guint domains);
+MrColdShare *mr_cold_share_new (const char *domain, guint domains);
 void mr_cold_share_free (MrColdShare *share);
 
 /* This daemon's part now, 0 to 1, as members and plan stand. */
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -243,7 +243,7 @@
   task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                          (GDestroyNotify) mr_target_record_unref);
   task->early = mr_start_queue_new (mr_now ());
-  task->cold = mr_cold_share_new (settings->base.name, settings->base.domain,
+  task->cold = mr_cold_share_new (settings->base.domain,
                                   settings->regions ? g_hash_table_size (settings->regions) : 0);
   task->content_key = mr_settings_content_key (&settings->base);
   mr_relay_request_init (task);
--- a/test/prop_cold.cpp
+++ b/test/prop_cold.cpp
@@ -67,7 +67,7 @@
       {
         mr_cold_share_free (sender.share);
         sender = Sender{};
-        sender.share = mr_cold_share_new (node.self.name, node.self.domain, DOMAINS);
+        sender.share = mr_cold_share_new (node.self.domain, DOMAINS);
         sender.incarnation = node.self.incarnation;
       }
     MrMemberList *members = mr_membership_list (node.membership);
