--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -98,19 +98,12 @@
   return FALSE;
 }
 
-/* What tells that calls must not go somewhere. */
-static gboolean
-S_is_restriction (int index)
-{
-  return index == WATCH_EVIDENCE || index == WATCH_EVACUATIONS;
-}
-
 static int
 S_watch_wait_ms (const MrControlTask *task, int index)
 {
   if (!task->relay)
     return WATCH_WAIT_MS;
-  if (S_is_restriction (index))
+  if (mr_control_is_restriction (index))
     return RELAY_WATCH_WAIT_MS; /* daemons tell each other */
   return mr_watch_first (task->members, task->settings->name) ? FIRST_WATCH_WAIT_MS
                                                               : RELAY_WATCH_WAIT_MS;
@@ -125,7 +118,7 @@
 {
   if (index == WATCH_DOCUMENTS)
     return task->relay || !watcher;
-  if (S_is_restriction (index))
+  if (mr_control_is_restriction (index))
     return task->relay && !watcher && task->held->len == 0;
   return task->relay != (index >= WATCH_CONFIGURATION);
 }
@@ -370,7 +363,7 @@
   mr_watch_ended (&task->watches[index], now, success, watcher, g_rand_double (task->random));
   if (!success && index == WATCH_EVIDENCE && task->configuration)
     task->watches[index].due = now + EVIDENCE_RETRY;
-  if (!success && S_is_restriction (index))
+  if (!success && mr_control_is_restriction (index))
     mr_control_start_refused (task, now, index);
   /* The rest of a full listing, and the first watch after it, follow at once. */
   gboolean more = task->watches[index].after[0] != '\0';
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -32,6 +32,13 @@
   WATCHES,
 };
 
+/* TRUE for the watches that tell where calls must not go. */
+static inline gboolean
+mr_control_is_restriction (int watch)
+{
+  return watch == WATCH_EVIDENCE || watch == WATCH_EVACUATIONS;
+}
+
 typedef struct _MrHeldOffer MrHeldOffer;
 
 struct _MrControlTask
--- a/src/control_start.c
+++ b/src/control_start.c
@@ -50,8 +50,6 @@
   g_ptr_array_unref (task->held);
 }
 
-static const int restrictions[] = { WATCH_EVIDENCE, WATCH_EVACUATIONS };
-
 static gboolean
 S_knows (const MrControlTask *task, int index)
 {
@@ -61,8 +59,8 @@
 static gboolean
 S_knows_restrictions (const MrControlTask *task)
 {
-  for (gsize i = 0; i < G_N_ELEMENTS (restrictions); i++)
-    if (!S_knows (task, restrictions[i]))
+  for (int i = 0; i < WATCHES; i++)
+    if (mr_control_is_restriction (i) && !S_knows (task, i))
       return FALSE;
   return TRUE;
 }
@@ -136,12 +134,9 @@
 {
   task->hold_until = now + HOLD_MOST;
   task->restrictions_refused = FALSE;
-  for (gsize i = 0; i < G_N_ELEMENTS (restrictions); i++)
-    {
-      MrWatch *watch = &task->watches[restrictions[i]];
-      if (!S_knows (task, restrictions[i]))
-        watch->due = MIN (watch->due, now);
-    }
+  for (int i = 0; i < WATCHES; i++)
+    if (mr_control_is_restriction (i) && !S_knows (task, i))
+      task->watches[i].due = MIN (task->watches[i].due, now);
 }
 
 void
