--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -82,7 +82,7 @@
   guint watchers = 0;
   for (guint i = 0; i < fleet->layout.count; i++)
     if (fleet->nodes[i].membership)
-      watchers += mr_watch_relay (fleet->nodes[i].members, fleet->nodes[i].self.name) ? 1 : 0;
+      watchers += mr_watch_relay (fleet->nodes[i].roster, fleet->nodes[i].self.name) ? 1 : 0;
   return watchers;
 }
 
--- a/src/cold_share.c
+++ b/src/cold_share.c
@@ -10,17 +10,18 @@
 /* Kept back of what targets bear: views of who is named may differ by a daemon. */
 static const double MARGIN = 1.5;
 
+/* A member that fell silent. */
 typedef struct
 {
   char domain[MR_NAME_MAX + 1];
   MrTime seen; /* alive, last */
-} Seen;
+} Lost;
 
 struct _MrColdShare
 {
   char *domain;
   guint domains;
-  GHashTable *seen; /* member -> Seen */
+  GHashTable *lost; /* member -> Lost */
   MrTime settled;   /* since when this daemon has been named, and sees most of its domain; 0: not */
   guint most_named; /* in this domain at once, since then */
 };
@@ -31,7 +32,7 @@
   MrColdShare *share = g_new0 (MrColdShare, 1);
   share->domain = g_strdup (domain);
   share->domains = domains;
-  share->seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  share->lost = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return share;
 }
 
@@ -40,73 +41,60 @@
 {
   if (!share)
     return;
-  g_hash_table_unref (share->seen);
+  g_hash_table_unref (share->lost);
   g_free (share->domain);
   g_free (share);
 }
 
-static void
-S_note_seen (MrColdShare *share, MrTime now, const MrMember *member)
+void
+mr_cold_share_note (MrColdShare *share, MrTime now, const MrMember *member)
 {
-  Seen *seen = g_hash_table_lookup (share->seen, member->name);
-  if (member->state == MR_MEMBER_LEFT || member->state == MR_MEMBER_LEAVING)
+  if (member->state != MR_MEMBER_SUSPECT && member->state != MR_MEMBER_DEAD)
     {
-      g_hash_table_remove (share->seen, member->name);
+      g_hash_table_remove (share->lost, member->name);
       return;
     }
-  if (!seen)
-    {
-      seen = g_new0 (Seen, 1);
-      seen->seen = now;
-      g_hash_table_insert (share->seen, g_strdup (member->name), seen);
-    }
-  if (member->state == MR_MEMBER_ALIVE)
-    seen->seen = now;
-  g_strlcpy (seen->domain, member->domain, sizeof seen->domain);
+  if (g_hash_table_contains (share->lost, member->name))
+    return;
+  Lost *lost = g_new0 (Lost, 1);
+  lost->seen = now;
+  g_strlcpy (lost->domain, member->domain, sizeof lost->domain);
+  g_hash_table_insert (share->lost, g_strdup (member->name), lost);
 }
 
 static void
 S_forget_old (MrColdShare *share, MrTime now)
 {
   GHashTableIter iter;
-  gpointer seen = NULL;
-  g_hash_table_iter_init (&iter, share->seen);
-  while (g_hash_table_iter_next (&iter, NULL, &seen))
-    if (now - ((Seen *) seen)->seen > REMEMBER)
+  gpointer lost = NULL;
+  g_hash_table_iter_init (&iter, share->lost);
+  while (g_hash_table_iter_next (&iter, NULL, &lost))
+    if (now - ((Lost *) lost)->seen > REMEMBER)
       g_hash_table_iter_remove (&iter);
 }
 
 /* Failure domains that are known of; in @own, the daemons of this one. */
 static guint
-S_count_domains (const MrColdShare *share, guint *own)
+S_count_domains (const MrColdShare *share, const MrRoster *roster, guint *own)
 {
   g_autoptr (GHashTable) domains = g_hash_table_new (g_str_hash, g_str_equal);
   GHashTableIter iter;
   gpointer item = NULL;
-  *own = 0;
+  *own = mr_roster_domain_alive (roster, mr_roster_domain (roster, share->domain));
   g_hash_table_add (domains, share->domain);
-  g_hash_table_iter_init (&iter, share->seen);
+  for (guint i = 0; i < mr_roster_domains (roster); i++)
+    if (mr_roster_domain_alive (roster, i) > 0)
+      g_hash_table_add (domains, (gpointer) mr_roster_domain_name (roster, i));
+  g_hash_table_iter_init (&iter, share->lost);
   while (g_hash_table_iter_next (&iter, NULL, &item))
     {
-      Seen *seen = item;
-      g_hash_table_add (domains, seen->domain);
-      *own += g_str_equal (seen->domain, share->domain) ? 1 : 0;
+      Lost *lost = item;
+      g_hash_table_add (domains, lost->domain);
+      *own += g_str_equal (lost->domain, share->domain) ? 1 : 0;
     }
   return MAX (g_hash_table_size (domains), share->domains);
 }
 
-static guint
-S_count_alive (const MrColdShare *share, const MrMemberList *members)
-{
-  guint count = 0;
-  for (guint i = 0; i < members->count; i++)
-    {
-      const MrMember *member = &members->members[i];
-      count += member->state == MR_MEMBER_ALIVE && g_str_equal (member->domain, share->domain);
-    }
-  return count;
-}
-
 static guint
 S_count_named (const MrColdShare *share, const MrEntryPlan *plan)
 {
@@ -122,15 +110,14 @@
 double
 mr_cold_share_update (MrColdShare *share,
                       MrTime now,
-                      const MrMemberList *members,
+                      const MrRoster *roster,
                       const MrEntryPlan *plan)
 {
   guint own = 0;
-  for (guint i = 0; i < members->count; i++)
-    S_note_seen (share, now, &members->members[i]);
   S_forget_old (share, now);
-  guint domains = S_count_domains (share, &own);
-  gboolean most = 2 * S_count_alive (share, members) > own && members->count > 1;
+  guint domains = S_count_domains (share, roster, &own);
+  guint alive = mr_roster_domain_alive (roster, mr_roster_domain (roster, share->domain));
+  gboolean most = 2 * alive > own && mr_roster_has_met (roster);
   if (!MR_SAFEGUARD (MR_GUARD_COLD_SHARE))
     return plan->is_entry ? 1.0 / MAX (plan->entries->len, 1) : 0;
   if (!most || !plan->is_entry)
--- a/src/cold_share.h
+++ b/src/cold_share.h
@@ -17,10 +17,13 @@
 MrColdShare *mr_cold_share_new (const char *domain, guint domains);
 void mr_cold_share_free (MrColdShare *share);
 
+/* A member as it is now; each change of one is to be told. */
+void mr_cold_share_note (MrColdShare *share, MrTime now, const MrMember *member);
+
 /* This daemon's part now, 0 to 1, as members and plan stand. */
 double mr_cold_share_update (MrColdShare *share,
                              MrTime now,
-                             const MrMemberList *members,
+                             const MrRoster *roster,
                              const MrEntryPlan *plan);
 
 /* Calls that a daemon with @part may send to one target in MR_COLD_SPAN, of the @bound that
--- a/src/control_evidence.c
+++ b/src/control_evidence.c
@@ -224,7 +224,7 @@
       mr_membership_set_digest (task->membership, mr_registry_digest (task->registry));
     }
   Saving saving = { .task = task, .now = now };
-  if (task->platform_up && mr_watch_first (task->members, task->settings->name))
+  if (task->platform_up && mr_watch_first (task->roster, task->settings->name))
     mr_quarantine_foreach (task->quarantine, S_save, &saving);
   *next = MIN (*next, task->evidence_at);
 }
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -73,8 +73,8 @@
 S_is_watcher (const MrControlTask *task)
 {
   if (task->relay)
-    return mr_watch_relay (task->members, task->settings->name);
-  return mr_watch_rank (task->members, task->settings->name) < MR_WATCHERS;
+    return mr_watch_relay (task->roster, task->settings->name);
+  return mr_watch_rank (task->roster, task->settings->name) < MR_WATCHERS;
 }
 
 /* TRUE while a relay that has just started leaves the store alone, since its peers
@@ -84,14 +84,14 @@
 {
   gboolean synced = mr_spread_synced (task->spread);
   MrJoiningStep step =
-      mr_joining_step (&task->joining, now, task->members, task->settings->name, watcher, synced);
+      mr_joining_step (&task->joining, now, task->roster, task->settings->name, watcher, synced);
   if (step.ask)
     mr_spread_ask (task->spread, now, step.ask->name);
   *next = MIN (*next, step.next);
   if (!step.read)
     return TRUE;
   for (int i = WATCH_CONFIGURATION; i < WATCHES; i++)
-    task->watches[i].readers = task->members->count;
+    task->watches[i].readers = mr_roster_count (task->roster);
   for (int i = WATCH_CONFIGURATION; i < WATCHES && !watcher; i++)
     if (!task->watches[i].done && synced)
       mr_watch_ended (&task->watches[i], now, true, false, g_rand_double (task->random));
@@ -105,8 +105,8 @@
     return WATCH_WAIT_MS;
   if (mr_control_is_restriction (index))
     return RELAY_WATCH_WAIT_MS; /* daemons tell each other */
-  return mr_watch_first (task->members, task->settings->name) ? FIRST_WATCH_WAIT_MS
-                                                              : RELAY_WATCH_WAIT_MS;
+  return mr_watch_first (task->roster, task->settings->name) ? FIRST_WATCH_WAIT_MS
+                                                             : RELAY_WATCH_WAIT_MS;
 }
 
 /* Evidence and evacuations spread between daemons.  Of relays they are read by those that
@@ -182,7 +182,7 @@
 static void
 S_on_listed_document (MrControlTask *task, MrTime now, const MrPlatformObject *object)
 {
-  guint rank = mr_watch_rank (task->members, task->settings->name);
+  guint rank = mr_watch_rank (task->roster, task->settings->name);
   MrText body = object->deleted ? (MrText){ 0 } : mr_text_of (object->body);
   mr_controller_document (task->controller, mr_text (object->name), object->version, body,
                           now + rank * RANK_DELAY);
@@ -282,18 +282,29 @@
   mr_control_start_offer (task, watch_kinds[index].object, object);
 }
 
-/* Targets that were known and that a full listing does not name. */
+typedef struct
+{
+  MrControlTask *task;
+  MrTime now;
+} Unlisted;
+
 static void
-S_remove_unlisted (MrControlTask *task, MrTime now)
+S_remove_unlisted (const char *id, void *user)
 {
-  GHashTableIter iter;
-  gpointer name = NULL;
+  const Unlisted *unlisted = user;
+  const MrControlTask *task = unlisted->task;
   guint64 version = mr_listing_version (task->listing);
-  g_hash_table_iter_init (&iter, task->records);
-  while (g_hash_table_iter_next (&iter, &name, NULL))
-    if (!mr_listing_has (task->listing, name) &&
-        mr_registry_version (task->registry, MR_OBJECT_TARGET, name) < version)
-      mr_listing_removed (task->listing, now, name, version);
+  if (!mr_listing_has (task->listing, id) &&
+      mr_registry_version (task->registry, MR_OBJECT_TARGET, id) < version)
+    mr_listing_removed (task->listing, unlisted->now, id, version);
+}
+
+/* Targets that were known and that a full listing does not name. */
+static void
+S_remove_all_unlisted (MrControlTask *task, MrTime now)
+{
+  Unlisted unlisted = { .task = task, .now = now };
+  mr_target_table_foreach (task->records, S_remove_unlisted, &unlisted);
 }
 
 static void
@@ -301,7 +312,7 @@
 {
   MrWatch *watch = &task->watches[index];
   gboolean full = result->request->since == 0;
-  mr_listing_set_known (task->listing, g_hash_table_size (task->records));
+  mr_listing_set_known (task->listing, mr_target_table_count (task->records));
   if (result->expired)
     {
       watch->since = 0;
@@ -329,7 +340,7 @@
       return;
     }
   if (full && index == WATCH_TARGETS)
-    S_remove_unlisted (task, now);
+    S_remove_all_unlisted (task, now);
   if (full && index == WATCH_EVACUATIONS)
     mr_control_evacuation_listed (task);
   watch->since = full ? watch->listed : MAX (watch->since, result->revision);
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -1,5 +1,6 @@
 /* Inside of the control task, shared by its files:
- *   control_task.c      the loop, members, the view
+ *   control_task.c      the loop, members, objects
+ *   control_view.c      what the other tasks are told
  *   control_peers.c     messages of other daemons
  *   control_platform.c  watches, the controller's reads and writes
  *   control_evidence.c  contents that end targets: told, saved, forgotten
@@ -14,7 +15,9 @@
 #include "message.h"
 #include "peer_link.h"
 #include "quarantine.h"
+#include "roster.h"
 #include "spread.h"
+#include "target_table.h"
 #include "watch.h"
 #include <stdatomic.h>
 
@@ -59,7 +62,9 @@
   MrMembership *membership;
   MrSpread *spread;
   MrController *controller;
-  MrMemberList *members; /* as published last */
+  MrRoster *roster;
+  GHashTable *members_told; /* of a relay: names of members changed since they were told */
+  MrMemberList *members;    /* of the product's own dialect, as published last */
   GRand *random;
   GHashTable *maps; /* service -> GQueue of MrShardMap, newest first */
   MrWatch watches[WATCHES];
@@ -67,7 +72,7 @@
   gboolean relay;
   MrListing *listing;             /* of targets */
   MrConfiguration *configuration; /* of routes */
-  GHashTable *records;            /* target id -> MrTargetRecord */
+  MrTargetTable *records;         /* of targets */
   gboolean members_changed;
   gboolean view_changed;
   gboolean ready;
@@ -99,6 +104,11 @@
 #define TASK_OF(host, member)                                                                      \
   ((MrControlTask *) (void *) ((char *) (host) -offsetof (MrControlTask, member)))
 
+/* @member is new, or something about it has changed. */
+void mr_control_view_member (MrControlTask *task, const MrMember *member);
+/* Tells the other tasks what has changed since the last call. */
+void mr_control_view_publish (MrControlTask *task);
+
 void mr_control_evidence_init (MrControlTask *task);
 void mr_control_evidence_clear (MrControlTask *task);
 /* The requests of this daemon have shown something. */
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -65,9 +65,9 @@
 }
 
 static void
-S_on_members_changed (MrMembershipHost *host)
+S_on_member_changed (MrMembershipHost *host, const MrMember *member)
 {
-  TASK_OF (host, membership_host)->members_changed = TRUE;
+  mr_control_view_member (TASK_OF (host, membership_host), member);
 }
 
 static void
@@ -144,7 +144,7 @@
 {
   if (object->body->len == 0)
     {
-      g_hash_table_remove (task->records, object->name);
+      mr_target_table_remove (task->records, object->name);
       return;
     }
   mr_listing_present (task->listing, object->name, object->version);
@@ -152,10 +152,10 @@
       mr_target_record_parse (mr_text (object->name), mr_text_of (object->body));
   if (record)
     {
-      g_hash_table_replace (task->records, record->target.id, record);
+      mr_target_table_put (task->records, record);
       return;
     }
-  g_hash_table_remove (task->records, object->name);
+  mr_target_table_remove (task->records, object->name);
   mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_BAD, "targets/%s version %" G_GUINT64_FORMAT ": %s",
           object->name, object->version, mr_status_message ());
 }
@@ -179,57 +179,12 @@
     mr_control_evacuation_taken (object);
   if (object->kind == MR_OBJECT_EVIDENCE)
     mr_control_evidence_taken (task, object->name, object->version);
-  else
+  else if (object->kind != MR_OBJECT_TARGET)
     task->view_changed = TRUE;
   mr_membership_set_digest (task->membership, mr_registry_digest (task->registry));
 }
 
-/* View. */
-
-static void
-S_add_leaving (MrView *view, const MrObject *object)
-{
-  json_t *root = json_loadb (object->body->str, object->body->len, 0, NULL);
-  size_t i = 0;
-  json_t *item = NULL;
-  json_array_foreach (root, i, item)
-  {
-    if (json_is_string (item))
-      g_hash_table_add (view->leaving, g_strdup (json_string_value (item)));
-  }
-  json_decref (root);
-}
-
-typedef struct
-{
-  MrControlTask *task;
-  MrView *view;
-} ViewBuild;
-
-static void
-S_add_object (const MrObject *object, void *user)
-{
-  ViewBuild *build = user;
-  if (object->kind == MR_OBJECT_VM)
-    S_add_leaving (build->view, object);
-  if (object->kind == MR_OBJECT_EVACUATION && mr_evacuation_holds (object->version))
-    g_hash_table_add (build->view->evacuated, g_strdup (object->name));
-  if (object->kind != MR_OBJECT_ACCEPTED)
-    return;
-  MrAccepted accepted;
-  MrDocument document;
-  if (mr_accepted_parse (mr_text_of (object->body), &accepted) != MR_OK)
-    {
-      mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_BAD, "accepted/%s: %s", object->name,
-              mr_status_message ());
-      return;
-    }
-  if (!accepted.deleted &&
-      mr_document_parse (mr_text (object->name), mr_text (accepted.document), &document) == MR_OK)
-    mr_view_add_service (build->view, &document, accepted.source, object->version,
-                         g_queue_peek_head (mr_control_maps (build->task, object->name)));
-  mr_accepted_clear (&accepted);
-}
+/* Readiness. */
 
 static void
 S_set_ready (MrControlTask *task, gboolean read)
@@ -273,43 +228,6 @@
   S_set_ready (task, read);
 }
 
-static void
-S_add_records (const MrControlTask *task, MrView *view)
-{
-  GHashTableIter iter;
-  gpointer record = NULL;
-  g_hash_table_iter_init (&iter, task->records);
-  while (g_hash_table_iter_next (&iter, NULL, &record))
-    g_ptr_array_add (view->targets, mr_target_record_ref (record));
-}
-
-static void
-S_publish (MrControlTask *task)
-{
-  if (!task->view_changed && !task->members_changed)
-    return;
-  if (task->members_changed)
-    {
-      mr_member_list_unref (task->members);
-      task->members = mr_membership_list (task->membership);
-    }
-  task->view_changed = FALSE;
-  task->members_changed = FALSE;
-  MrView *view = mr_view_new (mr_member_list_ref (task->members));
-  view->ready = task->ready;
-  view->platform_up = task->platform_up;
-  ViewBuild build = { .task = task, .view = view };
-  mr_registry_foreach (task->registry, S_add_object, &build);
-  if (task->configuration)
-    view->configuration = mr_configuration_ref (task->configuration);
-  S_add_records (task, view);
-  mr_mailbox_post (task->entry, &mr_view_message_new (view)->base);
-  if (task->targets)
-    mr_mailbox_post (task->targets, &mr_view_message_new (view)->base);
-  mr_view_unref (view);
-  mr_metrics_add (MR_METRIC_VIEWS, 1);
-}
-
 /* The task itself. */
 
 static void
@@ -335,12 +253,10 @@
 }
 
 static void
-S_close_links_of_the_dead (MrControlTask *task)
+S_close_link_of_dead (const MrMember *member, void *user)
 {
-  for (guint i = 0; i < task->members->count; i++)
-    if (task->members->members[i].state >= MR_MEMBER_LEFT)
-      mr_peer_link_close (task->link, task->members->members[i].ip,
-                          task->members->members[i].peer_port);
+  if (member->state >= MR_MEMBER_LEFT)
+    mr_peer_link_close (user, member->ip, member->peer_port);
 }
 
 static MrTime
@@ -355,11 +271,11 @@
   mr_control_evidence_tick (task, now, &next);
   next = MIN (next, mr_spread_tick (task->spread, now));
   S_check_ready (task, now);
-  S_publish (task);
+  mr_control_view_publish (task);
   if (now >= task->prune_at)
     {
       task->prune_at = now + PRUNE_GAP;
-      S_close_links_of_the_dead (task);
+      mr_membership_foreach (task->membership, S_close_link_of_dead, task->link);
       mr_peer_link_prune (task->link, now);
     }
   if (now >= task->traffic_at)
@@ -463,7 +379,7 @@
   task->seeds = g_array_new (FALSE, FALSE, sizeof (MrMember));
   task->membership_host = (MrMembershipHost){
     .send = S_on_heartbeat_out,
-    .changed = S_on_members_changed,
+    .changed = S_on_member_changed,
   };
   task->spread_host = (MrSpreadHost){
     .send = S_on_spread_out,
@@ -472,8 +388,9 @@
   };
   task->relay = info->relay;
   task->listing = mr_listing_new ();
-  task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                         (GDestroyNotify) mr_target_record_unref);
+  task->records = mr_target_table_new ();
+  task->roster = mr_roster_new ();
+  task->members_told = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   mr_control_platform_init (task);
   mr_control_evidence_init (task);
   mr_control_start_init (task);
@@ -483,8 +400,7 @@
   task->membership = mr_membership_new (&task->membership_host, &self, info->seed);
   task->spread = mr_spread_new (&task->spread_host, task->registry, info->settings->name);
   task->controller = mr_controller_new (&task->controller_host);
-  task->members = mr_membership_list (task->membership);
-  task->members_changed = TRUE;
+  mr_control_view_member (task, &self);
   S_read_seeds (task);
   MrJoiningInfo joining = {
     .first_start = info->settings->first_start,
@@ -524,7 +440,9 @@
   g_hash_table_unref (task->evacuations_listed);
   mr_listing_free (task->listing);
   mr_configuration_unref (task->configuration);
-  g_hash_table_unref (task->records);
+  mr_target_table_free (task->records);
+  g_hash_table_unref (task->members_told);
+  mr_roster_free (task->roster);
   mr_spread_free (task->spread);
   mr_membership_free (task->membership);
   mr_registry_free (task->registry);
--- /dev/null
+++ b/src/control_view.c
@@ -0,0 +1,138 @@
+#include "control_private.h"
+
+#include "accepted.h"
+#include "evacuation.h"
+#include "log.h"
+#include "metrics.h"
+#include <jansson.h>
+
+static void
+S_add_leaving (MrView *view, const MrObject *object)
+{
+  json_t *root = json_loadb (object->body->str, object->body->len, 0, NULL);
+  size_t i = 0;
+  json_t *item = NULL;
+  json_array_foreach (root, i, item)
+  {
+    if (json_is_string (item))
+      g_hash_table_add (view->leaving, g_strdup (json_string_value (item)));
+  }
+  json_decref (root);
+}
+
+typedef struct
+{
+  MrControlTask *task;
+  MrView *view;
+} ViewBuild;
+
+static void
+S_add_leaving_targets (const MrObject *object, void *user)
+{
+  S_add_leaving (((ViewBuild *) user)->view, object);
+}
+
+static void
+S_add_evacuation (const MrObject *object, void *user)
+{
+  if (mr_evacuation_holds (object->version))
+    g_hash_table_add (((ViewBuild *) user)->view->evacuated, g_strdup (object->name));
+}
+
+static void
+S_add_service (const MrObject *object, void *user)
+{
+  ViewBuild *build = user;
+  MrAccepted accepted;
+  MrDocument document;
+  if (mr_accepted_parse (mr_text_of (object->body), &accepted) != MR_OK)
+    {
+      mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_BAD, "accepted/%s: %s", object->name,
+              mr_status_message ());
+      return;
+    }
+  if (!accepted.deleted &&
+      mr_document_parse (mr_text (object->name), mr_text (accepted.document), &document) == MR_OK)
+    mr_view_add_service (build->view, &document, accepted.source, object->version,
+                         g_queue_peek_head (mr_control_maps (build->task, object->name)));
+  mr_accepted_clear (&accepted);
+}
+
+void
+mr_control_view_member (MrControlTask *task, const MrMember *member)
+{
+  mr_roster_put (task->roster, member);
+  if (task->relay)
+    g_hash_table_add (task->members_told, g_strdup (member->name));
+  else
+    task->members_changed = TRUE;
+}
+
+/* Members that were told of and are no longer known are gone; the roster's takers are
+ * told of them as dead before. */
+static GArray *
+S_take_member_changes (MrControlTask *task)
+{
+  if (g_hash_table_size (task->members_told) == 0)
+    return NULL;
+  GArray *members = g_array_new (FALSE, FALSE, sizeof (MrMember));
+  GHashTableIter iter;
+  gpointer name = NULL;
+  g_hash_table_iter_init (&iter, task->members_told);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    {
+      const MrMember *self = mr_membership_self (task->membership);
+      const MrMember *member =
+          g_str_equal (name, self->name) ? self : mr_membership_find (task->membership, name);
+      if (member)
+        g_array_append_vals (members, member, 1);
+    }
+  g_hash_table_remove_all (task->members_told);
+  return members;
+}
+
+/* Changes go first: a view may say that this daemon is ready. */
+static void
+S_publish_changes (MrControlTask *task)
+{
+  GPtrArray *targets = mr_target_table_take_changes (task->records);
+  GArray *members = S_take_member_changes (task);
+  if (targets || members)
+    mr_mailbox_post (task->entry, &mr_changes_message_new (targets, members)->base);
+}
+
+static MrView *
+S_view (MrControlTask *task)
+{
+  MrView *view = mr_view_new (task->relay ? NULL : mr_member_list_ref (task->members));
+  ViewBuild build = { .task = task, .view = view };
+  view->ready = task->ready;
+  view->platform_up = task->platform_up;
+  mr_registry_foreach_of (task->registry, MR_OBJECT_VM, S_add_leaving_targets, &build);
+  mr_registry_foreach_of (task->registry, MR_OBJECT_EVACUATION, S_add_evacuation, &build);
+  mr_registry_foreach_of (task->registry, MR_OBJECT_ACCEPTED, S_add_service, &build);
+  if (task->configuration)
+    view->configuration = mr_configuration_ref (task->configuration);
+  return view;
+}
+
+void
+mr_control_view_publish (MrControlTask *task)
+{
+  S_publish_changes (task);
+  if (!task->view_changed && !task->members_changed)
+    return;
+  if (task->members_changed)
+    {
+      mr_member_list_unref (task->members);
+      task->members = mr_membership_list (task->membership);
+    }
+  task->view_changed = FALSE;
+  task->members_changed = FALSE;
+  MrView *view = S_view (task);
+  mr_mailbox_post (task->entry, &mr_view_message_new (view)->base);
+  if (task->targets)
+    mr_mailbox_post (task->targets, &mr_view_message_new (view)->base);
+  mr_view_unref (view);
+  mr_metrics_add (MR_METRIC_VIEWS, 1);
+}
--- a/src/entry_plan.c
+++ b/src/entry_plan.c
@@ -1,7 +1,5 @@
 #include "entry_plan.h"
 
-#include <xxhash.h>
-
 /* Processor that the entries' load may take of what they have together.  The rest
  * is for bursts, for the loss of some of them, and for the 36 answers of a wide
  * search that come at once: of 27 and 65 VMs with an eighth of a core, entries
@@ -21,83 +19,40 @@
 /* Part of the allowance for daemons that are no entries. */
 static const double OTHERS_ALLOWANCE = 0.15;
 
-typedef struct
-{
-  const MrMember *member;
-  guint turn; /* place within its failure domain */
-  guint64 score;
-} Candidate;
-
-/* Best first within a failure domain: the larger VMs, in classes of a factor of
- * two, so that small differences don't decide; then by hash. */
-static int
-S_best_first (gconstpointer a, gconstpointer b)
-{
-  const Candidate *x = a;
-  const Candidate *y = b;
-  int domain = strcmp (x->member->domain, y->member->domain);
-  guint x_class = g_bit_storage (x->member->capacity);
-  guint y_class = g_bit_storage (y->member->capacity);
-  if (domain != 0)
-    return domain;
-  if (x_class != y_class)
-    return x_class > y_class ? -1 : 1;
-  return x->score > y->score ? -1 : x->score < y->score;
-}
-
 /* Failure domains in turn, so that the loss of one takes its share only. */
 static int
-S_by_turn (gconstpointer a, gconstpointer b)
+S_by_score (gconstpointer a, gconstpointer b)
 {
-  const Candidate *x = a;
-  const Candidate *y = b;
-  if (x->turn != y->turn)
-    return x->turn < y->turn ? -1 : 1;
-  return x->score > y->score ? -1 : x->score < y->score;
-}
-
-static GArray *
-S_candidates (const MrMemberList *members, MrMemberState state, gboolean busy)
-{
-  GArray *list = g_array_new (FALSE, FALSE, sizeof (Candidate));
-  for (guint i = 0; i < members->count; i++)
-    {
-      const MrMember *member = &members->members[i];
-      Candidate candidate = { .member = member,
-                              .score = XXH64 (member->name, strlen (member->name), 0) };
-      if (member->state == state && member->busy == busy)
-        g_array_append_val (list, candidate);
-    }
-  g_array_sort (list, S_best_first);
-  for (guint i = 1; i < list->len; i++)
-    {
-      Candidate *c = &g_array_index (list, Candidate, i);
-      const Candidate *before = &g_array_index (list, Candidate, i - 1);
-      if (g_str_equal (before->member->domain, c->member->domain))
-        c->turn = before->turn + 1;
-    }
-  g_array_sort (list, S_by_turn);
-  return list;
+  guint64 x = mr_roster_score ((*(const MrMember *const *) a)->name);
+  guint64 y = mr_roster_score ((*(const MrMember *const *) b)->name);
+  return x > y ? -1 : x < y;
 }
 
 static void
-S_choose (MrEntryPlan *plan, const MrMemberList *members, const GArray *candidates)
+S_choose (MrEntryPlan *plan, const MrRoster *roster, MrRosterGroup group)
 {
-  double load = 0;
+  double load = (double) mr_roster_load (roster);
   double capacity = 0;
   guint32 best = 0;
-  for (guint i = 0; i < members->count; i++)
-    if (mr_member_usable (&members->members[i]))
-      load += members->members[i].load;
-  for (guint i = 0; i < candidates->len && plan->entries->len < MR_ENTRIES_MAX; i++)
+  guint left = mr_roster_group_size (roster, group);
+  g_autoptr (GPtrArray) row = g_ptr_array_new ();
+  for (guint turn = 0; left > 0; turn++)
     {
-      const MrMember *member = g_array_index (candidates, Candidate, i).member;
-      guint least = member->capacity * SMALLER < best ? MR_ENTRIES_FEW : MR_ENTRIES_MIN;
-      if (plan->entries->len >= least && capacity * LOAD_SHARE >= load)
-        break;
-      best = MAX (best, member->capacity);
-      g_ptr_array_add (plan->entries, (gpointer) member);
-      capacity += member->capacity;
+      g_ptr_array_set_size (row, 0);
+      mr_roster_turn (roster, group, turn, row);
+      g_ptr_array_sort (row, S_by_score);
+      left -= row->len;
+      for (guint i = 0; i < row->len; i++)
+        {
+          const MrMember *member = g_ptr_array_index (row, i);
+          guint least = member->capacity * SMALLER < best ? MR_ENTRIES_FEW : MR_ENTRIES_MIN;
+          if (plan->entries->len == MR_ENTRIES_MAX ||
+              (plan->entries->len >= least && capacity * LOAD_SHARE >= load))
+            return;
+          best = MAX (best, member->capacity);
+          g_ptr_array_add (plan->entries, (gpointer) member);
+          capacity += member->capacity;
+        }
     }
 }
 
@@ -106,9 +61,9 @@
  * keep the answer, to searches of 0.25 s; without an answer they use the one that they
  * have, or ask another VM. */
 static gboolean
-S_is_lone_small (const MrMemberList *members)
+S_is_lone_small (const MrRoster *roster)
 {
-  return members->count == 1 && members->members[0].capacity < MR_SMALL_CAPACITY;
+  return !mr_roster_has_met (roster) && mr_roster_at (roster, 0)->capacity < MR_SMALL_CAPACITY;
 }
 
 MrTime
@@ -119,24 +74,19 @@
 }
 
 MrEntryPlan
-mr_entry_plan (const MrMemberList *members, const char *self)
+mr_entry_plan (const MrRoster *roster, const char *self)
 {
   MrEntryPlan plan = { .entries = g_ptr_array_new () };
-  g_autoptr (GArray) alive = S_candidates (members, MR_MEMBER_ALIVE, FALSE);
   /* A member that misses heartbeats may be gone; one that is cut off costs a
-   * caller a second, so it is named only if there is nobody else. */
-  g_autoptr (GArray) doubtful = S_candidates (members, MR_MEMBER_SUSPECT, FALSE);
-  /* Where all start, callers wait in front of one that does. */
-  g_autoptr (GArray) starting = S_candidates (members, MR_MEMBER_ALIVE, TRUE);
-  if (alive->len > 0)
-    S_choose (&plan, members, alive);
-  else if (doubtful->len > 0)
-    S_choose (&plan, members, doubtful);
-  else if (!S_is_lone_small (members))
-    S_choose (&plan, members, starting);
-  guint usable = 0;
-  for (guint i = 0; i < members->count; i++)
-    usable += mr_member_usable (&members->members[i]) ? 1 : 0;
+   * caller a second, so it is named only if there is nobody else.  Where all start,
+   * callers wait in front of one that does. */
+  if (mr_roster_group_size (roster, MR_ROSTER_READY) > 0)
+    S_choose (&plan, roster, MR_ROSTER_READY);
+  else if (mr_roster_group_size (roster, MR_ROSTER_DOUBTFUL) > 0)
+    S_choose (&plan, roster, MR_ROSTER_DOUBTFUL);
+  else if (mr_roster_count (roster) > 0 && !S_is_lone_small (roster))
+    S_choose (&plan, roster, MR_ROSTER_STARTING);
+  guint usable = mr_roster_usable (roster);
   for (guint i = 0; i < plan.entries->len; i++)
     if (g_str_equal (((MrMember *) g_ptr_array_index (plan.entries, i))->name, self))
       plan.is_entry = TRUE;
@@ -158,14 +108,14 @@
 }
 
 GPtrArray *
-mr_entry_plan_in (const MrEntryPlan *plan, const MrMemberList *members, GHashTable *regions)
+mr_entry_plan_in (const MrEntryPlan *plan, const MrRoster *roster, GHashTable *regions)
 {
   GPtrArray *list = g_ptr_array_new ();
   for (guint i = 0; i < plan->entries->len; i++)
     S_add_in (list, g_ptr_array_index (plan->entries, i), regions);
-  for (guint i = 0; list->len < MR_ENTRIES_FEW && i < members->count; i++)
+  for (guint i = 0; list->len < MR_ENTRIES_FEW && i < mr_roster_count (roster); i++)
     {
-      const MrMember *member = &members->members[i];
+      const MrMember *member = mr_roster_at (roster, i);
       if (member->state == MR_MEMBER_ALIVE && !member->busy &&
           !g_ptr_array_find (list, member, NULL))
         S_add_in (list, member, regions);
--- a/src/entry_plan.h
+++ b/src/entry_plan.h
@@ -12,7 +12,7 @@
 #pragma once
 
 #include "clock.h"
-#include "member.h"
+#include "roster.h"
 
 enum
 {
@@ -27,7 +27,7 @@
 
 typedef struct
 {
-  GPtrArray *entries; /* MrMember, borrowed from the list; best first */
+  GPtrArray *entries; /* MrMember, borrowed from the roster; best first */
   gboolean is_entry;  /* this daemon is one of them */
   double connections; /* this daemon's share of a target's connections, 0 to 1 */
   double slots;       /* and of its slots, 0 to 1 */
@@ -41,11 +41,11 @@
  * has to ask meanwhile waits for each of them in turn. */
 MrTime mr_entry_keep (guint domain_losses, MrTime most);
 
-MrEntryPlan mr_entry_plan (const MrMemberList *members, const char *self);
+/* Holds until a member of @roster changes. */
+MrEntryPlan mr_entry_plan (const MrRoster *roster, const char *self);
 /* Those that callers are told of where only the regions of the set @regions will do: entries
  * of the plan, or others if too few are there, or all entries if nobody is.  New, of borrowed
  * MrMember. */
-GPtrArray *
-mr_entry_plan_in (const MrEntryPlan *plan, const MrMemberList *members, GHashTable *regions);
+GPtrArray *mr_entry_plan_in (const MrEntryPlan *plan, const MrRoster *roster, GHashTable *regions);
 
 void mr_entry_plan_clear (MrEntryPlan *plan);
--- a/src/joining.c
+++ b/src/joining.c
@@ -53,14 +53,15 @@
  * fittest first; NULL if there is none.  All that start together would ask the same
  * one otherwise, and its link would be busy for as long as it answers them. */
 static const MrMember *
-S_next_peer (const MrJoining *joining, const MrMemberList *members, const char *self)
+S_next_peer (const MrJoining *joining, const MrRoster *roster, const char *self)
 {
-  const MrMember *own = mr_member_list_find (members, self);
+  const MrMember *own = mr_roster_find (roster, self);
   const MrMember *best = NULL;
-  guint first = (guint) (joining->place * members->count) + joining->asked;
-  for (guint i = 0; i < members->count; i++)
+  guint count = mr_roster_count (roster);
+  guint first = (guint) (joining->place * count) + joining->asked;
+  for (guint i = 0; i < count; i++)
     {
-      const MrMember *member = &members->members[(first + i) % members->count];
+      const MrMember *member = mr_roster_at (roster, (first + i) % count);
       if (!mr_member_usable (member) || member == own)
         continue;
       const char *domain = own ? own->domain : "";
@@ -73,9 +74,9 @@
 /* When the store may be read.  One that has just met the first of the others does not
  * know yet which of them reads for all. */
 static MrTime
-S_end (MrJoining *joining, MrTime now, const MrMemberList *members, gboolean watcher)
+S_end (MrJoining *joining, MrTime now, const MrRoster *roster, gboolean watcher)
 {
-  if (joining->met_at == 0 && members->count > 1)
+  if (joining->met_at == 0 && mr_roster_count (roster) > 1)
     joining->met_at = now;
   if (!watcher)
     return joining->started + joining->sync_wait;
@@ -87,18 +88,18 @@
 MrJoiningStep
 mr_joining_step (MrJoining *joining,
                  MrTime now,
-                 const MrMemberList *members,
+                 const MrRoster *roster,
                  const char *self,
                  gboolean watcher,
                  gboolean synced)
 {
-  MrTime end = S_end (joining, now, members, watcher);
+  MrTime end = S_end (joining, now, roster, watcher);
   if (joining->alone || synced || now >= end)
     return (MrJoiningStep){ .read = TRUE, .next = MR_NEVER };
   MrJoiningStep step = { .next = end };
   if (now >= joining->ask_at)
     {
-      step.ask = S_next_peer (joining, members, self);
+      step.ask = S_next_peer (joining, roster, self);
       joining->ask_at = now + joining->ask_gap;
       joining->asked++;
       if (step.ask && !step.ask->busy)
--- a/src/joining.h
+++ b/src/joining.h
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "clock.h"
-#include "member.h"
+#include "roster.h"
 
 typedef struct
 {
@@ -20,7 +20,7 @@
   MrTime ask_at;     /* when to ask a peer again */
   MrTime ask_gap;
   guint asked;
-  double place; /* 0 to 1: where in the list of members it begins to ask */
+  double place; /* 0 to 1: where among the members it begins to ask */
 } MrJoining;
 
 typedef struct
@@ -44,7 +44,7 @@
  * others.  @synced: it holds what a peer holds. */
 MrJoiningStep mr_joining_step (MrJoining *joining,
                                MrTime now,
-                               const MrMemberList *members,
+                               const MrRoster *roster,
                                const char *self,
                                gboolean watcher,
                                gboolean synced);
--- a/src/membership.c
+++ b/src/membership.c
@@ -87,7 +87,7 @@
     m->urgent = peer->news;
   m->links_stale = TRUE;
   m->members_digest = 0;
-  m->host->changed (m->host);
+  m->host->changed (m->host, &peer->member);
 }
 
 static MrHeartbeat
@@ -597,6 +597,18 @@
   return list;
 }
 
+void
+mr_membership_foreach (const MrMembership *m,
+                       void (*visit) (const MrMember *member, void *user),
+                       void *user)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, m->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    visit (&((const Peer *) item)->member, user);
+}
+
 const MrMember *
 mr_membership_find (const MrMembership *m, const char *name)
 {
--- a/src/membership.h
+++ b/src/membership.h
@@ -67,8 +67,8 @@
 {
   /* @to: at least ip and peer_port are set. */
   void (*send) (MrMembershipHost *host, const MrMember *to, const MrHeartbeat *heartbeat);
-  /* The list or a state in it has changed. */
-  void (*changed) (MrMembershipHost *host);
+  /* @member is new, or something about it has changed. */
+  void (*changed) (MrMembershipHost *host, const MrMember *member);
 };
 
 MrMembership *mr_membership_new (MrMembershipHost *host, const MrMember *self, guint32 seed);
@@ -94,6 +94,10 @@
 
 /* A new list of all members known, the dead included while they are told of. */
 MrMemberList *mr_membership_list (const MrMembership *membership);
+/* All members known but the own one, the dead included while they are told of. */
+void mr_membership_foreach (const MrMembership *membership,
+                            void (*visit) (const MrMember *member, void *user),
+                            void *user);
 /* Borrowed until the next call that takes a time; NULL if unknown. */
 const MrMember *mr_membership_find (const MrMembership *membership, const char *name);
 const MrMember *mr_membership_self (const MrMembership *membership);
--- a/src/message.c
+++ b/src/message.c
@@ -38,6 +38,24 @@
   return message;
 }
 
+static void
+S_free_changes (MrMessage *message)
+{
+  MrChangesMessage *changes = (MrChangesMessage *) message;
+  g_ptr_array_unref (changes->targets);
+  g_array_unref (changes->members);
+  g_free (message);
+}
+
+MrChangesMessage *
+mr_changes_message_new (GPtrArray *targets, GArray *members)
+{
+  MrChangesMessage *message = S_new (sizeof *message, MR_MESSAGE_CHANGES, S_free_changes);
+  message->targets = targets ? targets : g_ptr_array_new ();
+  message->members = members ? members : g_array_new (FALSE, FALSE, sizeof (MrMember));
+  return message;
+}
+
 static void
 S_free_submit (MrMessage *message)
 {
--- a/src/message.h
+++ b/src/message.h
@@ -10,11 +10,13 @@
 #include "member.h"
 #include "quarantine.h"
 #include "result.h"
+#include "target_table.h"
 #include "view.h"
 
 typedef enum
 {
   MR_MESSAGE_VIEW,
+  MR_MESSAGE_CHANGES,
   MR_MESSAGE_SUBMIT,
   MR_MESSAGE_FORGET,
   MR_MESSAGE_PARTIAL,
@@ -36,6 +38,14 @@
   MrView *view;
 } MrViewMessage;
 
+/* Control to a relay: what has changed since the message before. */
+typedef struct
+{
+  MrMessage base;
+  GPtrArray *targets; /* MrTargetChange */
+  GArray *members;    /* MrMember */
+} MrChangesMessage;
+
 /* Where a batch came from; an empty root is this daemon's own entry task. */
 typedef struct
 {
@@ -177,6 +187,8 @@
 } MrReportMessage;
 
 MrViewMessage *mr_view_message_new (MrView *view);
+/* Takes both; either may be NULL. */
+MrChangesMessage *mr_changes_message_new (GPtrArray *targets, GArray *members);
 MrSubmitMessage *mr_submit_message_new (MrBatch *batch, const MrOrigin *origin);
 MrForgetMessage *mr_forget_message_new (const MrOrigin *origin);
 MrPartialMessage *mr_partial_message_new (MrPartial *partial, const char *from);
--- a/src/registry.c
+++ b/src/registry.c
@@ -6,7 +6,7 @@
 
 struct _MrRegistry
 {
-  GHashTable *objects; /* "<kind>/<name>" -> MrObject */
+  GHashTable *objects[MR_OBJECT_KIND_LAST + 1]; /* of each kind: "<kind>/<name>" -> MrObject */
   guint64 digest;
 };
 
@@ -44,7 +44,9 @@
 mr_registry_new (void)
 {
   MrRegistry *registry = g_new0 (MrRegistry, 1);
-  registry->objects = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, S_object_free);
+  for (int kind = 0; kind <= MR_OBJECT_KIND_LAST; kind++)
+    registry->objects[kind] =
+        g_hash_table_new_full (g_str_hash, g_str_equal, g_free, S_object_free);
   return registry;
 }
 
@@ -53,7 +55,8 @@
 {
   if (!registry)
     return;
-  g_hash_table_unref (registry->objects);
+  for (int kind = 0; kind <= MR_OBJECT_KIND_LAST; kind++)
+    g_hash_table_unref (registry->objects[kind]);
   g_free (registry);
 }
 
@@ -86,7 +89,7 @@
     MrRegistry *registry, MrObjectKind kind, MrText name, guint64 version, MrText body)
 {
   char *key = S_key (kind, name);
-  MrObject *object = g_hash_table_lookup (registry->objects, key);
+  MrObject *object = g_hash_table_lookup (registry->objects[kind], key);
   if (object && version == object->version)
     {
       g_free (key);
@@ -120,7 +123,7 @@
     .started = MAX (started, object ? object->started : 0),
     .place = XXH64 (key, strlen (key), 0),
   };
-  g_hash_table_replace (registry->objects, key, replacement);
+  g_hash_table_replace (registry->objects[kind], key, replacement);
   return offer;
 }
 
@@ -128,18 +131,18 @@
 mr_registry_remove (MrRegistry *registry, MrObjectKind kind, const char *name)
 {
   g_autofree char *key = S_key (kind, mr_text (name));
-  const MrObject *object = g_hash_table_lookup (registry->objects, key);
+  const MrObject *object = g_hash_table_lookup (registry->objects[kind], key);
   if (!object)
     return;
   registry->digest ^= S_fingerprint (key, object->version);
-  g_hash_table_remove (registry->objects, key);
+  g_hash_table_remove (registry->objects[kind], key);
 }
 
 const MrObject *
 mr_registry_get (const MrRegistry *registry, MrObjectKind kind, const char *name)
 {
   g_autofree char *key = S_key (kind, mr_text (name));
-  return g_hash_table_lookup (registry->objects, key);
+  return g_hash_table_lookup (registry->objects[kind], key);
 }
 
 guint64
@@ -158,21 +161,19 @@
 guint
 mr_registry_count (const MrRegistry *registry)
 {
-  return g_hash_table_size (registry->objects);
+  guint count = 0;
+  for (int kind = 0; kind <= MR_OBJECT_KIND_LAST; kind++)
+    count += g_hash_table_size (registry->objects[kind]);
+  return count;
 }
 
-void
-mr_registry_ranges (const MrRegistry *registry,
-                    MrRange range,
-                    guint64 digests[MR_RANGE_PARTS],
-                    guint counts[MR_RANGE_PARTS])
+static void
+S_add_to_parts (GHashTable *objects, MrRange range, guint64 *digests, guint *counts)
 {
   GHashTableIter iter;
   gpointer key = NULL;
   gpointer item = NULL;
-  memset (digests, 0, MR_RANGE_PARTS * sizeof *digests);
-  memset (counts, 0, MR_RANGE_PARTS * sizeof *counts);
-  g_hash_table_iter_init (&iter, registry->objects);
+  g_hash_table_iter_init (&iter, objects);
   while (g_hash_table_iter_next (&iter, &key, &item))
     {
       const MrObject *object = item;
@@ -185,13 +186,35 @@
 }
 
 void
-mr_registry_foreach (const MrRegistry *registry,
-                     void (*visit) (const MrObject *object, void *user),
-                     void *user)
+mr_registry_ranges (const MrRegistry *registry,
+                    MrRange range,
+                    guint64 digests[MR_RANGE_PARTS],
+                    guint counts[MR_RANGE_PARTS])
+{
+  memset (digests, 0, MR_RANGE_PARTS * sizeof *digests);
+  memset (counts, 0, MR_RANGE_PARTS * sizeof *counts);
+  for (int kind = 0; kind <= MR_OBJECT_KIND_LAST; kind++)
+    S_add_to_parts (registry->objects[kind], range, digests, counts);
+}
+
+void
+mr_registry_foreach_of (const MrRegistry *registry,
+                        MrObjectKind kind,
+                        void (*visit) (const MrObject *object, void *user),
+                        void *user)
 {
   GHashTableIter iter;
   gpointer object = NULL;
-  g_hash_table_iter_init (&iter, registry->objects);
+  g_hash_table_iter_init (&iter, registry->objects[kind]);
   while (g_hash_table_iter_next (&iter, NULL, &object))
     visit (object, user);
 }
+
+void
+mr_registry_foreach (const MrRegistry *registry,
+                     void (*visit) (const MrObject *object, void *user),
+                     void *user)
+{
+  for (int kind = 0; kind <= MR_OBJECT_KIND_LAST; kind++)
+    mr_registry_foreach_of (registry, kind, visit, user);
+}
--- a/src/registry.h
+++ b/src/registry.h
@@ -121,6 +121,12 @@
   return (MrRange){ .start = kept | (guint64) index << (64 - bits), .bits = bits };
 }
 
+/* Objects of @kind only. */
+void mr_registry_foreach_of (const MrRegistry *registry,
+                             MrObjectKind kind,
+                             void (*visit) (const MrObject *object, void *user),
+                             void *user);
+
 void mr_registry_foreach (const MrRegistry *registry,
                           void (*visit) (const MrObject *object, void *user),
                           void *user);
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -39,7 +39,7 @@
     return g_ptr_array_ref (task->plan.entries);
   g_autofree char *region = mr_text_dup (question->region);
   g_hash_table_add (regions, region);
-  return mr_entry_plan_in (&task->plan, view->members, regions);
+  return mr_entry_plan_in (&task->plan, task->roster, regions);
 }
 
 static void
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -22,35 +22,14 @@
 /* Views. */
 
 static void
-S_drop_targets (MrRelayTask *task, MrTime now, const MrView *view)
+S_take_target (MrRelayTask *task, MrTime now, const MrTargetChange *change)
 {
-  g_autoptr (GHashTable) listed = g_hash_table_new (g_str_hash, g_str_equal);
-  for (guint i = 0; i < view->targets->len; i++)
-    g_hash_table_add (listed, ((MrTargetRecord *) g_ptr_array_index (view->targets, i))->target.id);
-  GHashTableIter iter;
-  gpointer id = NULL;
-  g_hash_table_iter_init (&iter, task->records);
-  while (g_hash_table_iter_next (&iter, &id, NULL))
-    if (!g_hash_table_contains (listed, id))
-      {
-        mr_relay_target_gone (task->relay, now, id);
-        g_hash_table_iter_remove (&iter);
-      }
-}
-
-static void
-S_take_targets (MrRelayTask *task, MrTime now, const MrView *view)
-{
-  S_drop_targets (task, now, view);
-  for (guint i = 0; i < view->targets->len; i++)
-    {
-      MrTargetRecord *record = g_ptr_array_index (view->targets, i);
-      if (g_hash_table_lookup (task->records, record->target.id) == record)
-        continue;
-      mr_relay_target (task->relay, now, record->service, &record->target, record->leaving,
-                       record->cold_for);
-      g_hash_table_replace (task->records, record->target.id, mr_target_record_ref (record));
-    }
+  const MrTargetRecord *record = change->record;
+  if (record)
+    mr_relay_target (task->relay, now, record->service, &record->target, record->leaving,
+                     record->cold_for);
+  else
+    mr_relay_target_gone (task->relay, now, change->id);
 }
 
 static void
@@ -80,27 +59,47 @@
 }
 
 static void
-S_set_shares (MrRelayTask *task, MrTime now, const MrView *view)
+S_set_shares (MrRelayTask *task, MrTime now)
 {
   MrRelayShares shares = {
     .connections = task->plan.connections,
     .slots = task->plan.slots,
     .allowance = task->plan.allowance,
-    .cold = mr_cold_share_update (task->cold, now, view->members, &task->plan),
+    .cold = mr_cold_share_update (task->cold, now, task->roster, &task->plan),
   };
   mr_relay_set_shares (task->relay, &shares);
 }
 
+static void
+S_take_members (MrRelayTask *task, MrTime now, const GArray *members)
+{
+  mr_entry_plan_clear (&task->plan);
+  for (guint i = 0; i < members->len; i++)
+    {
+      const MrMember *member = &g_array_index (members, MrMember, i);
+      mr_roster_put (task->roster, member);
+      mr_cold_share_note (task->cold, now, member);
+    }
+  task->plan = mr_entry_plan (task->roster, task->settings->base.name);
+  S_set_shares (task, now);
+}
+
+static void
+S_on_changes (MrRelayTask *task, const MrChangesMessage *changes)
+{
+  MrTime now = mr_now ();
+  if (changes->members->len > 0)
+    S_take_members (task, now, changes->members);
+  for (guint i = 0; i < changes->targets->len; i++)
+    S_take_target (task, now, g_ptr_array_index (changes->targets, i));
+}
+
 static void
 S_on_view (MrRelayTask *task, MrView *view)
 {
   MrTime now = mr_now ();
-  mr_entry_plan_clear (&task->plan);
-  task->plan = mr_entry_plan (view->members, task->settings->base.name);
-  S_set_shares (task, now, view);
   S_take_configuration (task, view);
   mr_relay_set_evacuated (task->relay, now, view->evacuated);
-  S_take_targets (task, now, view);
   mr_view_unref (task->view);
   task->view = mr_view_ref (view);
   S_announce (task);
@@ -165,8 +164,8 @@
   *next = MIN (*next, task->load_at);
   S_announce (task);
   /* A part of what cold targets bear comes with time, without news of members. */
-  if (task->view)
-    S_set_shares (task, now, task->view);
+  if (task->plan.entries)
+    S_set_shares (task, now);
 }
 
 static void
@@ -182,6 +181,8 @@
   MrRelayTask *task = (MrRelayTask *) host;
   if (message->type == MR_MESSAGE_VIEW)
     S_on_view (task, ((MrViewMessage *) message)->view);
+  else if (message->type == MR_MESSAGE_CHANGES)
+    S_on_changes (task, (const MrChangesMessage *) message);
   else if (message->type == MR_MESSAGE_EVIDENCE)
     S_on_evidence (task, (const MrEvidenceMessage *) message);
   else if (message->type == MR_MESSAGE_STOP)
@@ -240,8 +241,7 @@
   task->dialect = info->dialect;
   task->on_stopped = info->stopped;
   task->user = info->user;
-  task->records = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                         (GDestroyNotify) mr_target_record_unref);
+  task->roster = mr_roster_new ();
   task->early = mr_start_queue_new (mr_now ());
   task->cold = mr_cold_share_new (settings->base.domain,
                                   settings->regions ? g_hash_table_size (settings->regions) : 0);
@@ -289,8 +289,8 @@
   mr_start_queue_free (task->early);
   mr_cold_share_free (task->cold);
   mr_entry_plan_clear (&task->plan);
+  mr_roster_free (task->roster);
   mr_view_unref (task->view);
-  g_hash_table_unref (task->records);
   g_free (task);
 }
 
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -41,13 +41,13 @@
   MrCallerServer *directory;
   MrCallerServer *metrics; /* NULL: not asked for */
   MrView *view;
-  MrEntryPlan plan; /* of the view's members */
+  MrRoster *roster;
+  MrEntryPlan plan; /* of the roster's members */
   MrColdShare *cold;
   guint32 load; /* thousandths of a core, in steps */
   guint32 announced_load;
   guint64 load_calls;  /* counted when the load was measured */
   MrTime load_at;      /* next measurement */
-  GHashTable *records; /* target id -> MrTargetRecord as told to the relay */
   gboolean announced;  /* told the others that this daemon takes callers */
   MrStartQueue *early; /* requests that came before this daemon was ready */
   guint64 content_key; /* of fingerprints: the deployment's */
--- a/src/view.c
+++ b/src/view.c
@@ -25,7 +25,6 @@
   holder->view.services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_service_free);
   holder->view.leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   holder->view.evacuated = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  holder->view.targets = g_ptr_array_new_with_free_func ((GDestroyNotify) mr_target_record_unref);
   return &holder->view;
 }
 
@@ -46,7 +45,6 @@
   g_hash_table_unref (view->leaving);
   g_hash_table_unref (view->evacuated);
   mr_configuration_unref (view->configuration);
-  g_ptr_array_unref (view->targets);
   g_free (view);
 }
 
--- a/src/view.h
+++ b/src/view.h
@@ -1,12 +1,12 @@
-/* What the control task tells the other tasks: members, services in force and
- * leaving targets, as of one moment.  Immutable, shared by reference count. */
+/* What the control task tells the other tasks of what is in force, as of one moment.
+ * Immutable, shared by reference count.  Targets and members of a relay, of which there
+ * are thousands, are told by their changes (MrChangesMessage). */
 #pragma once
 
 #include "configuration.h"
 #include "document.h"
 #include "member.h"
 #include "shardmap.h"
-#include "target_record.h"
 
 typedef struct
 {
@@ -18,17 +18,16 @@
 
 typedef struct
 {
-  MrMemberList *members;
+  MrMemberList *members;          /* NULL of a relay */
   GHashTable *services;           /* name -> MrServiceView */
   GHashTable *leaving;            /* set of "ip:port" of targets */
   GHashTable *evacuated;          /* set of failure domains whose targets get no new work */
   MrConfiguration *configuration; /* of routes; NULL: none known */
-  GPtrArray *targets;             /* MrTargetRecord, of all that are listed */
   gboolean ready;                 /* configuration is known well enough to serve */
   gboolean platform_up;
 } MrView;
 
-/* Takes a reference to @members; services and leaving are filled by the caller
+/* Takes the reference to @members; services and leaving are filled by the caller
  * before the view is shared. */
 MrView *mr_view_new (MrMemberList *members);
 MrView *mr_view_ref (MrView *view);
--- a/src/watch.c
+++ b/src/watch.c
@@ -1,7 +1,5 @@
 #include "watch.h"
 
-#include <xxhash.h>
-
 static const MrTime GAP_FIRST = 200 * MR_MS;
 /* Few daemons watch, so their retries cost the store little, and a change that
  * it accepts right after an outage has to be known within a few seconds. */
@@ -17,80 +15,89 @@
   READERS_AT_ONCE = 8 /* that many read once in READ_GAP, however many there are */
 };
 
-static guint64
-S_score (const MrMember *member)
+guint
+mr_watch_rank (const MrRoster *roster, const char *self)
 {
-  return XXH64 (member->name, strlen (member->name), 0);
+  const MrMember *own = mr_roster_find (roster, self);
+  return own ? mr_roster_rank (roster, mr_roster_domain (roster, own->domain), self) : 0;
 }
 
-guint
-mr_watch_rank (const MrMemberList *members, const char *self)
+/* How many members of a failure domain are to watch. */
+static guint
+S_watchers_each (const MrRoster *roster)
 {
-  const MrMember *own = mr_member_list_find (members, self);
-  if (!own)
-    return 0;
-  guint rank = 0;
-  for (guint i = 0; i < members->count; i++)
-    {
-      const MrMember *member = &members->members[i];
-      if (member != own && mr_member_usable (member) && g_str_equal (member->domain, own->domain) &&
-          S_score (member) > S_score (own))
-        rank++;
-    }
-  return rank;
+  guint count = 0;
+  for (guint i = 0; i < mr_roster_domains (roster); i++)
+    count += mr_roster_domain_reaching (roster, i) > 0 ? 1 : 0;
+  return (MR_RELAY_WATCHERS + MAX (count, 1) - 1) / MAX (count, 1);
 }
 
-static gboolean
-S_can_watch (const MrMember *member)
+/* Members of a failure domain that rank above one. */
+typedef struct
+{
+  guint before;      /* alive, reach the platform */
+  guint passed_over; /* alive, do not */
+} Ahead;
+
+/* Counts those of @domain that go before @own, as far as it matters. */
+static Ahead
+S_ahead (const MrRoster *roster, guint domain, const MrMember *own, guint most)
 {
-  return member->state == MR_MEMBER_ALIVE && !member->cut_off;
+  Ahead ahead = { 0 };
+  guint rank = mr_roster_rank (roster, domain, own->name);
+  for (guint i = 0; i < rank && ahead.before < most && ahead.passed_over <= PASSED_OVER_MOST; i++)
+    {
+      const MrMember *member = mr_roster_ranked (roster, domain, i);
+      if (member->state != MR_MEMBER_ALIVE)
+        continue;
+      if (member->cut_off)
+        ahead.passed_over++;
+      else
+        ahead.before++;
+    }
+  return ahead;
 }
 
 bool
-mr_watch_relay (const MrMemberList *members, const char *self)
+mr_watch_relay (const MrRoster *roster, const char *self)
 {
-  const MrMember *own = mr_member_list_find (members, self);
+  const MrMember *own = mr_roster_find (roster, self);
   if (!own)
     return true;
-  g_autoptr (GHashTable) domains = g_hash_table_new (g_str_hash, g_str_equal);
-  guint before = 0;
+  guint most = S_watchers_each (roster);
+  Ahead ahead = S_ahead (roster, mr_roster_domain (roster, own->domain), own, most);
+  return ahead.before < most && ahead.passed_over <= PASSED_OVER_MOST;
+}
+
+/* TRUE if a watcher of @domain that reaches the platform ranks above @score. */
+static gboolean
+S_has_watcher_above (const MrRoster *roster, guint domain, guint64 score)
+{
   guint passed_over = 0;
-  g_hash_table_add (domains, (gpointer) own->domain);
-  for (guint i = 0; i < members->count; i++)
+  for (guint place = 0; passed_over <= PASSED_OVER_MOST; place++)
     {
-      const MrMember *member = &members->members[i];
-      gboolean goes_before =
-          g_str_equal (member->domain, own->domain) && S_score (member) > S_score (own);
-      if (member == own || member->state != MR_MEMBER_ALIVE)
+      const MrMember *member = mr_roster_ranked (roster, domain, place);
+      if (!member || mr_roster_score (member->name) <= score)
+        return FALSE;
+      if (member->state != MR_MEMBER_ALIVE)
         continue;
-      if (member->cut_off)
-        {
-          passed_over += goes_before ? 1 : 0;
-          continue;
-        }
-      g_hash_table_add (domains, (gpointer) member->domain);
-      before += goes_before ? 1 : 0;
+      if (!member->cut_off)
+        return TRUE;
+      passed_over++;
     }
-  guint count = g_hash_table_size (domains);
-  guint most = (MR_RELAY_WATCHERS + count - 1) / count;
-  return before < most && passed_over <= PASSED_OVER_MOST;
+  return FALSE;
 }
 
 bool
-mr_watch_first (const MrMemberList *members, const char *self)
+mr_watch_first (const MrRoster *roster, const char *self)
 {
-  const MrMember *own = mr_member_list_find (members, self);
-  if (!own)
+  if (!mr_roster_find (roster, self))
     return true;
-  if (!mr_watch_relay (members, self))
+  if (!mr_watch_relay (roster, self))
     return false;
-  for (guint i = 0; i < members->count; i++)
-    {
-      const MrMember *member = &members->members[i];
-      if (S_can_watch (member) && S_score (member) > S_score (own) &&
-          mr_watch_relay (members, member->name))
-        return false;
-    }
+  for (guint i = 0; i < mr_roster_domains (roster); i++)
+    if (S_has_watcher_above (roster, i, mr_roster_score (self)))
+      return false;
   return true;
 }
 
--- a/src/watch.h
+++ b/src/watch.h
@@ -8,7 +8,7 @@
 #pragma once
 
 #include "clock.h"
-#include "member.h"
+#include "roster.h"
 
 enum
 {
@@ -20,16 +20,16 @@
 
 /* Place of @self among the usable members of its failure domain, from 0;
  * under MR_WATCHERS it watches. */
-guint mr_watch_rank (const MrMemberList *members, const char *self);
+guint mr_watch_rank (const MrRoster *roster, const char *self);
 
 /* TRUE if a relay's @self is to hold the watches: the first of each failure
  * domain among those that reach the platform, and more where there are fewer
  * domains than MR_RELAY_WATCHERS. */
-bool mr_watch_relay (const MrMemberList *members, const char *self);
+bool mr_watch_relay (const MrRoster *roster, const char *self);
 
 /* TRUE if @self is the first of all that watch: the one whose watches are short, so
  * that it finds out for all when the platform does not answer them any more. */
-bool mr_watch_first (const MrMemberList *members, const char *self);
+bool mr_watch_first (const MrRoster *roster, const char *self);
 
 /* One repeated call to the platform. */
 typedef struct
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -14,8 +14,6 @@
 static const MrTime DELAY_NEAR = 1 * MR_MS;
 static const MrTime DELAY_FAR = 2 * MR_MS;
 static const MrTime READ_TIME = 15 * MR_MS;
-/* A daemon in the middle of a start makes its list of members anew this often. */
-static const MrTime LIST_GAP = 5 * MR_MS;
 
 typedef struct
 {
@@ -71,10 +69,11 @@
 }
 
 static void
-S_on_changed (MrMembershipHost *host)
+S_on_changed (MrMembershipHost *host, const MrMember *member)
 {
   FleetNode *node = (FleetNode *) host;
-  node->members_changed = TRUE;
+  mr_roster_put (node->roster, member);
+  node->watcher = mr_watch_relay (node->roster, node->self.name);
   node->due = 0;
 }
 
@@ -131,7 +130,8 @@
   node->membership = mr_membership_new (&node->membership_host, &node->self, seed);
   node->registry = mr_registry_new ();
   node->spread = mr_spread_new (&node->spread_host, node->registry, node->self.name);
-  node->members = mr_membership_list (node->membership);
+  node->roster = mr_roster_new ();
+  mr_roster_put (node->roster, &node->self);
   node->watcher = TRUE;
   S_set_seeds (node);
   g_autoptr (GRand) random = g_rand_new_with_seed (seed);
@@ -150,7 +150,7 @@
   FleetNode *node = &fleet->nodes[index];
   if (!node->membership)
     return;
-  g_clear_pointer (&node->members, mr_member_list_unref);
+  g_clear_pointer (&node->roster, mr_roster_free);
   g_clear_pointer (&node->spread, mr_spread_free);
   g_clear_pointer (&node->registry, mr_registry_free);
   g_clear_pointer (&node->membership, mr_membership_free);
@@ -305,7 +305,7 @@
   gboolean reaches = !fleet->store_cut[fleet_domain (fleet, node->index)];
   if (node->read_ends == 0)
     {
-      MrJoiningStep step = mr_joining_step (&node->joining, fleet->now, node->members,
+      MrJoiningStep step = mr_joining_step (&node->joining, fleet->now, node->roster,
                                             node->self.name, node->watcher, synced);
       if (step.ask)
         mr_spread_ask (node->spread, fleet->now, step.ask->name);
@@ -335,14 +335,6 @@
   MrTime now = fleet->now;
   MrTime next = MIN (now + MR_SECOND, mr_membership_tick (node->membership, now));
   node->due = MIN (next, mr_spread_tick (node->spread, now));
-  if (node->members_changed && now - node->listed_at >= LIST_GAP)
-    {
-      mr_member_list_unref (node->members);
-      node->members = mr_membership_list (node->membership);
-      node->members_changed = FALSE;
-      node->watcher = mr_watch_relay (node->members, node->self.name);
-      node->listed_at = now;
-    }
   if (node->ready == 0)
     S_tick_start (node);
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -24,10 +24,8 @@
   MrMembership *membership; /* NULL: not running */
   MrRegistry *registry;
   MrSpread *spread;
-  MrMemberList *members;
-  gboolean members_changed;
-  MrTime listed_at;
-  gboolean watcher; /* by the list of members as it stands */
+  MrRoster *roster;
+  gboolean watcher; /* by the members as they stand */
   MrJoining joining;
   MrTime starts; /* MR_NEVER: not to be started */
   MrTime due;
--- a/test/prop_cold.cpp
+++ b/test/prop_cold.cpp
@@ -71,8 +71,10 @@
         sender.incarnation = node.self.incarnation;
       }
     MrMemberList *members = mr_membership_list (node.membership);
-    MrEntryPlan plan = mr_entry_plan (members, node.self.name);
-    double part = mr_cold_share_update (sender.share, fleet->now, members, &plan);
+    MrEntryPlan plan = mr_entry_plan (node.roster, node.self.name);
+    for (guint i = 0; i < members->count; i++)
+      mr_cold_share_note (sender.share, fleet->now, &members->members[i]);
+    double part = mr_cold_share_update (sender.share, fleet->now, node.roster, &plan);
     guint permits = mr_cold_share_permits (part, bound);
     while (mr_cold_window_allows (&sender.window, fleet->now, permits))
       {
--- a/test/prop_membership.cpp
+++ b/test/prop_membership.cpp
@@ -62,7 +62,7 @@
 }
 
 void
-membership_changed (MrMembershipHost *)
+membership_changed (MrMembershipHost *, const MrMember *)
 {
 }
 
--- a/test/test_decisions.c
+++ b/test/test_decisions.c
@@ -371,12 +371,14 @@
       g_snprintf (members[i].name, sizeof members[i].name, "d%d", i);
       g_strlcpy (members[i].domain, i % 2 ? "a" : "b", sizeof members[i].domain);
     }
-  MrMemberList *list = mr_member_list_new (members, 8);
+  MrRoster *roster = mr_roster_new ();
+  for (int i = 0; i < 8; i++)
+    mr_roster_put (roster, &members[i]);
   guint watchers = 0;
   for (int i = 0; i < 8; i++)
-    watchers += mr_watch_rank (list, members[i].name) < MR_WATCHERS;
+    watchers += mr_watch_rank (roster, members[i].name) < MR_WATCHERS;
   assert_int_equal (watchers, 2 * MR_WATCHERS); /* two domains, whatever the fleet */
-  mr_member_list_unref (list);
+  mr_roster_free (roster);
   /* Failures back off; those that don't watch do not press a store that is down. */
   MrWatch watch = { 0 };
   MrTime now = MR_SECOND;
--- a/test/test_directory.c
+++ b/test/test_directory.c
@@ -46,13 +46,11 @@
 static guint
 S_named (const FleetNode *node, guint *indices)
 {
-  MrMemberList *members = mr_membership_list (node->membership);
-  MrEntryPlan plan = mr_entry_plan (members, node->self.name);
+  MrEntryPlan plan = mr_entry_plan (node->roster, node->self.name);
   guint count = plan.entries->len;
   for (guint i = 0; i < count; i++)
     indices[i] = (guint) ((const MrMember *) g_ptr_array_index (plan.entries, i))->peer_port - 1;
   mr_entry_plan_clear (&plan);
-  mr_member_list_unref (members);
   return count;
 }
 
--- a/test/test_fleet_shares.c
+++ b/test/test_fleet_shares.c
@@ -136,6 +136,15 @@
   return member;
 }
 
+static MrRoster *
+S_roster (const MrMember *members, guint count)
+{
+  MrRoster *roster = mr_roster_new ();
+  for (guint m = 0; m < count; m++)
+    mr_roster_put (roster, &members[m]);
+  return roster;
+}
+
 typedef struct
 {
   const char *name;
@@ -184,12 +193,12 @@
           members[m].load = c->load;
           members[m].state = m < c->dead ? MR_MEMBER_DEAD : MR_MEMBER_ALIVE;
         }
-      MrMemberList *list = mr_member_list_new (members, c->members);
+      MrRoster *roster = S_roster (members, c->members);
       double connections = 0;
       double allowance = 0;
       for (guint m = c->dead; m < c->members; m++)
         {
-          MrEntryPlan plan = mr_entry_plan (list, members[m].name);
+          MrEntryPlan plan = mr_entry_plan (roster, members[m].name);
           if (plan.entries->len != c->entries)
             fail_msg ("%s: %u entries, expected %u", c->name, plan.entries->len, c->entries);
           connections += plan.connections;
@@ -198,7 +207,7 @@
         }
       if (connections > 1 || allowance > 1.0001 || allowance < 0.99)
         fail_msg ("%s: shares add up to %.3f and %.3f", c->name, connections, allowance);
-      mr_member_list_unref (list);
+      mr_roster_free (roster);
     }
 }
 
@@ -215,8 +224,8 @@
   MrMember members[MEMBERS];
   for (guint m = 0; m < MEMBERS; m++)
     members[m] = S_member (m, 3, m < 6 ? 500 : 120);
-  MrMemberList *list = mr_member_list_new (members, MEMBERS);
-  MrEntryPlan plan = mr_entry_plan (list, "m0");
+  MrRoster *roster = S_roster (members, MEMBERS);
+  MrEntryPlan plan = mr_entry_plan (roster, "m0");
   guint domains[3] = { 0 };
   for (guint i = 0; i < plan.entries->len; i++)
     {
@@ -228,7 +237,7 @@
     assert_int_equal (domains[i], 2);
   assert_true (plan.is_entry);
   mr_entry_plan_clear (&plan);
-  mr_member_list_unref (list);
+  mr_roster_free (roster);
 }
 
 /* What callers see: after a loss of all VMs they are sent to small ones, where a wide
@@ -263,15 +272,15 @@
           members[m] = S_member (m, 3, cases[i].capacity);
           members[m].busy = m >= cases[i].ready;
         }
-      MrMemberList *list = mr_member_list_new (members, count);
-      MrEntryPlan plan = mr_entry_plan (list, members[0].name);
+      MrRoster *roster = S_roster (members, count);
+      MrEntryPlan plan = mr_entry_plan (roster, members[0].name);
       if (plan.entries->len != cases[i].named)
         fail_msg ("%s: %u named", cases[i].name, plan.entries->len);
       for (guint e = 0; e < plan.entries->len; e++)
         if (cases[i].ready_only && ((MrMember *) g_ptr_array_index (plan.entries, e))->busy)
           fail_msg ("%s: one that starts is named", cases[i].name);
       mr_entry_plan_clear (&plan);
-      mr_member_list_unref (list);
+      mr_roster_free (roster);
     }
 }
 
@@ -298,10 +307,10 @@
   S_equal_members (members, MEMBERS);
   for (guint cut = 0; cut < MEMBERS; cut++)
     {
-      MrMemberList *list = mr_member_list_new (members, MEMBERS);
+      MrRoster *roster = S_roster (members, MEMBERS);
       guint healthy = 0;
       for (guint m = 0; m < MEMBERS; m++)
-        if (mr_watch_relay (list, members[m].name) && !members[m].cut_off)
+        if (mr_watch_relay (roster, members[m].name) && !members[m].cut_off)
           healthy++;
       assert_true (healthy >= 1);
       assert_true (healthy <= MR_RELAY_WATCHERS + 1); /* rounded up in each domain */
@@ -309,12 +318,12 @@
         assert_int_equal (healthy, MR_RELAY_WATCHERS);
       /* The next to be cut off is one that watches now. */
       for (guint m = 0; m < MEMBERS; m++)
-        if (mr_watch_relay (list, members[m].name) && !members[m].cut_off)
+        if (mr_watch_relay (roster, members[m].name) && !members[m].cut_off)
           {
             members[m].cut_off = TRUE;
             break;
           }
-      mr_member_list_unref (list);
+      mr_roster_free (roster);
     }
 }
 
@@ -337,20 +346,20 @@
     members[m] = S_member (m, DOMAINS, 250);
   for (guint cut = 0; cut <= MEMBERS; cut++)
     {
-      MrMemberList *list = mr_member_list_new (members, MEMBERS);
+      MrRoster *roster = S_roster (members, MEMBERS);
       guint asking = 0;
       guint firsts = 0;
       guint next = MEMBERS;
       for (guint m = 0; m < MEMBERS; m++)
         {
-          gboolean watches = mr_watch_relay (list, members[m].name);
+          gboolean watches = mr_watch_relay (roster, members[m].name);
           asking += watches;
-          firsts += watches && !members[m].cut_off && mr_watch_first (list, members[m].name);
+          firsts += watches && !members[m].cut_off && mr_watch_first (roster, members[m].name);
           if (watches && !members[m].cut_off)
             next = m;
         }
       assert_true (asking <= ASKING_MOST);
-      mr_member_list_unref (list);
+      mr_roster_free (roster);
       if (next == MEMBERS)
         break; /* nobody who could is left to ask */
       assert_int_equal (firsts, 1);
@@ -424,19 +433,19 @@
   S_equal_members (members, MEMBERS);
   for (guint cut = 0; cut < MEMBERS; cut++)
     {
-      MrMemberList *list = mr_member_list_new (members, MEMBERS);
+      MrRoster *roster = S_roster (members, MEMBERS);
       guint firsts = 0;
       guint first = 0;
       for (guint m = 0; m < MEMBERS; m++)
-        if (!members[m].cut_off && mr_watch_first (list, members[m].name))
+        if (!members[m].cut_off && mr_watch_first (roster, members[m].name))
           {
             firsts++;
             first = m;
           }
       assert_int_equal (firsts, 1);
-      assert_true (mr_watch_relay (list, members[first].name));
+      assert_true (mr_watch_relay (roster, members[first].name));
       members[first].cut_off = TRUE;
-      mr_member_list_unref (list);
+      mr_roster_free (roster);
     }
 }
 
--- a/test/test_homes.c
+++ b/test/test_homes.c
@@ -176,14 +176,16 @@
       g_snprintf (members[i].domain, sizeof members[i].domain, "d%u", i % 3);
       g_snprintf (members[i].region, sizeof members[i].region, "r%u", i < 6 ? 1 + i % 2 : i % 3);
     }
-  MrMemberList *list = mr_member_list_new (members, MEMBERS);
-  MrEntryPlan plan = mr_entry_plan (list, "m00");
+  MrRoster *roster = mr_roster_new ();
+  for (guint i = 0; i < MEMBERS; i++)
+    mr_roster_put (roster, &members[i]);
+  MrEntryPlan plan = mr_entry_plan (roster, "m00");
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       g_autoptr (GHashTable) regions = g_hash_table_new (g_str_hash, g_str_equal);
       for (guint n = 0; n < 3 && cases[i].regions[n]; n++)
         g_hash_table_add (regions, (gpointer) cases[i].regions[n]);
-      g_autoptr (GPtrArray) named = mr_entry_plan_in (&plan, list, regions);
+      g_autoptr (GPtrArray) named = mr_entry_plan_in (&plan, roster, regions);
       assert_true (named->len >= MIN (cases[i].least, plan.entries->len));
       for (guint n = 0; n < named->len; n++)
         assert_true (g_str_equal (cases[i].regions[0], "nowhere") ||
@@ -191,7 +193,7 @@
                          regions, ((const MrMember *) g_ptr_array_index (named, n))->region));
     }
   mr_entry_plan_clear (&plan);
-  mr_member_list_unref (list);
+  mr_roster_free (roster);
 }
 
 int
