Seeds keep no connection to each daemon that has asked them

Cause: all that start ask the same three seeds. Each seed accepted a connection from every daemon, kept for a minute after its last use, and opened a socket of its own to each for the answer: 28 kB and 32 kB of ZeroMQ's queues and buffers each (measured with 900 connections). So the seeds' memory grew with the fleet while that of all others did not: 92 to 99 MB at 985 VMs beside 17 to 25 MB, by that slope over 160 MB, the memory of a small VM, at some 2,100. A seed that is killed for memory starts again into the same questions.

Ruled out: bodies and lists (each seed answers with 24 members at most).

Now: a question and its answer share one connection, which the asker closes with the answer, or after 2 s without one. What remains on a seed is what is open at one moment.

Callers: seeds are often entries; a loss of all VMs no longer lifts their memory.

--- a/src/control_peers.c
+++ b/src/control_peers.c
@@ -125,7 +125,10 @@
     case MR_WIRE_HEARTBEAT:
     case MR_WIRE_MEMBERS:
       S_renew_link (task, now, &message->heartbeat);
+      task->asked =
+          message->heartbeat.kind == MR_HEARTBEAT_PING && message->heartbeat.ask == MR_ASK_SOME;
       mr_membership_receive (task->membership, now, &message->heartbeat);
+      task->asked = FALSE;
       mr_spread_digest (task->spread, now, message->sender, message->heartbeat.digest);
       break;
     case MR_WIRE_NEWS:
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -58,6 +58,7 @@
   MrMailbox *targets;
   MrMailbox *platform;
   MrPeerLink *link;
+  gboolean asked; /* by the heartbeat in hand, whose answer goes back by its connection */
   MrRegistry *registry;
   MrMembership *membership;
   MrSpread *spread;
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -30,9 +30,10 @@
   return kind != MR_TRAFFIC_SEARCH && kind != MR_TRAFFIC_ORDER;
 }
 
-/* Takes @bytes.  Parts of searches are not compressed: their callers wait for them. */
-static void
-S_send_to (MrControlTask *task, const MrMember *to, GString *bytes)
+/* @bytes as they go out, counted; takes @bytes.  Parts of searches are not compressed: their
+ * callers wait for them. */
+static GString *
+S_prepare (MrControlTask *task, const MrMember *to, GString *bytes)
 {
   MrTrafficKind kind = mr_traffic_kind (mr_wire_type (bytes));
   if (S_is_control (kind))
@@ -43,8 +44,15 @@
   mr_metrics_add (MR_METRIC_PEER_SENT_BYTES, bytes->len);
   mr_traffic_add (MR_TRAFFIC_SENT, kind, g_str_equal (to->domain, task->settings->domain),
                   bytes->len);
-  mr_peer_link_send (task->link, mr_now (), to->ip, to->peer_port, bytes);
-  g_string_free (bytes, TRUE);
+  return bytes;
+}
+
+/* Takes @bytes. */
+static void
+S_send_to (MrControlTask *task, const MrMember *to, GString *bytes)
+{
+  g_autoptr (GString) prepared = S_prepare (task, to, bytes);
+  mr_peer_link_send (task->link, mr_now (), to->ip, to->peer_port, prepared);
 }
 
 void
@@ -61,7 +69,14 @@
 S_on_heartbeat_out (MrMembershipHost *host, const MrMember *to, const MrHeartbeat *heartbeat)
 {
   MrControlTask *task = TASK_OF (host, membership_host);
-  S_send_to (task, to, mr_wire_heartbeat (task->settings->name, heartbeat));
+  GString *bytes = mr_wire_heartbeat (task->settings->name, heartbeat);
+  g_autoptr (GString) prepared = S_prepare (task, to, bytes);
+  if (heartbeat->kind == MR_HEARTBEAT_PING && heartbeat->ask == MR_ASK_SOME)
+    mr_peer_link_ask (task->link, mr_now (), to->ip, to->peer_port, prepared);
+  else if (heartbeat->kind == MR_HEARTBEAT_ACK && task->asked)
+    mr_peer_link_answer (task->link, prepared);
+  else
+    mr_peer_link_send (task->link, mr_now (), to->ip, to->peer_port, prepared);
 }
 
 static void
--- a/src/membership.h
+++ b/src/membership.h
@@ -35,8 +35,10 @@
 typedef enum
 {
   MR_ASK_NOTHING,
-  MR_ASK_SOME, /* some members to go on from; what a seed is asked for */
-  MR_ASK_ALL,  /* every member */
+  /* Some members to go on from, by the connection that the ping came by; what a seed is
+   * asked for. */
+  MR_ASK_SOME,
+  MR_ASK_ALL, /* every member */
 } MrHeartbeatAsk;
 
 typedef struct
--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -15,9 +15,12 @@
    * it asks again; two round trips between regions take 80 ms. */
   CONNECT_MS = 300,
   MAX_SOCKETS = 4096,
+  QUESTIONS_MAX = 16, /* that are waited for at once */
 };
 
 static const MrTime IDLE = 60 * MR_SECOND;
+/* An answer is waited for this long. */
+static const MrTime ANSWER_WAIT = 2 * MR_SECOND;
 /* A connection this young may be to the process that has just been heard of. */
 static const MrTime YOUNG = 100 * MR_MS;
 
@@ -32,7 +35,9 @@
 {
   void *context;
   void *in;
-  GHashTable *out; /* "ip:port" -> Out */
+  GHashTable *out;       /* "ip:port" -> Out */
+  GHashTable *questions; /* the same, of those that wait for an answer */
+  zmq_msg_t asker;       /* who sent the message that was received last; may be empty */
 };
 
 static void
@@ -64,6 +69,8 @@
   link->context = zmq_ctx_new ();
   zmq_ctx_set (link->context, ZMQ_MAX_SOCKETS, MAX_SOCKETS);
   link->out = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, S_out_free);
+  link->questions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, S_out_free);
+  zmq_msg_init (&link->asker);
   link->in = zmq_socket (link->context, ZMQ_ROUTER);
   S_set_common (link->in);
   S_set_int (link->in, ZMQ_RCVHWM, RECEIVE_QUEUE);
@@ -85,16 +92,19 @@
   if (!link)
     return;
   g_hash_table_unref (link->out);
+  g_hash_table_unref (link->questions);
+  zmq_msg_close (&link->asker);
   zmq_close (link->in);
   zmq_ctx_term (link->context);
   g_free (link);
 }
 
+/* The socket to @ip:@port in @sockets, opened if there is none. */
 static Out *
-S_out (MrPeerLink *link, MrTime now, const char *ip, int port)
+S_out (MrPeerLink *link, GHashTable *sockets, MrTime now, const char *ip, int port)
 {
   g_autofree char *key = g_strdup_printf ("%s:%d", ip, port);
-  Out *out = g_hash_table_lookup (link->out, key);
+  Out *out = g_hash_table_lookup (sockets, key);
   if (out)
     return out;
   void *socket = zmq_socket (link->context, ZMQ_DEALER);
@@ -114,20 +124,51 @@
   out = g_new0 (Out, 1);
   out->socket = socket;
   out->opened_at = now;
-  g_hash_table_insert (link->out, g_steal_pointer (&key), out);
+  g_hash_table_insert (sockets, g_steal_pointer (&key), out);
   return out;
 }
 
-gboolean
-mr_peer_link_send (MrPeerLink *link, MrTime now, const char *ip, int port, const GString *bytes)
+static gboolean
+S_send (Out *out, MrTime now, const GString *bytes)
 {
-  Out *out = S_out (link, now, ip, port);
   if (!out)
     return FALSE;
   out->used_at = now;
   return zmq_send (out->socket, bytes->str, bytes->len, ZMQ_DONTWAIT) >= 0;
 }
 
+gboolean
+mr_peer_link_send (MrPeerLink *link, MrTime now, const char *ip, int port, const GString *bytes)
+{
+  return S_send (S_out (link, link->out, now, ip, port), now, bytes);
+}
+
+static gboolean
+S_is_overdue (gpointer key, gpointer value, gpointer user)
+{
+  (void) key;
+  return *(MrTime *) user - ((Out *) value)->used_at > ANSWER_WAIT;
+}
+
+gboolean
+mr_peer_link_ask (MrPeerLink *link, MrTime now, const char *ip, int port, const GString *bytes)
+{
+  g_hash_table_foreach_remove (link->questions, S_is_overdue, &now);
+  if (g_hash_table_size (link->questions) >= QUESTIONS_MAX)
+    return FALSE;
+  return S_send (S_out (link, link->questions, now, ip, port), now, bytes);
+}
+
+gboolean
+mr_peer_link_answer (MrPeerLink *link, const GString *bytes)
+{
+  if (zmq_msg_size (&link->asker) == 0 ||
+      zmq_send (link->in, zmq_msg_data (&link->asker), zmq_msg_size (&link->asker),
+                ZMQ_DONTWAIT | ZMQ_SNDMORE) < 0)
+    return FALSE;
+  return zmq_send (link->in, bytes->str, bytes->len, ZMQ_DONTWAIT) >= 0;
+}
+
 void
 mr_peer_link_close (MrPeerLink *link, const char *ip, int port)
 {
@@ -155,51 +196,85 @@
 mr_peer_link_prune (MrPeerLink *link, MrTime now)
 {
   g_hash_table_foreach_remove (link->out, S_is_idle, &now);
+  g_hash_table_foreach_remove (link->questions, S_is_overdue, &now);
 }
 
 void
 mr_peer_link_wait (MrPeerLink *link, int wake_fd, MrTime wait)
 {
-  zmq_pollitem_t items[] = {
+  zmq_pollitem_t items[2 + QUESTIONS_MAX] = {
     { .socket = link->in, .events = ZMQ_POLLIN },
     { .fd = wake_fd, .events = ZMQ_POLLIN },
   };
-  zmq_poll (items, G_N_ELEMENTS (items), (long) ((wait + MR_MS - 1) / MR_MS));
+  int count = 2;
+  GHashTableIter iter;
+  gpointer out = NULL;
+  g_hash_table_iter_init (&iter, link->questions);
+  while (g_hash_table_iter_next (&iter, NULL, &out))
+    items[count++] = (zmq_pollitem_t){ .socket = ((Out *) out)->socket, .events = ZMQ_POLLIN };
+  zmq_poll (items, count, (long) ((wait + MR_MS - 1) / MR_MS));
 }
 
-/* A message has two frames: the sending socket's routing id, then the bytes.
- * Anything else is read to its end and passed over. */
-GString *
-mr_peer_link_receive (MrPeerLink *link)
+/* The next message in @socket if it has @frames frames, of which the last are its bytes and
+ * the first of two is who sent it.  Others are read to their end and passed over. */
+static GString *
+S_receive (MrPeerLink *link, void *socket, int frames)
 {
   for (;;)
     {
       GString *bytes = NULL;
-      int frames = 0;
+      int count = 0;
       int more = 1;
       while (more)
         {
           zmq_msg_t frame;
           zmq_msg_init (&frame);
-          if (zmq_msg_recv (&frame, link->in, ZMQ_DONTWAIT) < 0)
+          if (zmq_msg_recv (&frame, socket, ZMQ_DONTWAIT) < 0)
             {
               zmq_msg_close (&frame);
               return NULL;
             }
-          if (++frames == 2)
-            bytes = g_string_new_len (zmq_msg_data (&frame), (gssize) zmq_msg_size (&frame));
           more = zmq_msg_more (&frame);
+          if (++count == frames)
+            bytes = g_string_new_len (zmq_msg_data (&frame), (gssize) zmq_msg_size (&frame));
+          else if (count == 1)
+            zmq_msg_move (&link->asker, &frame);
           zmq_msg_close (&frame);
         }
-      if (frames == 2)
+      if (count == frames)
         return bytes;
       if (bytes)
         g_string_free (bytes, TRUE);
     }
 }
 
+/* Its connection is closed with the answer. */
+static GString *
+S_receive_answer (MrPeerLink *link)
+{
+  GHashTableIter iter;
+  gpointer out = NULL;
+  g_hash_table_iter_init (&iter, link->questions);
+  while (g_hash_table_iter_next (&iter, NULL, &out))
+    {
+      GString *bytes = S_receive (link, ((Out *) out)->socket, 1);
+      if (!bytes)
+        continue;
+      g_hash_table_iter_remove (&iter);
+      return bytes;
+    }
+  return NULL;
+}
+
+GString *
+mr_peer_link_receive (MrPeerLink *link)
+{
+  GString *bytes = S_receive (link, link->in, 2);
+  return bytes ? bytes : S_receive_answer (link);
+}
+
 guint
 mr_peer_link_sockets (const MrPeerLink *link)
 {
-  return g_hash_table_size (link->out);
+  return g_hash_table_size (link->out) + g_hash_table_size (link->questions);
 }
--- a/src/peer_link.h
+++ b/src/peer_link.h
@@ -1,5 +1,8 @@
 /* ZeroMQ sockets to other daemons: one bound socket to receive, one connected
- * socket to send for each peer in use.
+ * socket to send for each peer in use.  A question to a peer that is no neighbour, and its
+ * answer, share a connection that is closed with the answer: all that start together ask
+ * the same few, where an open connection takes 28 kB for each asker and 32 kB for each
+ * answer that has one of its own.
  *
  * Messages may be lost; nothing here repeats them.  ZeroMQ's own heartbeats
  * replace a connection that has gone silent. */
@@ -19,6 +22,14 @@
 gboolean
 mr_peer_link_send (MrPeerLink *link, MrTime now, const char *ip, int port, const GString *bytes);
 
+/* The same, for a message whose answer is awaited: the answer comes back by this connection,
+ * which is then closed, or when it does not come. */
+gboolean
+mr_peer_link_ask (MrPeerLink *link, MrTime now, const char *ip, int port, const GString *bytes);
+
+/* Answers the message that was received last, by the connection that it came by. */
+gboolean mr_peer_link_answer (MrPeerLink *link, const GString *bytes);
+
 /* Closes the sockets to @ip:@port, and drops what waits in it. */
 void mr_peer_link_close (MrPeerLink *link, const char *ip, int port);
 
@@ -35,4 +46,5 @@
 /* Next message, or NULL at once; freed by the caller. */
 GString *mr_peer_link_receive (MrPeerLink *link);
 
+/* Sockets that are connected to peers. */
 guint mr_peer_link_sockets (const MrPeerLink *link);
