A search ends its wait early enough for what its caller had spent before it arrived

Cause: the wait for the last parts was the route's aim less two round trips and 12 ms. Where each daemon gets few requests a caller asks for an address and connects before each of them, 21 to 28 ms of its time (98 ms once, after an attempt that met no daemon), and the 12 ms stood for the merge and the writes of a VM of a quarter core.

What grows: the fewer requests an entry gets, the fewer come by a connection that is open.

Now (patience.c): what the caller has spent is the route's time limit less the time left that it tells, if that is under half of the aim; more may be a deadline of its own. The reserve is measured by each daemon, from when an answer was due until it is handed on: mean and twice the mean deviation, 4 to 30 ms, 12 until then; gauge relay_finish_reserve_us.

Not in it: the way of a large answer over a slow link (50 kB over 18 Mbit/s are 22 ms).

--- /dev/null
+++ b/src/patience.c
@@ -0,0 +1,51 @@
+#include "patience.h"
+
+/* For the caller's connection, and for the way of the request and of its answer. */
+static const int ROUND_TRIPS = 2;
+static const MrTime ROUND_TRIP_DEFAULT = 6 * MR_MS;
+/* Until something is measured, and bounds for what is. */
+static const MrTime RESERVE_FIRST = 12 * MR_MS;
+static const MrTime RESERVE_LEAST = 4 * MR_MS;
+static const MrTime RESERVE_MOST = 30 * MR_MS;
+/* Weight of a new measurement, and how many times the mean deviation are kept. */
+static const double WEIGHT = 0.1;
+static const double SPREADS = 2;
+
+void
+mr_finish_time_note (MrFinishTime *finish, MrTime took)
+{
+  double us = (double) MAX (took, 1);
+  if (finish->mean == 0)
+    {
+      finish->mean = (double) RESERVE_FIRST / (1 + SPREADS);
+      finish->spread = finish->mean;
+    }
+  double off = us - finish->mean;
+  finish->mean += WEIGHT * off;
+  finish->spread += WEIGHT * (ABS (off) - finish->spread);
+}
+
+MrTime
+mr_finish_time_reserve (const MrFinishTime *finish)
+{
+  if (finish->mean == 0)
+    return RESERVE_FIRST;
+  return CLAMP ((MrTime) (finish->mean + SPREADS * finish->spread), RESERVE_LEAST, RESERVE_MOST);
+}
+
+/* What the caller has spent: on an address, a connection, an attempt before this one.  More
+ * than half of the aim may be another caller's shorter deadline, and says nothing. */
+static MrTime
+S_spent (const MrPatienceTerms *terms)
+{
+  MrTime spent = terms->time_limit - terms->left;
+  return spent > 0 && spent <= terms->aim / 2 ? spent : 0;
+}
+
+MrTime
+mr_patience (const MrPatienceTerms *terms)
+{
+  MrTime round_trip = terms->round_trip ? terms->round_trip : ROUND_TRIP_DEFAULT;
+  MrTime ways = MAX (ROUND_TRIPS * round_trip, S_spent (terms) + round_trip);
+  return MAX (terms->aim - ways - terms->reserve, terms->aim / 2);
+}
--- a/src/relay.c
+++ b/src/relay.c
@@ -219,6 +219,18 @@
   return kind ? kind->mean : 0;
 }
 
+void
+mr_relay_note_finish (MrRelay *r, MrTime took)
+{
+  mr_finish_time_note (&r->finish, took);
+}
+
+MrTime
+mr_relay_finish_reserve (const MrRelay *r)
+{
+  return mr_finish_time_reserve (&r->finish);
+}
+
 gboolean
 mr_relay_find_call (const MrRelay *r, guint64 id, MrRelayCall *out)
 {
--- a/src/relay.h
+++ b/src/relay.h
@@ -104,6 +104,7 @@
   guint part_count;
   gpointer *answers; /* borrowed */
   guint missing;     /* parts without an answer */
+  MrTime due;        /* when the answer was to go out without them; 0: at no set time */
   gboolean may_have_run;
   const GArray *sends;  /* MrSendNote */
   MrTime expected_wait; /* that caused a refusal for load */
@@ -284,6 +285,11 @@
  * which case NULL is returned. */
 MrRelayWork *mr_relay_submit (MrRelay *relay, MrTime now, const MrRelayRequest *request);
 
+/* An answer that was due at a set time has gone out, @took after it. */
+void mr_relay_note_finish (MrRelay *relay, MrTime took);
+/* What of callers' aims is kept for that. */
+MrTime mr_relay_finish_reserve (const MrRelay *relay);
+
 /* The caller has gone: there will be no verdict.  Calls that may be repeated
  * are dropped, others run to their end. */
 void mr_relay_forget (MrRelay *relay, MrTime now, MrRelayWork *work);
--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -2,14 +2,6 @@
 
 #include <math.h>
 
-/* Kept back from a route's aim for what its clock counts beside our time: the
- * caller's connection and the way of the request and of its answer, a round trip
- * each; and what lies between the soft end and the last byte (the timer, the merge,
- * other answers that are written first).  A fixed 25 ms, right for callers 6 ms away,
- * left a search with an aim of 50 ms and callers 2 ms away half of its time. */
-static const int AIM_ROUND_TRIPS = 2;
-static const MrTime ROUND_TRIP_DEFAULT = 6 * MR_MS;
-static const MrTime FINISH_RESERVE = 12 * MR_MS;
 /* Kept back from the caller's own deadline for the answer's way. */
 static const MrTime DEADLINE_RESERVE = 20 * MR_MS;
 /* A request is refused if it would wait for longer than this share of its aim:
@@ -115,13 +107,17 @@
   pool->shortest_at = now;
 }
 
-/* How long enough parts are waited for the rest. */
 static MrTime
-S_patience (const MrRelayRequest *request)
+S_patience (const MrRelay *r, const MrRelayRequest *request, MrTime arrived)
 {
-  MrTime round_trip = request->round_trip ? request->round_trip : ROUND_TRIP_DEFAULT;
-  MrTime aim = request->route->aim;
-  return MAX (aim - AIM_ROUND_TRIPS * round_trip - FINISH_RESERVE, aim / 2);
+  const MrPatienceTerms terms = {
+    .aim = request->route->aim,
+    .time_limit = request->route->time_limit,
+    .left = request->deadline - arrived,
+    .round_trip = request->round_trip,
+    .reserve = mr_finish_time_reserve (&r->finish),
+  };
+  return mr_patience (&terms);
 }
 
 static MrRelayWork *
@@ -143,7 +139,7 @@
     .arrived = arrived,
     .deadline = request->deadline,
     .fingerprint = request->fingerprint,
-    .soft_end = shards ? arrived + S_patience (request) : MR_NEVER,
+    .soft_end = shards ? arrived + S_patience (r, request, arrived) : MR_NEVER,
     .hard_end = MIN (request->deadline - reserve, arrived + route->time_limit),
     .cancel_at = MR_NEVER,
     .part_count = route->kind >= MR_ROUTE_SHARDS ? route->part_count : 1,
--- a/src/relay_end.c
+++ b/src/relay_end.c
@@ -67,6 +67,7 @@
     .part_count = work->part_count,
     .answers = work->answers,
     .missing = work->part_count - work->have,
+    .due = work->cause == MR_CAUSE_SOFT_END ? work->soft_end : 0,
     .may_have_run = may_run,
     .sends = work->sends,
     .expected_wait =
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -116,6 +116,8 @@
     S_append (out, counters[i].name, "counter", counters[i].value);
   S_append (out, "relay_open_requests", "gauge", mr_relay_open (task->relay));
   S_append (out, "relay_usable_targets", "gauge", mr_relay_usable_targets (task->relay));
+  S_append (out, "relay_finish_reserve_us", "gauge",
+            (guint64) mr_relay_finish_reserve (task->relay));
   S_append (out, "evacuated_domains", "gauge",
             task->view ? g_hash_table_size (task->view->evacuated) : 0);
   S_append (out, "relay_caller_connections", "gauge", mr_caller_server_connections (task->callers));
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -3,6 +3,7 @@
 
 #include "answered.h"
 #include "histogram.h"
+#include "patience.h"
 #include "relay.h"
 #include "timers.h"
 
@@ -217,6 +218,7 @@
   MrTime staged_until; /* searches go to one shard first */
   MrTime unix_offset;
   MrTimers *timers;
+  MrFinishTime finish; /* of answers that were due at their soft end */
   MrTime health_at; /* next look at the targets that are down */
   gboolean some_down;
   guint64 last_call;
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -308,6 +308,8 @@
       break;
     case MR_VERDICT_MERGE:
       S_answer_merged (request, result);
+      if (result->due != 0)
+        mr_relay_note_finish (task->relay, mr_now () - result->due);
       break;
     case MR_VERDICT_REFUSED:
     case MR_VERDICT_FAILED:
