Daemons whose objects are still coming in do not compare what they hold

Cause: digests of two daemons that differed for a second, or at once where one had just started, led to a comparison, and one in which more than 8 of 32 ranges differ ends in whole lists. While targets are listed over seconds (4,228 at 320 a second) what one failure domain has read the others hear of in a moment, so that digests across domains are never the same, and 128 new objects lie in all ranges. What grows: a list with the targets, their number with the daemons and the time of listing with the targets, so the third power.

Now: while objects come in, or the other's digest moves, a difference has to last 4 s before it is compared, and 4 s more before the next time. In calm it is 1 s as before, and nothing for one that has just started.

--- a/src/spread.c
+++ b/src/spread.c
@@ -9,6 +9,12 @@
  * have differed this long: news is mostly on its way, and a comparison that finds
  * nothing costs more than the news. */
 static const MrTime COMPARE_GAP = 1 * MR_SECOND;
+/* While objects come in here, or the other's digest changes, the difference is news under
+ * way: in a fleet whose targets are listed over seconds no two digests are ever the same,
+ * and each comparison finds all ranges differ and ends in whole lists.  Then it has to last
+ * this long, and again before the next. */
+static const MrTime COMPARE_GAP_MOVING = 4 * MR_SECOND;
+static const MrTime SETTLED = 1 * MR_SECOND;
 /* One that has just started asks the same peer for its list not more often than this. */
 static const MrTime ASK_GAP = 100 * MR_MS;
 /* News is gathered for this long: changes come in bursts (282 targets that start), and
@@ -39,6 +45,13 @@
   char *teller; /* "": the platform */
 } Untold;
 
+/* A member whose digest differs from ours. */
+typedef struct
+{
+  MrTime since;
+  guint64 digest;
+} Differs;
+
 struct _MrSpread
 {
   MrSpreadHost *host;
@@ -47,13 +60,15 @@
   GHashTable *asked;    /* "<kind>/<name>/<version>" -> MrTime* of the last GET */
   GHashTable *missing;  /* "<kind>/<name>" of a peer's list, not here yet */
   GHashTable *compared; /* member -> MrTime* */
-  GHashTable *differs;  /* member -> MrTime* since when its digest differs */
+  GHashTable *differs;  /* member -> Differs */
   GHashTable *untold;   /* "<kind>/<name>" -> Untold */
   MrTime tell_at;       /* MR_NEVER: nothing gathered */
   MrTime fetch_at;      /* when the bodies that are missing were asked for */
   MrTime listed_at;     /* first of the whole lists that count */
   guint listed;
   gboolean synced;
+  gboolean taken;  /* an object, since a digest was looked at */
+  MrTime taken_at; /* the latest, as seen then */
 };
 
 static void
@@ -210,6 +225,7 @@
     .teller = g_strdup (from ? from : ""),
   };
   g_hash_table_replace (spread->untold, S_key (kind, name), untold);
+  spread->taken = TRUE;
   g_autofree char *own_name = mr_text_dup (name);
   spread->host->taken (spread->host, mr_registry_get (spread->registry, kind, own_name));
   return offer;
@@ -422,9 +438,43 @@
       }
 }
 
+/* TRUE if what @differs from here may be on its way. */
+static gboolean
+S_is_moving (MrSpread *spread, MrTime now, Differs *differs, guint64 digest)
+{
+  gboolean other_moves = differs->digest != digest;
+  differs->digest = digest;
+  return other_moves || (spread->taken_at != 0 && now - spread->taken_at < SETTLED);
+}
+
+/* TRUE if a comparison with @from, whose digest is another, is due. */
+static gboolean
+S_compare_due (MrSpread *spread, MrTime now, const char *from, guint64 digest)
+{
+  Differs *differs = g_hash_table_lookup (spread->differs, from);
+  if (!differs)
+    {
+      differs = g_new (Differs, 1);
+      *differs = (Differs){ .since = now, .digest = digest };
+      g_hash_table_insert (spread->differs, g_strdup (from), differs);
+    }
+  /* A process that has just started waits for what the comparison brings. */
+  MrTime patience = spread->synced ? COMPARE_GAP : 0;
+  if (S_is_moving (spread, now, differs, digest))
+    patience = COMPARE_GAP_MOVING;
+  if (now - differs->since < patience || !S_once_in (spread->compared, from, now, COMPARE_GAP))
+    return FALSE;
+  if (patience == COMPARE_GAP_MOVING)
+    differs->since = now;
+  return TRUE;
+}
+
 void
 mr_spread_digest (MrSpread *spread, MrTime now, const char *from, guint64 digest)
 {
+  if (spread->taken)
+    spread->taken_at = now;
+  spread->taken = FALSE;
   if (digest == mr_registry_digest (spread->registry))
     {
       g_hash_table_remove (spread->differs, from);
@@ -432,16 +482,8 @@
       return;
     }
   if (mr_registry_count (spread->registry) == 0)
-    {
-      mr_spread_ask (spread, now, from);
-      return;
-    }
-  const MrTime *since = g_hash_table_lookup (spread->differs, from);
-  if (!since)
-    S_note_time (spread->differs, from, now);
-  /* A process that has just started waits for what the comparison brings. */
-  gboolean due = !spread->synced || (since && now - *since >= COMPARE_GAP);
-  if (due && S_once_in (spread->compared, from, now, COMPARE_GAP))
+    mr_spread_ask (spread, now, from);
+  else if (S_compare_due (spread, now, from, digest))
     S_send_ranges (spread, from, EVERYTHING);
 }
 
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -345,8 +345,10 @@
 {
   Fleet *fleet = node->fleet;
   if (node->ready == 0 || node->store_seen == fleet->store_version ||
-      fleet->store_cut[fleet_domain (fleet, node->index)] || !node->watcher)
+      fleet->store_cut[fleet_domain (fleet, node->index)] || !node->watcher ||
+      fleet->now < node->watch_at)
     return;
+  node->watch_at = fleet->now + fleet->layout.watch_pause;
   S_take_store (node);
   node->due = 0;
 }
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -32,6 +32,7 @@
   MrTime read_ends; /* 0: not begun */
   MrTime ready;     /* 0: not yet */
   gboolean frozen;
+  MrTime watch_at;    /* when it watches again */
   guint64 store_seen; /* newest version that the store has told it */
 } FleetNode;
 
@@ -41,8 +42,9 @@
   guint domains;
   guint regions; /* domains are dealt out to them in turn */
   guint seeds;
-  gboolean lone;     /* the last VM is alone in the last domain */
-  guint strong_each; /* in each domain half a core, the others an eighth; 0: all a quarter */
+  gboolean lone;      /* the last VM is alone in the last domain */
+  MrTime watch_pause; /* of a daemon that watches, between two answers; 0: none */
+  guint strong_each;  /* in each domain half a core, the others an eighth; 0: all a quarter */
 } FleetLayout;
 
 struct _Fleet
--- a/test/test_joining.c
+++ b/test/test_joining.c
@@ -150,11 +150,51 @@
     }
 }
 
+/* What it costs: targets that start are listed over seconds, and what one failure domain has
+ * read the others hear of in a moment.  Daemons that took each such difference for something
+ * lost sent each other whole lists, half of all bytes between the domains of 985. */
+static void
+test_listed_over_seconds (void **state)
+{
+  enum
+  {
+    MEMBERS = 100,
+    SECONDS = 6,
+    TARGETS_A_SECOND = 320,
+    STEP_MS = 25,
+    BYTES_MOST = 1000, /* a daemon, of comparisons across domains */
+  };
+  const FleetLayout layout = {
+    .count = MEMBERS, .domains = 5, .seeds = 3, .watch_pause = 400 * MR_MS
+  };
+  (void) state;
+  Fleet *fleet = fleet_new (&layout);
+  fleet_write (fleet, 0);
+  fleet_start_all (fleet, 300 * MR_MS, FALSE);
+  for (guint step = 0; step < SECONDS * 1000 / STEP_MS; step++)
+    {
+      for (guint t = 0; t < TARGETS_A_SECOND * STEP_MS / 1000; t++)
+        fleet_write (fleet, 1 + step * TARGETS_A_SECOND * STEP_MS / 1000 + t);
+      fleet_run (fleet, STEP_MS * MR_MS);
+    }
+  fleet_run (fleet, 2 * MR_SECOND);
+  guint64 bytes = fleet->bytes[MR_TRAFFIC_COMPARE][0] / MEMBERS;
+  print_message ("%u targets listed in %d s: %u bytes of comparisons a daemon across domains\n",
+                 SECONDS * TARGETS_A_SECOND, SECONDS, (guint) bytes);
+  for (guint i = 0; i < MEMBERS; i++)
+    assert_true (mr_registry_digest (fleet->nodes[i].registry) ==
+                 mr_registry_digest (fleet->store));
+  if (bytes > BYTES_MOST)
+    fail_msg ("%u bytes a daemon", (guint) bytes);
+  fleet_free (fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_all_start),
+    cmocka_unit_test (test_listed_over_seconds),
     cmocka_unit_test (test_large_ones_first),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
