A daemon that restarts is ready with all targets, and waits while its peers' objects come in

Two faults that hold only while all objects fit one message, shown by one test.

Ready with a part of the targets. A daemon that starts took a peer's whole list for all that there is, also of a peer that was itself halfway through its start, and equal digests with such a peer for the end of its own. Eight of twenty that restart together where 2,000 targets are listed became ready with 576 of them, as soon as one message of bodies had come. What callers would see: searches with shards that have no target, refused or left out, for as long as the rest takes. Now only a daemon that has read the store or a complete peer sends its whole list, lists that a comparison brings do not end a start, and neither does the digest of one that is starting (of a relay: told as busy).

The whole store read by each that restarts. One that is not to watch read the store 1.5 s after its start if it was not in step with a peer by then. Bodies of 4,228 targets, 1.4 MB, take longer than that on an eighth of a core with 20 Mbit/s; each read is some 25 calls. What grows: time with targets, readers with VMs that restart together. Now it waits while objects come in, 10 s at most, and objects that come in count as progress, so that it does not ask the next peer for everything.

Test: test_long_list. With the code before, ready with 576 of 2,000; with 1. alone mended, 8 reads of the store for 8 restarts; now 0, and never ready with less than all. The model's daemons now read the store whenever the product's would.

--- a/src/control_peers.c
+++ b/src/control_peers.c
@@ -129,7 +129,8 @@
           message->heartbeat.kind == MR_HEARTBEAT_PING && message->heartbeat.ask == MR_ASK_SOME;
       mr_membership_receive (task->membership, now, &message->heartbeat);
       task->asked = FALSE;
-      mr_spread_digest (task->spread, now, message->sender, message->heartbeat.digest);
+      mr_spread_digest (task->spread, now, message->sender, message->heartbeat.digest,
+                        task->relay && message->heartbeat.from.busy);
       break;
     case MR_WIRE_NEWS:
     case MR_WIRE_GET:
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -82,9 +82,13 @@
 static gboolean
 S_joins (MrControlTask *task, MrTime now, gboolean watcher, MrTime *next)
 {
-  gboolean synced = mr_spread_synced (task->spread);
-  MrJoiningStep step =
-      mr_joining_step (&task->joining, now, task->roster, task->settings->name, watcher, synced);
+  const MrJoiningState state = {
+    .self = task->settings->name,
+    .watcher = watcher,
+    .fetching = mr_spread_is_fetching (task->spread, now),
+    .synced = mr_spread_synced (task->spread),
+  };
+  MrJoiningStep step = mr_joining_step (&task->joining, now, task->roster, &state);
   if (step.ask)
     mr_spread_ask (task->spread, now, step.ask->name);
   *next = MIN (*next, step.next);
@@ -93,7 +97,7 @@
   for (int i = WATCH_CONFIGURATION; i < WATCHES; i++)
     task->watches[i].readers = mr_roster_count (task->roster);
   for (int i = WATCH_CONFIGURATION; i < WATCHES && !watcher; i++)
-    if (!task->watches[i].done && synced)
+    if (!task->watches[i].done && state.synced)
       mr_watch_ended (&task->watches[i], now, true, false, g_rand_double (task->random));
   return FALSE;
 }
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -206,6 +206,7 @@
 {
   task->ready = TRUE;
   task->view_changed = TRUE;
+  mr_spread_set_complete (task->spread);
   mr_log (MR_LOG_NOTICE, MR_EVENT_READY, "ready: %u objects, from %s",
           mr_registry_count (task->registry), read ? "the platform" : "peers");
 }
--- a/src/joining.c
+++ b/src/joining.c
@@ -20,6 +20,10 @@
 static const MrTime SEEDS_WAIT = 600 * MR_MS;
 /* One that is not to watch waits this long for its peers' objects. */
 static const MrTime SYNC_WAIT = 1500 * MR_MS;
+/* While they come in it waits for longer: thousands of objects take seconds on a small VM,
+ * and dozens of these that restart would all read the whole store. */
+static const MrTime FETCH_STEP = 100 * MR_MS;
+static const MrTime FETCH_WAIT = 10 * MR_SECOND;
 /* While it waits it asks one peer after the other, this often while none is ready, then
  * half as often each time.  Left to heartbeats, two of six that started together had what the
  * others held a second later than they. */
@@ -74,12 +78,15 @@
 /* When the store may be read.  One that has just met the first of the others does not
  * know yet which of them reads for all. */
 static MrTime
-S_end (MrJoining *joining, MrTime now, const MrRoster *roster, gboolean watcher)
+S_end (MrJoining *joining, MrTime now, const MrRoster *roster, const MrJoiningState *state)
 {
+  MrTime end = joining->started + joining->sync_wait;
   if (joining->met_at == 0 && mr_roster_count (roster) > 1)
     joining->met_at = now;
-  if (!watcher)
-    return joining->started + joining->sync_wait;
+  if (!state->watcher && state->fetching && now < joining->started + FETCH_WAIT)
+    return MAX (end, now + FETCH_STEP);
+  if (!state->watcher)
+    return end;
   if (joining->met_at == 0)
     return joining->started + joining->lone_wait;
   return MAX (joining->started, joining->met_at) + joining->watch_wait;
@@ -89,17 +96,15 @@
 mr_joining_step (MrJoining *joining,
                  MrTime now,
                  const MrRoster *roster,
-                 const char *self,
-                 gboolean watcher,
-                 gboolean synced)
+                 const MrJoiningState *state)
 {
-  MrTime end = S_end (joining, now, roster, watcher);
-  if (joining->alone || synced || now >= end)
+  MrTime end = S_end (joining, now, roster, state);
+  if (joining->alone || state->synced || now >= end)
     return (MrJoiningStep){ .read = TRUE, .next = MR_NEVER };
   MrJoiningStep step = { .next = end };
   if (now >= joining->ask_at)
     {
-      step.ask = S_next_peer (joining, roster, self);
+      step.ask = S_next_peer (joining, roster, state->self);
       joining->ask_at = now + joining->ask_gap;
       joining->asked++;
       if (step.ask && !step.ask->busy)
--- a/src/joining.h
+++ b/src/joining.h
@@ -40,11 +40,16 @@
 
 void mr_joining_init (MrJoining *joining, MrTime now, const MrJoiningInfo *info);
 
-/* @watcher: by what it knows now it is one of those that read the store for the
- * others.  @synced: it holds what a peer holds. */
+/* What a daemon that starts knows of itself. */
+typedef struct
+{
+  const char *self;
+  gboolean watcher;  /* by what it knows it is one of those that read the store for the others */
+  gboolean fetching; /* what a peer holds is coming in */
+  gboolean synced;   /* it holds what a peer holds */
+} MrJoiningState;
+
 MrJoiningStep mr_joining_step (MrJoining *joining,
                                MrTime now,
                                const MrRoster *roster,
-                               const char *self,
-                               gboolean watcher,
-                               gboolean synced);
+                               const MrJoiningState *state);
--- a/src/spread.c
+++ b/src/spread.c
@@ -63,9 +63,11 @@
   GHashTable *differs;  /* member -> Differs */
   GHashTable *untold;   /* "<kind>/<name>" -> Untold */
   MrTime tell_at;       /* MR_NEVER: nothing gathered */
-  MrTime fetch_at;      /* when the bodies that are missing were asked for */
+  MrTime fetch_at;      /* when bodies that are missing were asked for, or the latest came */
   MrTime listed_at;     /* first of the whole lists that count */
   guint listed;
+  GHashTable *lenders; /* set of members that were asked for all that they hold */
+  gboolean complete;
   gboolean synced;
   gboolean taken;  /* an object, since a digest was looked at */
   MrTime taken_at; /* the latest, as seen then */
@@ -92,6 +94,7 @@
   spread->compared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   spread->differs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   spread->untold = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, S_untold_free);
+  spread->lenders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   spread->tell_at = MR_NEVER;
   return spread;
 }
@@ -106,6 +109,7 @@
   g_hash_table_unref (spread->compared);
   g_hash_table_unref (spread->differs);
   g_hash_table_unref (spread->untold);
+  g_hash_table_unref (spread->lenders);
   g_free (spread->self);
   g_free (spread);
 }
@@ -299,7 +303,9 @@
 S_get_newer (MrSpread *spread, MrTime now, const MrWireMessage *message)
 {
   g_autoptr (GArray) wanted = g_array_new (FALSE, FALSE, sizeof (MrNews));
-  gboolean whole = message->type == MR_WIRE_LIST && message->range.bits == 0;
+  /* A list that a comparison brings may be of one that lacks more than we do. */
+  gboolean whole = message->type == MR_WIRE_LIST && message->range.bits == 0 &&
+                   g_hash_table_contains (spread->lenders, message->sender);
   if (whole)
     spread->fetch_at = now;
   if (g_hash_table_size (spread->asked) > MR_TARGETS_MAX)
@@ -388,7 +394,8 @@
   /* Its sender holds nothing: it has just started, and asks for all. */
   if (message->range.bits == 0 && message->news_count == 0)
     {
-      if (mr_registry_count (spread->registry) > 0 && S_may_list_all (spread, now))
+      if ((spread->complete || spread->synced) && mr_registry_count (spread->registry) > 0 &&
+          S_may_list_all (spread, now))
         S_send_list (spread, message->sender, EVERYTHING);
       return;
     }
@@ -418,6 +425,18 @@
     }
 }
 
+static void
+S_on_objects (MrSpread *spread, MrTime now, const MrWireMessage *message)
+{
+  spread->fetch_at = now;
+  for (guint i = 0; i < message->object_count; i++)
+    {
+      const MrNews *news = &message->objects[i].news;
+      mr_spread_offer (spread, news->kind, mr_text (news->name), news->version,
+                       message->objects[i].body, message->sender);
+    }
+}
+
 void
 mr_spread_receive (MrSpread *spread, MrTime now, const MrWireMessage *message)
 {
@@ -430,12 +449,7 @@
   else if (message->type == MR_WIRE_GET)
     S_on_get (spread, message);
   else if (message->type == MR_WIRE_OBJECTS)
-    for (guint i = 0; i < message->object_count; i++)
-      {
-        const MrNews *news = &message->objects[i].news;
-        mr_spread_offer (spread, news->kind, mr_text (news->name), news->version,
-                         message->objects[i].body, message->sender);
-      }
+    S_on_objects (spread, now, message);
 }
 
 /* TRUE if what @differs from here may be on its way. */
@@ -470,7 +484,7 @@
 }
 
 void
-mr_spread_digest (MrSpread *spread, MrTime now, const char *from, guint64 digest)
+mr_spread_digest (MrSpread *spread, MrTime now, const char *from, guint64 digest, gboolean starts)
 {
   if (spread->taken)
     spread->taken_at = now;
@@ -478,7 +492,7 @@
   if (digest == mr_registry_digest (spread->registry))
     {
       g_hash_table_remove (spread->differs, from);
-      spread->synced = spread->synced || mr_registry_count (spread->registry) > 0;
+      spread->synced = spread->synced || (!starts && mr_registry_count (spread->registry) > 0);
       return;
     }
   if (mr_registry_count (spread->registry) == 0)
@@ -490,9 +504,23 @@
 void
 mr_spread_ask (MrSpread *spread, MrTime now, const char *name)
 {
-  gboolean fetching = g_hash_table_size (spread->missing) > 0 && now - spread->fetch_at < GET_GAP;
-  if (!spread->synced && !fetching && S_once_in (spread->compared, name, now, ASK_GAP))
-    spread->host->send (spread->host, name, mr_wire_list (spread->self, EVERYTHING, NULL, 0));
+  if (spread->synced || mr_spread_is_fetching (spread, now) ||
+      !S_once_in (spread->compared, name, now, ASK_GAP))
+    return;
+  g_hash_table_add (spread->lenders, g_strdup (name));
+  spread->host->send (spread->host, name, mr_wire_list (spread->self, EVERYTHING, NULL, 0));
+}
+
+void
+mr_spread_set_complete (MrSpread *spread)
+{
+  spread->complete = TRUE;
+}
+
+gboolean
+mr_spread_is_fetching (const MrSpread *spread, MrTime now)
+{
+  return g_hash_table_size (spread->missing) > 0 && now - spread->fetch_at < GET_GAP;
 }
 
 gboolean
--- a/src/spread.h
+++ b/src/spread.h
@@ -41,12 +41,20 @@
 /* Asks @name for the list of all that it holds, unless one has come already. */
 void mr_spread_ask (MrSpread *spread, MrTime now, const char *name);
 
-/* A heartbeat of @from carried @digest. */
-void mr_spread_digest (MrSpread *spread, MrTime now, const char *from, guint64 digest);
+/* A heartbeat of @from carried @digest; @starts: it may lack a part of what there is. */
+void
+mr_spread_digest (MrSpread *spread, MrTime now, const char *from, guint64 digest, gboolean starts);
 
 /* Tells what has been gathered.  Returns when to come back; MR_NEVER if there is
  * nothing to tell. */
 MrTime mr_spread_tick (MrSpread *spread, MrTime now);
 
+/* This daemon holds all that there is: it has read the platform, or what a peer holds.
+ * Until then it sends nobody its whole list, which would be taken for all. */
+void mr_spread_set_complete (MrSpread *spread);
+
+/* TRUE while the objects of a peer's list come in. */
+gboolean mr_spread_is_fetching (const MrSpread *spread, MrTime now);
+
 /* TRUE once a peer with objects had the same digest as ours. */
 gboolean mr_spread_synced (const MrSpread *spread);
--- a/test/fleet.c
+++ b/test/fleet.c
@@ -41,6 +41,14 @@
   return &fleet->domain_cut[from * fleet->layout.domains + to];
 }
 
+/* A link and its VM take in one message of bodies after the other. */
+static void
+S_delay_bodies (FleetNode *to, Mail *mail)
+{
+  mail->at = MAX (mail->at, to->bodies_until) + to->fleet->layout.bodies_take;
+  to->bodies_until = mail->at;
+}
+
 /* Takes @bytes. */
 static void
 S_post (FleetNode *node, guint to, GString *bytes)
@@ -58,7 +66,13 @@
     .to = to,
     .bytes = bytes,
   };
-  g_queue_push_tail (&fleet->mail[same ? 0 : 1], mail);
+  GQueue *queue = &fleet->mail[same ? 0 : 1];
+  if (kind == MR_TRAFFIC_OBJECTS)
+    S_delay_bodies (&fleet->nodes[to], mail);
+  GList *place = queue->tail;
+  while (place && ((Mail *) place->data)->at > mail->at)
+    place = place->prev;
+  g_queue_insert_after (queue, place, mail);
 }
 
 static void
@@ -305,11 +319,16 @@
   gboolean reaches = !fleet->store_cut[fleet_domain (fleet, node->index)];
   if (node->read_ends == 0)
     {
-      MrJoiningStep step = mr_joining_step (&node->joining, fleet->now, node->roster,
-                                            node->self.name, node->watcher, synced);
+      const MrJoiningState state = {
+        .self = node->self.name,
+        .watcher = node->watcher,
+        .fetching = mr_spread_is_fetching (node->spread, fleet->now),
+        .synced = synced,
+      };
+      MrJoiningStep step = mr_joining_step (&node->joining, fleet->now, node->roster, &state);
       if (step.ask)
         mr_spread_ask (node->spread, fleet->now, step.ask->name);
-      if (step.read && node->watcher && !synced && reaches)
+      if (step.read && !synced && reaches)
         {
           node->read_ends = fleet->now + READ_TIME;
           fleet->reads++;
@@ -322,6 +341,7 @@
   if (read || synced)
     {
       node->ready = fleet->now;
+      mr_spread_set_complete (node->spread);
       mr_membership_set_busy (node->membership, fleet->now, FALSE);
     }
   else if (node->read_ends != 0)
@@ -366,7 +386,8 @@
   if (message.type == MR_WIRE_HEARTBEAT || message.type == MR_WIRE_MEMBERS)
     {
       mr_membership_receive (node->membership, fleet->now, &message.heartbeat);
-      mr_spread_digest (node->spread, fleet->now, message.sender, message.heartbeat.digest);
+      mr_spread_digest (node->spread, fleet->now, message.sender, message.heartbeat.digest,
+                        message.heartbeat.from.busy);
     }
   else
     mr_spread_receive (node->spread, fleet->now, &message);
--- a/test/fleet.h
+++ b/test/fleet.h
@@ -32,8 +32,9 @@
   MrTime read_ends; /* 0: not begun */
   MrTime ready;     /* 0: not yet */
   gboolean frozen;
-  MrTime watch_at;    /* when it watches again */
-  guint64 store_seen; /* newest version that the store has told it */
+  MrTime bodies_until; /* a message of bodies is coming in */
+  MrTime watch_at;     /* when it watches again */
+  guint64 store_seen;  /* newest version that the store has told it */
 } FleetNode;
 
 typedef struct
@@ -43,6 +44,7 @@
   guint regions; /* domains are dealt out to them in turn */
   guint seeds;
   gboolean lone;      /* the last VM is alone in the last domain */
+  MrTime bodies_take; /* that a message of bodies takes to come in */
   MrTime watch_pause; /* of a daemon that watches, between two answers; 0: none */
   guint strong_each;  /* in each domain half a core, the others an eighth; 0: all a quarter */
 } FleetLayout;
--- a/test/prop_documents.cpp
+++ b/test/prop_documents.cpp
@@ -292,7 +292,8 @@
   for (auto &d : daemons)
     for (auto &other : daemons)
       if (d.index != other.index && !cut[other.index][d.index])
-        mr_spread_digest (d.spread, now, other.name.c_str (), mr_registry_digest (other.registry));
+        mr_spread_digest (d.spread, now, other.name.c_str (), mr_registry_digest (other.registry),
+                          FALSE);
 }
 
 void
--- a/test/test_joining.c
+++ b/test/test_joining.c
@@ -189,12 +189,63 @@
   fleet_free (fleet);
 }
 
+/* What it costs: a VM that restarts where thousands of targets are listed needs seconds for
+ * what its peers send it.  Each that gave up waiting read the whole store, 25 calls, and 50
+ * of 985 that were killed made over a thousand of a day's 1,635 calls. */
+static void
+test_long_list (void **state)
+{
+  enum
+  {
+    MEMBERS = 20,
+    TARGETS = 2000,
+    RESTARTED = 8,
+    TAKE_MS = 300, /* a message of bodies; there are some 11 */
+  };
+  const FleetLayout layout = { .count = MEMBERS, .domains = 4, .seeds = 3 };
+  (void) state;
+  Fleet *fleet = fleet_new (&layout);
+  for (guint t = 0; t < TARGETS; t++)
+    fleet_write (fleet, t);
+  fleet_start_all (fleet, 0, FALSE);
+  fleet_run (fleet, 5 * MR_SECOND);
+  guint64 reads = fleet->reads;
+  guint restarted = 0;
+  fleet->layout.bodies_take = TAKE_MS * MR_MS;
+  for (guint i = layout.seeds; i < MEMBERS && restarted < RESTARTED; i++)
+    if (!fleet->nodes[i].watcher)
+      {
+        restarted++;
+        fleet_kill (fleet, i);
+        fleet_start_at (fleet, i, fleet->now + MR_SECOND);
+      }
+  assert_int_equal (restarted, RESTARTED);
+  for (guint step = 0; step < 200; step++)
+    {
+      fleet_run (fleet, 50 * MR_MS);
+      for (guint i = 0; i < MEMBERS; i++)
+        if (fleet->nodes[i].membership && fleet->nodes[i].ready != 0)
+          assert_int_equal (mr_registry_count (fleet->nodes[i].registry), TARGETS);
+    }
+  guint partial = 0;
+  for (guint i = 0; i < MEMBERS; i++)
+    {
+      assert_true (fleet->nodes[i].ready != 0);
+      partial += mr_registry_count (fleet->nodes[i].registry) < TARGETS;
+    }
+  assert_int_equal (partial, 0);
+  print_message ("%u restarted: %u reads\n", restarted, (guint) (fleet->reads - reads));
+  assert_true (fleet->reads == reads);
+  fleet_free (fleet);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_all_start),
     cmocka_unit_test (test_listed_over_seconds),
+    cmocka_unit_test (test_long_list),
     cmocka_unit_test (test_large_ones_first),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
