--- a/Makefile
+++ b/Makefile
@@ -31,9 +31,12 @@
 # passed over; `ctest` alone runs them too.
 KNOWN_RED = $(shell sed -n 's/^\([a-z_]*\):.*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 
+# Tests that run at once; those of whole processes run alone.
+TEST_JOBS ?= 4
+
 test: deps all
 	@test ! -s KNOWN-RED.txt || { echo "known red, passed over:"; cat KNOWN-RED.txt; }
-	ctest --test-dir $(BUILD) --output-on-failure $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
+	ctest --test-dir $(BUILD) -j $(TEST_JOBS) --output-on-failure $(if $(KNOWN_RED),-E '^($(KNOWN_RED))$$')
 
 demo: deps all
 	demo/demo.sh $(BUILD)
--- a/src/control_view.c
+++ b/src/control_view.c
@@ -68,8 +68,8 @@
     task->members_changed = TRUE;
 }
 
-/* Members that were told of and are no longer known are gone; the roster's takers are
- * told of them as dead before. */
+/* The members that have changed, as they are now; new.  One that is no longer known was told
+ * of as dead a minute before. */
 static GArray *
 S_take_member_changes (MrControlTask *task)
 {
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -219,7 +219,7 @@
   MrTime unix_offset;
   MrTimers *timers;
   MrFinishTime finish; /* of answers that were due at their soft end */
-  MrTime health_at; /* next look at the targets that are down */
+  MrTime health_at;    /* next look at the targets that are down */
   gboolean some_down;
   guint64 last_call;
   MrRelayCounts counts;
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -21,15 +21,24 @@
 
 /* Views. */
 
+/* Those that are gone first: a process may be listed anew under another id. */
 static void
-S_take_target (MrRelayTask *task, MrTime now, const MrTargetChange *change)
+S_take_targets (MrRelayTask *task, MrTime now, const GPtrArray *changes)
 {
-  const MrTargetRecord *record = change->record;
-  if (record)
-    mr_relay_target (task->relay, now, record->service, &record->target, record->leaving,
-                     record->cold_for);
-  else
-    mr_relay_target_gone (task->relay, now, change->id);
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const MrTargetChange *change = g_ptr_array_index (changes, i);
+      if (!change->record)
+        mr_relay_target_gone (task->relay, now, change->id);
+    }
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const MrTargetRecord *record =
+          ((const MrTargetChange *) g_ptr_array_index (changes, i))->record;
+      if (record)
+        mr_relay_target (task->relay, now, record->service, &record->target, record->leaving,
+                         record->cold_for);
+    }
 }
 
 static void
@@ -90,8 +99,7 @@
   MrTime now = mr_now ();
   if (changes->members->len > 0)
     S_take_members (task, now, changes->members);
-  for (guint i = 0; i < changes->targets->len; i++)
-    S_take_target (task, now, g_ptr_array_index (changes->targets, i));
+  S_take_targets (task, now, changes->targets);
 }
 
 static void
--- a/src/watch.c
+++ b/src/watch.c
@@ -39,7 +39,8 @@
   guint passed_over; /* alive, do not */
 } Ahead;
 
-/* Counts those of @domain that go before @own, as far as it matters. */
+/* Counts those of @domain that rank above @own, up to @most and the bound on those passed
+ * over. */
 static Ahead
 S_ahead (const MrRoster *roster, guint domain, const MrMember *own, guint most)
 {
