At a first start the store is read once the others are known

Cause: a daemon that takes itself for a watcher read the store 1.2 s after the first start of all, a time in which 295 VMs hear of each other. What grows: the time until all know each other, the calls with the VMs.

Now: at a first start, when no caller is there, one also waits until it has heard of no other daemon for 0.3 s, at most 6 s after its start; those that do not watch wait as much longer for their peers. After a later loss of all nothing changes: callers wait then.

Test: test_members_come_in. With the code before, "a thousand in two seconds" reads after 1.2 s. Holds for fleets that know each other within 6 s.

--- a/src/joining.c
+++ b/src/joining.c
@@ -5,6 +5,11 @@
  * or 7 VMs, 48 and 51 with a wait of 0.4 s; 295 VMs need more than that to hear of
  * each other.  No caller is there yet. */
 static const MrTime FIRST_WATCH_WAIT = 1200 * MR_MS;
+/* Hundreds of small VMs that start together take longer to hear of each other, so that each
+ * waits until it has heard of no other for a while as well.  With 985 a sixth of all took
+ * themselves for watchers after 1.2 s, and read: a thousand calls more. */
+static const MrTime GROWTH_OVER = 300 * MR_MS;
+static const MrTime GROWTH_WAIT = 6 * MR_SECOND;
 /* Later, where all have been killed, nobody holds anything and callers wait for the
  * first that does.  Each waits a time of its own up to this, so that not all ask the
  * store before they hear of one that has (it takes some 25 ms to read and to tell).
@@ -37,6 +42,7 @@
   *joining = (MrJoining){
     .started = now,
     .alone = info->alone,
+    .first_start = info->first_start,
     .watch_wait = info->first_start ? FIRST_WATCH_WAIT : wait,
     .lone_wait = info->first_start ? FIRST_WATCH_WAIT : wait + (small ? SEEDS_WAIT : 0),
     .sync_wait = (info->first_start ? FIRST_WATCH_WAIT : 0) + SYNC_WAIT,
@@ -75,21 +81,42 @@
   return best;
 }
 
+static void
+S_note_members (MrJoining *joining, MrTime now, guint count)
+{
+  if (count <= joining->members)
+    return;
+  joining->members = count;
+  joining->grew_at = now;
+}
+
+/* From when all others that start too are taken to be known; 0: they are not waited for. */
+static MrTime
+S_grown (const MrJoining *joining)
+{
+  if (!joining->first_start)
+    return 0;
+  return MIN (joining->grew_at + GROWTH_OVER, joining->started + GROWTH_WAIT);
+}
+
 /* When the store may be read.  One that has just met the first of the others does not
  * know yet which of them reads for all. */
 static MrTime
 S_end (MrJoining *joining, MrTime now, const MrRoster *roster, const MrJoiningState *state)
 {
   MrTime end = joining->started + joining->sync_wait;
+  S_note_members (joining, now, mr_roster_count (roster));
   if (joining->met_at == 0 && mr_roster_count (roster) > 1)
     joining->met_at = now;
+  MrTime grown = S_grown (joining);
   if (!state->watcher && state->fetching && now < joining->started + FETCH_WAIT)
     return MAX (end, now + FETCH_STEP);
   if (!state->watcher)
-    return end;
+    return MAX (end, grown == 0 ? 0 : grown + SYNC_WAIT);
   if (joining->met_at == 0)
     return joining->started + joining->lone_wait;
-  return MAX (joining->started, joining->met_at) + joining->watch_wait;
+  end = MAX (joining->started, joining->met_at) + joining->watch_wait;
+  return MAX (end, grown);
 }
 
 MrJoiningStep
--- a/src/joining.h
+++ b/src/joining.h
@@ -12,8 +12,11 @@
 typedef struct
 {
   MrTime started;
-  gboolean alone;    /* it knows of no seed but itself */
-  MrTime met_at;     /* when it heard of another; 0: not yet */
+  gboolean alone; /* it knows of no seed but itself */
+  MrTime met_at;  /* when it heard of another; 0: not yet */
+  gboolean first_start;
+  guint members;     /* known, at most so far */
+  MrTime grew_at;    /* when there was one more */
   MrTime watch_wait; /* before it takes itself for one that is to read the store */
   MrTime lone_wait;  /* the same while it has heard of no other */
   MrTime sync_wait;  /* for peers' objects, of one that is not to read the store */
--- a/test/test_joining.c
+++ b/test/test_joining.c
@@ -239,13 +239,63 @@
   fleet_free (fleet);
 }
 
+/* What it costs: at a first start of all, VMs that have heard of few others yet take
+ * themselves for those that read the store for all. */
+static void
+test_members_come_in (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    gboolean first_start;
+    guint members; /* one more each gap, from the start on */
+    MrTime gap_ms;
+    MrTime from_ms; /* when the store may be read */
+    MrTime to_ms;
+  } cases[] = {
+    { "six at once", TRUE, 6, 10, 1200, 1300 },
+    { "a thousand in two seconds", TRUE, 1000, 2, 2250, 2350 },
+    { "a thousand that never end", TRUE, 1000, 20, 5950, 6050 },
+    { "after a loss of all, callers wait", FALSE, 1000, 2, 0, 70 },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const MrJoiningInfo info = { .first_start = cases[i].first_start,
+                                   .random = 0.9,
+                                   .capacity = 500 };
+      const MrJoiningState self = { .self = "m0", .watcher = TRUE };
+      MrRoster *roster = mr_roster_new ();
+      MrJoining joining;
+      MrTime start = 100 * MR_SECOND;
+      MrTime now = start;
+      mr_joining_init (&joining, start, &info);
+      for (; now < start + 20 * MR_SECOND; now += MR_MS)
+        {
+          guint due = 1 + (guint) ((now - start) / (cases[i].gap_ms * MR_MS));
+          while (mr_roster_count (roster) < MIN (due, cases[i].members))
+            {
+              MrMember member = { .busy = TRUE };
+              g_snprintf (member.name, sizeof member.name, "m%u", mr_roster_count (roster));
+              g_strlcpy (member.domain, "d", sizeof member.domain);
+              mr_roster_put (roster, &member);
+            }
+          if (mr_joining_step (&joining, now, roster, &self).read)
+            break;
+        }
+      MrTime after = (now - start) / MR_MS;
+      if (after < cases[i].from_ms || after > cases[i].to_ms)
+        fail_msg ("%s: read after %d ms", cases[i].name, (int) after);
+      mr_roster_free (roster);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_all_start),
-    cmocka_unit_test (test_listed_over_seconds),
-    cmocka_unit_test (test_long_list),
+    cmocka_unit_test (test_all_start),        cmocka_unit_test (test_listed_over_seconds),
+    cmocka_unit_test (test_long_list),        cmocka_unit_test (test_members_come_in),
     cmocka_unit_test (test_large_ones_first),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
