--- a/src/control_evacuation.c
+++ b/src/control_evacuation.c
@@ -37,8 +37,7 @@
 {
   Unlisted *unlisted = user;
   const MrControlTask *task = unlisted->task;
-  if (object->kind == MR_OBJECT_EVACUATION && mr_evacuation_holds (object->version) &&
-      object->version < task->evacuations_version &&
+  if (mr_evacuation_holds (object->version) && object->version < task->evacuations_version &&
       !g_hash_table_contains (task->evacuations_listed, object->name))
     g_ptr_array_add (unlisted->over, g_strdup (object->name));
 }
@@ -47,7 +46,7 @@
 mr_control_evacuation_listed (MrControlTask *task)
 {
   Unlisted unlisted = { .task = task, .over = g_ptr_array_new_with_free_func (g_free) };
-  mr_registry_foreach (task->registry, S_add_unlisted, &unlisted);
+  mr_registry_foreach_of (task->registry, MR_OBJECT_EVACUATION, S_add_unlisted, &unlisted);
   for (guint i = 0; i < unlisted.over->len; i++)
     S_offer (task, g_ptr_array_index (unlisted.over, i), task->evacuations_version);
   g_ptr_array_unref (unlisted.over);
