--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -11,6 +11,9 @@
 
 mode() { http -X PUT "http://$1/mode/$2" >/dev/null; } # ADDRESS MODE
 
+copy_store() { http -X PUT "http://$STORE/copy" >/dev/null; }
+restore_store() { http -X PUT "http://$STORE/restore/$1" >/dev/null; } # cut | mute
+
 searcher_at() { printf '127.0.0.1:%d' $((SEARCHER_BASE + $1)); }
 
 # Registers searcher NUMBER as ID of SERVICE in STATE.
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -3,6 +3,9 @@
  *
  * The store keeps objects by kind and name in memory, lists them in pages and serves
  * watches.  PUT /raw/KIND/NAME stores arbitrary bytes, as another writer could.
+ * PUT /copy takes a copy of everything, and PUT /restore/HOW goes back to it in a new era:
+ * revisions are assigned again from that of the copy.  HOW is what becomes of the pending
+ * watches: "cut" closes their connections, "mute" never responds to them.
  *
  * A searcher responds to every request with its signature and the caller's request id.  It
  * exits CRASH_DELAY after it has started a request whose path contains "crash", unless the
@@ -88,9 +91,11 @@
   MrTimers *timers;
   const char *id; /* of the searcher; NULL: this is the store */
   Mode mode;
+  gint64 era; /* counts the restores */
   gint64 revision;
   json_t *kinds;      /* kind -> name -> object */
   json_t *changes;    /* [{kind, revision, deleted, object}] */
+  json_t *copy;       /* {revision, kinds, changes}; NULL: none was taken */
   GHashTable *runs;   /* request id -> count */
   GPtrArray *watches; /* Connection with a pending watch */
 };
@@ -99,8 +104,10 @@
 S_send (Connection *connection, int status, const char *fields, MrText body)
 {
   g_autoptr (GString) out = g_string_new (NULL);
-  g_string_append_printf (out, "HTTP/1.1 %d X\r\n%sContent-Length: %zu\r\n\r\n", status, fields,
-                          body.len);
+  g_string_append_printf (out, "HTTP/1.1 %d X\r\n%s", status, fields);
+  if (!connection->server->id)
+    g_string_append_printf (out, "Store-Era: %" G_GINT64_FORMAT "\r\n", connection->server->era);
+  g_string_append_printf (out, "Content-Length: %zu\r\n\r\n", body.len);
   g_string_append_len (out, body.data, (gssize) body.len);
   mr_stream_write (connection->stream, mr_text_of (out));
 }
@@ -214,6 +221,33 @@
     S_respond_to_watch (g_ptr_array_index (server->watches, i - 1), FALSE);
 }
 
+static void
+S_take_copy (Server *server)
+{
+  json_decref (server->copy);
+  server->copy =
+      json_pack ("{s:I,s:o,s:o}", "revision", (json_int_t) server->revision, "kinds",
+                 json_deep_copy (server->kinds), "changes", json_deep_copy (server->changes));
+}
+
+static void
+S_restore_copy (Server *server, gboolean cut_watches)
+{
+  json_decref (server->kinds);
+  json_decref (server->changes);
+  server->era++;
+  server->revision = json_integer_value (json_object_get (server->copy, "revision"));
+  server->kinds = json_deep_copy (json_object_get (server->copy, "kinds"));
+  server->changes = json_deep_copy (json_object_get (server->copy, "changes"));
+  while (server->watches->len > 0)
+    {
+      Connection *connection = g_ptr_array_steal_index (server->watches, 0);
+      mr_timers_set (server->timers, &connection->timer, MR_NEVER);
+      if (cut_watches)
+        mr_stream_close (connection->stream);
+    }
+}
+
 static int
 S_compare_names (const void *a, const void *b)
 {
@@ -337,9 +371,9 @@
       S_list (connection, parts[2], after);
       return;
     }
-  if (server->mode == MODE_GONE)
+  if (server->mode == MODE_GONE || atoll (watch) > server->revision)
     {
-      server->mode = MODE_OK;
+      server->mode = server->mode == MODE_GONE ? MODE_OK : server->mode;
       S_send (connection, 410, "", (MrText){ 0 });
       return;
     }
@@ -511,6 +545,16 @@
           connection->server->mode = (Mode) i;
       S_send (connection, 200, "", MR_TEXT ("{}"));
     }
+  else if (g_str_equal (target, "/copy"))
+    {
+      S_take_copy (connection->server);
+      S_send (connection, 200, "", MR_TEXT ("{}"));
+    }
+  else if (g_str_has_prefix (target, "/restore/") && connection->server->copy)
+    {
+      S_restore_copy (connection->server, g_str_has_suffix (target, "/cut"));
+      S_send (connection, 200, "", MR_TEXT ("{}"));
+    }
   else if (connection->server->id)
     S_on_searcher_request (connection, target);
   else
@@ -614,6 +658,7 @@
     .handler = { .on_tick = S_on_tick },
     .timers = mr_timers_new (),
     .id = searcher ? argv[3] : NULL,
+    .era = 1,
     .kinds = json_object (),
     .changes = json_array (),
     .runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL),
