Hold back targets that a restored store lists although they have left

A store that comes back from a copy lists targets as they were some seconds ago. Targets that the copy lacks were removed at once although they write their entries again within two seconds.

A full listing that contradicts what was known in an earlier era (in use, after leaving or gone, and no later process) is now held back for 5 s, longer than a target takes to renew its entry and the store to drop one that is not renewed; a change read meanwhile replaces it. The same holds for what peers announce: a daemon that had not yet heard of the end would otherwise spread it. Removals wait as after an outage. A target that only a peer still holds from an earlier era, and that the store does not list, is removed.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -265,14 +265,18 @@
 
 /* Relay: a full listing in pages, followed by changes. */
 
+/* @full: the object is part of a full listing, not a change since the last call. */
 static void
-S_on_relay_object (MrControlTask *task, MrTime now, int index, const MrPlatformObject *object)
+S_on_relay_object (
+    MrControlTask *task, MrTime now, int index, gboolean full, const MrPlatformObject *object)
 {
   if (index == WATCH_EVIDENCE)
     {
       mr_control_evidence_read_from_store (task, object);
       return;
     }
+  if (!full)
+    mr_control_era_release (task, watch_kinds[index].object, object->name);
   if (index == WATCH_EVACUATIONS)
     {
       mr_control_evacuation_read_from_store (task, object);
@@ -286,6 +290,10 @@
     }
   if (index == WATCH_TARGETS)
     mr_removal_filter_add_present (task->removal_filter, object->name, object->version);
+  if (full && index == WATCH_TARGETS &&
+      mr_control_era_hold (task, now, MR_OBJECT_TARGET, object->name, object->version,
+                           mr_text_of (object->body)))
+    return;
   mr_control_start_offer (task, watch_kinds[index].object, object);
 }
 
@@ -335,7 +343,7 @@
         mr_control_evacuation_begin_listing (task, result->removed_version);
     }
   for (guint i = 0; i < result->objects->len; i++)
-    S_on_relay_object (task, now, index, g_ptr_array_index (result->objects, i));
+    S_on_relay_object (task, now, index, full, g_ptr_array_index (result->objects, i));
   watch->page_after[0] = '\0';
   /* The store announces more objects, but an empty page has no name to continue after. The
    * listing is restarted, since the objects on the pages not read would otherwise count as
@@ -455,7 +463,7 @@
 mr_control_platform_result (MrControlTask *task, MrTime now, MrPlatformResult *result)
 {
   int index = S_watch_index (result->request);
-  gboolean current = mr_control_era_is_current (task, result);
+  gboolean current = mr_control_era_is_current (task, now, result);
   if (index < WATCH_COUNT &&
       !mr_watch_is_current (&task->watches[index], result->request->watch_call))
     return;
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -86,6 +86,7 @@
   gboolean deferral_over;           /* nothing is deferred any more */
   gboolean restriction_call_failed; /* since everything else was read */
   guint64 store_era;                /* highest one seen in an answer or a version; 0: none */
+  GHashTable *held_entries;         /* "<kind>/<name>" -> HeldEntry */
   MrTime next_link_prune;
   MrTime next_traffic_log; /* when to log the next traffic line */
   MrQuarantine *quarantine;
@@ -149,12 +150,27 @@
 gboolean mr_control_start_may_serve (MrControlTask *task, MrTime now, gboolean others_read);
 void mr_control_start_tick (MrControlTask *task, MrTime now, MrTime *next);
 
+void mr_control_era_init (MrControlTask *task);
+void mr_control_era_clear (MrControlTask *task);
 /* Begins @era, which is higher than the known one: what was read in earlier ones is read again. */
-void mr_control_era_begin (MrControlTask *task, guint64 era);
+void mr_control_era_begin (MrControlTask *task, MrTime now, guint64 era);
 /* Returns FALSE if @result was given in an earlier era than the known one. Begins a later one. */
-gboolean mr_control_era_is_current (MrControlTask *task, const MrPlatformResult *result);
+gboolean
+mr_control_era_is_current (MrControlTask *task, MrTime now, const MrPlatformResult *result);
 /* Adds the current era to all versions in @result. */
 void mr_control_era_add_to_versions (const MrControlTask *task, MrPlatformResult *result);
+/* Holds back a version of a target or an evacuation that a restored store may list in an outdated
+ * state; FALSE if it is to be offered now. */
+gboolean mr_control_era_hold (MrControlTask *task,
+                              MrTime now,
+                              MrObjectKind kind,
+                              const char *name,
+                              guint64 version,
+                              MrText body);
+/* Drops the held entry of this name, if any, because the object has changed since. */
+void mr_control_era_release (MrControlTask *task, MrObjectKind kind, const char *name);
+/* Offers the held entries once they are due. */
+void mr_control_era_tick (MrControlTask *task, MrTime now, MrTime *next);
 
 /* TRUE if this daemon holds watches at the platform for others. */
 gboolean mr_control_is_watcher (const MrControlTask *task);
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -165,6 +165,17 @@
   task->configuration = configuration;
 }
 
+/* TRUE if a peer still holds a target from an earlier era that the store does not list in the
+ * current one. */
+static gboolean
+S_is_lost_target (const MrControlTask *task, const MrObject *object)
+{
+  guint64 listing_version = mr_removal_filter_listing_version (task->removal_filter);
+  gboolean listing_complete = task->watches[WATCH_TARGETS].since > 0;
+  return listing_complete && mr_version_era (object->version) < mr_version_era (listing_version) &&
+         !mr_removal_filter_is_listed (task->removal_filter, object->name);
+}
+
 static void
 S_apply_target (MrControlTask *task, const MrObject *object)
 {
@@ -173,7 +184,11 @@
       mr_target_table_remove (task->target_table, object->name);
       return;
     }
-  mr_removal_filter_add_present (task->removal_filter, object->name, object->version);
+  if (S_is_lost_target (task, object))
+    mr_removal_filter_add_removed (task->removal_filter, mr_now (), object->name,
+                                   mr_removal_filter_listing_version (task->removal_filter));
+  else
+    mr_removal_filter_add_present (task->removal_filter, object->name, object->version);
   MrTargetRecord *record =
       mr_target_record_parse (mr_text (object->name), mr_text_of (object->body));
   if (record)
@@ -186,6 +201,15 @@
           object->name, object->version, mr_status_message ());
 }
 
+static gboolean
+S_defers_object (
+    MrReplicationHost *host, MrObjectKind kind, MrText name, guint64 version, MrText body)
+{
+  MrControlTask *task = TASK_OF (host, replication_host);
+  g_autofree char *name_string = mr_text_dup (name);
+  return mr_control_era_hold (task, mr_now (), kind, name_string, version, body);
+}
+
 /* A peer may be the first to read the store in a new era. */
 static void
 S_note_era (MrControlTask *task, const MrObject *object)
@@ -193,7 +217,7 @@
   gboolean from_store = object->kind == MR_OBJECT_CONFIGURATION ||
                         object->kind == MR_OBJECT_TARGET || object->kind == MR_OBJECT_EVACUATION;
   if (task->relay && from_store && mr_version_era (object->version) > task->store_era)
-    mr_control_era_begin (task, mr_version_era (object->version));
+    mr_control_era_begin (task, mr_now (), mr_version_era (object->version));
 }
 
 static void
@@ -309,6 +333,7 @@
   mr_control_platform_tick (task, now, &next);
   mr_control_start_tick (task, now, &next);
   mr_control_platform_apply_removals (task, now, &next);
+  mr_control_era_tick (task, now, &next);
   mr_control_evidence_tick (task, now, &next);
   next = MIN (next, mr_replication_tick (task->replication, now));
   S_check_ready (task, now);
@@ -425,6 +450,7 @@
   task->replication_host = (MrReplicationHost){
     .send = S_send_replication,
     .neighbours = S_on_neighbours,
+    .defers = S_defers_object,
     .updated = S_on_object_updated,
   };
   task->relay = info->relay;
@@ -435,6 +461,7 @@
   mr_control_platform_init (task);
   mr_control_evidence_init (task);
   mr_control_start_init (task);
+  mr_control_era_init (task);
   task->listed_evacuations = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   MrMember self = S_make_self (info->settings, info->seed, info->relay);
   task->registry = mr_registry_new ();
@@ -479,6 +506,7 @@
   mr_controller_free (task->controller);
   mr_control_evidence_clear (task);
   mr_control_start_clear (task);
+  mr_control_era_clear (task);
   g_hash_table_unref (task->listed_evacuations);
   mr_removal_filter_free (task->removal_filter);
   mr_configuration_unref (task->configuration);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -45,6 +45,7 @@
   [MR_METRIC_ENTRIES_UNUSABLE] = { "entries_unusable", "entries read that name no target" },
   [MR_METRIC_STORE_ERAS] = { "store_eras", "times the store came back from a copy" },
   [MR_METRIC_ANSWERS_OUTDATED] = { "answers_outdated", "answers of an earlier era discarded" },
+  [MR_METRIC_ENTRIES_HELD] = { "entries_held", "entries of a restored store held back" },
   [MR_METRIC_VIEWS] = { "views", "views published by the control task" },
 };
 
--- a/src/removal_filter.c
+++ b/src/removal_filter.c
@@ -95,6 +95,12 @@
     S_start_grace (filter, now);
 }
 
+void
+mr_removal_filter_set_restored (MrRemovalFilter *filter, MrTime now)
+{
+  filter->store_changed_at = now;
+}
+
 void
 mr_removal_filter_set_object_count (MrRemovalFilter *filter, unsigned object_count)
 {
--- a/src/removal_filter.h
+++ b/src/removal_filter.h
@@ -22,6 +22,9 @@
 /* Reports whether the store answers. */
 void mr_removal_filter_set_store_up (MrRemovalFilter *filter, MrTime now, bool up);
 
+/* Reports that the store has come back from a copy: targets write again what it lacks. */
+void mr_removal_filter_set_restored (MrRemovalFilter *filter, MrTime now);
+
 /* Sets the number of known objects. A burst that removes a large part of them is treated as an
  * outage. */
 void mr_removal_filter_set_object_count (MrRemovalFilter *filter, unsigned object_count);
--- a/src/replication.c
+++ b/src/replication.c
@@ -250,6 +250,20 @@
   return result;
 }
 
+static void
+S_offer_from_peer (MrReplication *replication,
+                   const MrObjectSummary *summary,
+                   MrText body,
+                   const char *from)
+{
+  MrReplicationHost *host = replication->host;
+  MrText name = mr_text (summary->name);
+  if (host->defers && host->defers (host, summary->kind, name, summary->version, body))
+    S_record_arrival (replication, summary->kind, name);
+  else
+    mr_replication_offer (replication, summary->kind, name, summary->version, body, from);
+}
+
 /* Comparison of registries */
 
 typedef struct
@@ -341,8 +355,7 @@
        * targets that must not get them. */
       if (mr_object_is_bodiless (summary->kind))
         {
-          mr_replication_offer (replication, summary->kind, mr_text (summary->name),
-                                summary->version, (MrText){ 0 }, message->sender);
+          S_offer_from_peer (replication, summary, (MrText){ 0 }, message->sender);
           continue;
         }
       if (complete && !replication->synced)
@@ -458,11 +471,8 @@
 {
   replication->last_fetch = now;
   for (guint i = 0; i < message->object_count; i++)
-    {
-      const MrObjectSummary *summary = &message->objects[i].summary;
-      mr_replication_offer (replication, summary->kind, mr_text (summary->name), summary->version,
-                            message->objects[i].body, message->sender);
-    }
+    S_offer_from_peer (replication, &message->objects[i].summary, message->objects[i].body,
+                       message->sender);
 }
 
 void
--- a/src/replication.h
+++ b/src/replication.h
@@ -23,6 +23,10 @@
   guint (*neighbours) (MrReplicationHost *host, const char **names);
   /* The registry has stored a new version of @object. */
   void (*updated) (MrReplicationHost *host, const MrObject *object);
+  /* Returns TRUE if an object from a peer must not be stored yet; the host offers it later. NULL:
+   * none is deferred. */
+  gboolean (*defers) (
+      MrReplicationHost *host, MrObjectKind kind, MrText name, guint64 version, MrText body);
 };
 
 MrReplication *mr_replication_new (MrReplicationHost *host, MrRegistry *registry, const char *self);
--- a/test/test_removal_filter.c
+++ b/test/test_removal_filter.c
@@ -13,6 +13,7 @@
   STEP_END,
   STEP_STORE_DOWN,
   STEP_STORE_UP,
+  STEP_STORE_RESTORED,
   STEP_PRESENT,
   STEP_REMOVED,
   STEP_DUE,     /* a removal is due */
@@ -54,6 +55,15 @@
       { STEP_REMOVED, 5100, "a", 11 },
       { STEP_NOT_DUE, 7200, NULL, 0 },
       { STEP_DUE, 7400, "a", 0 } } },
+  { "an entry that a restored store lacks is kept if it is written again",
+    0,
+    { { STEP_STORE_RESTORED, 1000, NULL, 0 },
+      { STEP_REMOVED, 1100, "a", 11 },
+      { STEP_REMOVED, 1100, "b", 11 },
+      { STEP_NOT_DUE, 3200, NULL, 0 },
+      { STEP_PRESENT, 3200, "a", 20 },
+      { STEP_DUE, 3400, "b", 0 },
+      { STEP_NOT_DUE, 9000, NULL, 0 } } },
   { "a burst of removals counts as an undetected outage",
     0,
     { { STEP_REMOVED, 1000, "a", 11 },
@@ -106,6 +116,9 @@
     case STEP_STORE_UP:
       mr_removal_filter_set_store_up (filter, now, step->action == STEP_STORE_UP);
       break;
+    case STEP_STORE_RESTORED:
+      mr_removal_filter_set_restored (filter, now);
+      break;
     case STEP_PRESENT:
       mr_removal_filter_add_present (filter, step->name, step->version);
       break;
