--- a/src/control_era.c
+++ b/src/control_era.c
@@ -27,7 +27,7 @@
   char *name;
   guint64 version;
   GString *body;
-  MrTime due;
+  MrTime due; /* 0: to be set at the next tick */
 } HeldEntry;
 
 static void
@@ -145,12 +145,8 @@
 }
 
 gboolean
-mr_control_era_hold (MrControlTask *task,
-                     MrTime now,
-                     MrObjectKind kind,
-                     const char *name,
-                     guint64 version,
-                     MrText body)
+mr_control_era_hold (
+    MrControlTask *task, MrObjectKind kind, const char *name, guint64 version, MrText body)
 {
   const MrObject *known = mr_registry_get (task->registry, kind, name);
   if (!known || !S_contradicts (known, version, body))
@@ -165,7 +161,7 @@
     .name = g_strdup (name),
     .version = version,
     .body = g_string_new_len (body.data, (gssize) body.len),
-    .due = earlier ? earlier->due : now + HOLD_TIME,
+    .due = earlier ? earlier->due : 0,
   };
   g_hash_table_replace (task->held_entries, g_steal_pointer (&key), held);
   mr_metrics_add (MR_METRIC_ENTRIES_HELD, 1);
@@ -175,6 +171,13 @@
   return TRUE;
 }
 
+gboolean
+mr_control_era_is_held (const MrControlTask *task, MrObjectKind kind, const char *name)
+{
+  g_autofree char *key = S_key (kind, name);
+  return g_hash_table_contains (task->held_entries, key);
+}
+
 void
 mr_control_era_release (MrControlTask *task, MrObjectKind kind, const char *name)
 {
@@ -182,6 +185,21 @@
   g_hash_table_remove (task->held_entries, key);
 }
 
+static gboolean
+S_is_of_kind (gpointer key, gpointer item, gpointer kind)
+{
+  (void) key;
+  return ((const HeldEntry *) item)->kind == *(const MrObjectKind *) kind;
+}
+
+void
+mr_control_era_release_kind (MrControlTask *task, MrObjectKind kind)
+{
+  g_hash_table_foreach_remove (task->held_entries, S_is_of_kind, &kind);
+}
+
+/* What a peer has announced of an earlier era is dropped: in the current one the store lists the
+ * object in another state, or not at all. */
 void
 mr_control_era_tick (MrControlTask *task, MrTime now, MrTime *next)
 {
@@ -190,14 +208,17 @@
   g_hash_table_iter_init (&iter, task->held_entries);
   while (g_hash_table_iter_next (&iter, NULL, &item))
     {
-      const HeldEntry *held = item;
+      HeldEntry *held = item;
+      if (held->due == 0)
+        held->due = now + HOLD_TIME;
       if (now < held->due)
         {
           *next = MIN (*next, held->due);
           continue;
         }
-      mr_replication_offer (task->replication, held->kind, mr_text (held->name), held->version,
-                            mr_text_of (held->body), NULL);
+      if (mr_version_era (held->version) == task->store_era)
+        mr_replication_offer (task->replication, held->kind, mr_text (held->name), held->version,
+                              mr_text_of (held->body), NULL);
       g_hash_table_iter_remove (&iter);
     }
 }
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -202,7 +202,7 @@
 {
   MrPlatformObject scaled = *object;
   scaled.version = MR_VERSION_STRIDE * object->version;
-  mr_control_evacuation_read_from_store (task, &scaled);
+  mr_control_evacuation_read_from_store (task, FALSE, &scaled);
 }
 
 static void
@@ -279,7 +279,7 @@
     mr_control_era_release (task, watch_kinds[index].object, object->name);
   if (index == WATCH_EVACUATIONS)
     {
-      mr_control_evacuation_read_from_store (task, object);
+      mr_control_evacuation_read_from_store (task, full, object);
       return;
     }
   if (object->deleted)
@@ -291,7 +291,7 @@
   if (index == WATCH_TARGETS)
     mr_removal_filter_add_present (task->removal_filter, object->name, object->version);
   if (full && index == WATCH_TARGETS &&
-      mr_control_era_hold (task, now, MR_OBJECT_TARGET, object->name, object->version,
+      mr_control_era_hold (task, MR_OBJECT_TARGET, object->name, object->version,
                            mr_text_of (object->body)))
     return;
   mr_control_start_offer (task, watch_kinds[index].object, object);
@@ -337,6 +337,7 @@
   if (full && result->request->after_name[0] == '\0')
     {
       watch->listing_revision = result->revision;
+      mr_control_era_release_kind (task, watch_kinds[index].object);
       if (index == WATCH_TARGETS)
         mr_removal_filter_begin_listing (task->removal_filter, result->removed_version);
       if (index == WATCH_EVACUATIONS)
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -126,14 +126,17 @@
 void mr_control_evidence_written (MrControlTask *task, MrTime now, const MrPlatformResult *result);
 void mr_control_evidence_tick (MrControlTask *task, MrTime now, MrTime *next);
 
-/* Applies the state of the evacuation @object at the store; a deleted one ends the evacuation. */
-void mr_control_evacuation_read_from_store (MrControlTask *task, const MrPlatformObject *object);
+/* Applies the state of the evacuation @object at the store; a deleted one ends the evacuation.
+ * @full: the object is part of a full listing. */
+void mr_control_evacuation_read_from_store (MrControlTask *task,
+                                            gboolean full,
+                                            const MrPlatformObject *object);
 /* Begins and ends a full listing of evacuations, taken at @version. Ending it ends the
  * evacuations that the listing lacks. */
 void mr_control_evacuation_begin_listing (MrControlTask *task, guint64 version);
 void mr_control_evacuation_end_listing (MrControlTask *task);
-/* Logs a new version of an evacuation. */
-void mr_control_evacuation_updated (const MrObject *object);
+/* Logs a new version of an evacuation, and ends one that the store has lost. */
+void mr_control_evacuation_updated (MrControlTask *task, const MrObject *object);
 
 void mr_control_start_init (MrControlTask *task);
 void mr_control_start_clear (MrControlTask *task);
@@ -161,14 +164,13 @@
 void mr_control_era_add_to_versions (const MrControlTask *task, MrPlatformResult *result);
 /* Holds back a version of a target or an evacuation that a restored store may list in an outdated
  * state; FALSE if it is to be offered now. */
-gboolean mr_control_era_hold (MrControlTask *task,
-                              MrTime now,
-                              MrObjectKind kind,
-                              const char *name,
-                              guint64 version,
-                              MrText body);
+gboolean mr_control_era_hold (
+    MrControlTask *task, MrObjectKind kind, const char *name, guint64 version, MrText body);
+gboolean mr_control_era_is_held (const MrControlTask *task, MrObjectKind kind, const char *name);
 /* Drops the held entry of this name, if any, because the object has changed since. */
 void mr_control_era_release (MrControlTask *task, MrObjectKind kind, const char *name);
+/* Drops all held entries of @kind, because a full listing replaces them. */
+void mr_control_era_release_kind (MrControlTask *task, MrObjectKind kind);
 /* Offers the held entries once they are due. */
 void mr_control_era_tick (MrControlTask *task, MrTime now, MrTime *next);
 
--- a/src/control_start.c
+++ b/src/control_start.c
@@ -170,7 +170,7 @@
   for (guint i = 0; i < task->deferred_offers->len; i++)
     {
       const MrDeferredOffer *deferred = g_ptr_array_index (task->deferred_offers, i);
-      if (mr_control_era_hold (task, now, deferred->kind, deferred->name, deferred->version,
+      if (mr_control_era_hold (task, deferred->kind, deferred->name, deferred->version,
                                mr_text_of (deferred->body)))
         continue;
       mr_replication_offer (task->replication, deferred->kind, mr_text (deferred->name),
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -207,7 +207,7 @@
 {
   MrControlTask *task = TASK_OF (host, replication_host);
   g_autofree char *name_string = mr_text_dup (name);
-  return mr_control_era_hold (task, mr_now (), kind, name_string, version, body);
+  return mr_control_era_hold (task, kind, name_string, version, body);
 }
 
 /* A peer may be the first to read the store in a new era. */
@@ -224,25 +224,26 @@
 S_on_object_updated (MrReplicationHost *host, const MrObject *object)
 {
   MrControlTask *task = TASK_OF (host, replication_host);
+  MrObjectKind kind = object->kind; /* the object may be replaced below */
   char version[MR_VERSION_TEXT_MAX];
   mr_version_write (object->version, version);
   mr_log (MR_LOG_INFO, MR_EVENT_OBJECT_NEW, "%s/%s is now version %s",
           mr_object_kind_name (object->kind), object->name, version);
   S_note_era (task, object);
-  if (object->kind == MR_OBJECT_SHARD_MAP)
+  if (kind == MR_OBJECT_SHARD_MAP)
     S_apply_shard_map (task, object);
-  if (object->kind == MR_OBJECT_CONFIGURATION)
+  if (kind == MR_OBJECT_CONFIGURATION)
     S_apply_configuration (task, object);
-  if (object->kind == MR_OBJECT_TARGET)
+  if (kind == MR_OBJECT_TARGET)
     S_apply_target (task, object);
-  if (object->kind == MR_OBJECT_ACCEPTED)
+  if (kind == MR_OBJECT_ACCEPTED)
     mr_controller_object_read (task->controller, mr_now (), "accepted", mr_text (object->name),
                                object->version, mr_text_of (object->body));
-  if (object->kind == MR_OBJECT_EVACUATION)
-    mr_control_evacuation_updated (object);
-  if (object->kind == MR_OBJECT_EVIDENCE)
+  if (kind == MR_OBJECT_EVACUATION)
+    mr_control_evacuation_updated (task, object);
+  if (kind == MR_OBJECT_EVIDENCE)
     mr_control_evidence_updated (task, object->name, object->version);
-  else if (object->kind != MR_OBJECT_TARGET)
+  else if (kind != MR_OBJECT_TARGET)
     task->view_changed = TRUE;
   mr_membership_set_registry_digest (task->membership, mr_registry_digest (task->registry));
 }
