Write quarantines again that a restored store has lost, and do not take the loss for a lift

A quarantine that the store had lost was in force until the relays restarted, and then callers' requests crashed targets again: nobody wrote it again, because the daemons believed that the store still held it. The next write of it named a revision that the store no longer had, and the 404 that answers it was taken for an operator's lift, which ends the quarantine everywhere.

In a new era the daemons now forget which evidence is stored, so that the one that writes for all writes what is missing and merges what is there, at most 20 objects at a time. Only a 404 in the era in which the write was made is a lift. A lift that the store has lost needs nothing more: the daemons' evidence is the newer one and is written over the copy's.

--- a/src/control_era.c
+++ b/src/control_era.c
@@ -76,6 +76,7 @@
           "; everything is read again",
           era, previous);
   g_hash_table_remove_all (task->held_entries);
+  mr_control_evidence_forget_saved (task);
   mr_removal_filter_set_restored (task->removal_filter, now);
   for (int i = 0; i < WATCH_COUNT; i++)
     mr_watch_start_over (&task->watches[i], mr_control_is_watcher (task));
--- a/src/control_evidence.c
+++ b/src/control_evidence.c
@@ -7,6 +7,11 @@
 /* Delay before a failed write, or one whose answer was lost, is repeated. */
 static const MrTime WRITE_RETRY_DELAY = 500 * MR_MS;
 
+enum
+{
+  WRITES_MAX = 20, /* at one check; a store that has lost all evidence gets it back in steps */
+};
+
 static const char OBJECT_KIND[] = "quarantine";
 
 /* Notifies the tasks that send requests. */
@@ -173,7 +178,9 @@
   MrSavedEvidence *saved = S_get_saved (task, name);
   saved->write_pending = FALSE;
   saved->retry_at = now + WRITE_RETRY_DELAY;
-  if (result->status == MR_ERROR_NOT_FOUND)
+  /* In the era of the request an operator has deleted the object; in a later one the store has
+   * lost it. */
+  if (result->status == MR_ERROR_NOT_FOUND && result->era == result->request->era)
     S_lift (task, name);
   else if (result->objects->len > 0)
     mr_control_evidence_read_from_store (task, g_ptr_array_index (result->objects, 0));
@@ -186,6 +193,7 @@
 {
   MrControlTask *task;
   MrTime now;
+  guint write_count;
 } SaveContext;
 
 /* Stores quarantines, which would otherwise be lost if all daemons stopped at once, and cost
@@ -193,7 +201,7 @@
 static void
 S_save (MrFingerprint fingerprint, const MrEvidence *evidence, void *user)
 {
-  const SaveContext *context = user;
+  SaveContext *context = user;
   MrControlTask *task = context->task;
   char name[MR_FINGERPRINT_DIGITS + 1];
   mr_fingerprint_write (fingerprint, name);
@@ -205,6 +213,8 @@
   if (saved->write_pending || saved->evidence >= mr_evidence_pack (evidence) ||
       context->now < saved->retry_at)
     return;
+  if (++context->write_count > WRITES_MAX)
+    return;
   g_autofree char *json = mr_evidence_write (evidence, mr_unix_time ());
   MrPlatformRequest *request = mr_platform_request_new (MR_PLATFORM_WRITE, OBJECT_KIND, name);
   request->expected_version = mr_version_without_era (saved->version);
@@ -229,9 +239,22 @@
   SaveContext context = { .task = task, .now = now };
   if (task->platform_up && mr_watch_is_first_watcher (task->roster, task->settings->name))
     mr_quarantine_foreach (task->quarantine, S_save, &context);
+  if (context.write_count > WRITES_MAX)
+    task->next_evidence_check = now + WRITE_RETRY_DELAY;
   *next = MIN (*next, task->next_evidence_check);
 }
 
+void
+mr_control_evidence_forget_saved (MrControlTask *task)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, task->saved_evidence);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    *(MrSavedEvidence *) item = (MrSavedEvidence){ 0 };
+  task->next_evidence_check = 0;
+}
+
 void
 mr_control_evidence_init (MrControlTask *task)
 {
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -48,6 +48,7 @@
 mr_control_platform_request (MrControlTask *task, MrPlatformRequest *request)
 {
   mr_metrics_add (MR_METRIC_PLATFORM_CALLS, 1);
+  request->era = task->store_era;
   mr_mailbox_post (task->platform_mailbox, &request->base);
 }
 
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -124,6 +124,8 @@
 void mr_control_evidence_read_from_store (MrControlTask *task, const MrPlatformObject *object);
 /* Handles the result of a write of evidence. */
 void mr_control_evidence_written (MrControlTask *task, MrTime now, const MrPlatformResult *result);
+/* Forgets which evidence the store holds, so that what it lacks is written again. */
+void mr_control_evidence_forget_saved (MrControlTask *task);
 void mr_control_evidence_tick (MrControlTask *task, MrTime now, MrTime *next);
 
 /* Applies the state of the evacuation @object at the store; a deleted one ends the evacuation.
--- a/src/task_message.h
+++ b/src/task_message.h
@@ -142,6 +142,7 @@
   guint wait_ms;            /* of LIST: how long the call may wait for changes; 0: no watch */
   guint watch_call;         /* of LIST and LIST_VMS: number of the call within its watch */
   guint64 expected_version; /* of WRITE */
+  guint64 era;              /* of the store, as known when the request was made; 0: unknown */
   GString *body;
 } MrPlatformRequest;
 
