Keep reading the store while no other daemon is known to read its current era

While the daemons of a fleet are replaced one by one, those of the earlier build read the store without its era. If the first daemon of this build to read the store was not one of those that watch, all took its versions, and what the watching ones read themselves was below these: no daemon followed a change until the first one's next read, up to three minutes later.

A daemon that learns of an era from its own read now watches until a peer announces a version of that era. In a fleet of one build that is at once wherever anything changes.

--- a/src/control_era.c
+++ b/src/control_era.c
@@ -82,11 +82,40 @@
     mr_watch_start_over (&task->watches[i], mr_control_is_watcher (task));
 }
 
+static gboolean
+S_is_versioned_by_store (MrObjectKind kind)
+{
+  return kind == MR_OBJECT_CONFIGURATION || kind == MR_OBJECT_TARGET ||
+         kind == MR_OBJECT_EVACUATION;
+}
+
+void
+mr_control_era_seen_at_peer (MrControlTask *task, MrObjectKind kind, guint64 version)
+{
+  if (!task->relay || !S_is_versioned_by_store (kind))
+    return;
+  guint64 era = mr_version_era (version);
+  if (era > task->store_era)
+    mr_control_era_begin (task, mr_now (), era);
+  if (era == task->store_era)
+    task->reads_alone = FALSE;
+}
+
+/* Daemons of an earlier build read the store without its era. Once they hold versions from here
+ * they take nothing that they read themselves, so this daemon watches for them until another one
+ * does. */
+static void
+S_begin_read_here (MrControlTask *task, MrTime now, guint64 era)
+{
+  mr_control_era_begin (task, now, era);
+  task->reads_alone = task->relay;
+}
+
 gboolean
 mr_control_era_is_current (MrControlTask *task, MrTime now, const MrPlatformResult *result)
 {
   if (result->era > task->store_era)
-    mr_control_era_begin (task, now, result->era);
+    S_begin_read_here (task, now, result->era);
   if (result->era == 0 || result->era == task->store_era)
     return TRUE;
   mr_metrics_add (MR_METRIC_ANSWERS_OUTDATED, 1);
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -72,6 +72,8 @@
 gboolean
 mr_control_is_watcher (const MrControlTask *task)
 {
+  if (task->reads_alone)
+    return TRUE;
   if (task->relay)
     return mr_watch_is_relay_watcher (task->roster, task->settings->name);
   return mr_watch_rank (task->roster, task->settings->name) < MR_WATCHERS_PER_DOMAIN;
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -86,7 +86,8 @@
   gboolean deferral_over;           /* nothing is deferred any more */
   gboolean restriction_call_failed; /* since everything else was read */
   guint64 store_era;                /* highest one seen in an answer or a version; 0: none */
-  GHashTable *held_entries;         /* "<kind>/<name>" -> HeldEntry */
+  gboolean reads_alone;     /* no other daemon is known to read the store in its current era */
+  GHashTable *held_entries; /* "<kind>/<name>" -> HeldEntry */
   MrTime next_link_prune;
   MrTime next_traffic_log; /* when to log the next traffic line */
   MrQuarantine *quarantine;
@@ -162,6 +163,8 @@
 /* Returns FALSE if @result was given in an earlier era than the known one. Begins a later one. */
 gboolean
 mr_control_era_is_current (MrControlTask *task, MrTime now, const MrPlatformResult *result);
+/* Takes note of a version that a peer has announced. */
+void mr_control_era_seen_at_peer (MrControlTask *task, MrObjectKind kind, guint64 version);
 /* Adds the current era to all versions in @result. */
 void mr_control_era_add_to_versions (const MrControlTask *task, MrPlatformResult *result);
 /* Holds back a version of a target or an evacuation that a restored store may list in an outdated
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -207,19 +207,10 @@
 {
   MrControlTask *task = TASK_OF (host, replication_host);
   g_autofree char *name_string = mr_text_dup (name);
+  mr_control_era_seen_at_peer (task, kind, version);
   return mr_control_era_hold (task, kind, name_string, version, body);
 }
 
-/* A peer may be the first to read the store in a new era. */
-static void
-S_note_era (MrControlTask *task, const MrObject *object)
-{
-  gboolean from_store = object->kind == MR_OBJECT_CONFIGURATION ||
-                        object->kind == MR_OBJECT_TARGET || object->kind == MR_OBJECT_EVACUATION;
-  if (task->relay && from_store && mr_version_era (object->version) > task->store_era)
-    mr_control_era_begin (task, mr_now (), mr_version_era (object->version));
-}
-
 static void
 S_on_object_updated (MrReplicationHost *host, const MrObject *object)
 {
@@ -229,7 +220,6 @@
   mr_version_write (object->version, version);
   mr_log (MR_LOG_INFO, MR_EVENT_OBJECT_NEW, "%s/%s is now version %s",
           mr_object_kind_name (object->kind), object->name, version);
-  S_note_era (task, object);
   if (kind == MR_OBJECT_SHARD_MAP)
     S_apply_shard_map (task, object);
   if (kind == MR_OBJECT_CONFIGURATION)
--- a/test/platform/era_sim.c
+++ b/test/platform/era_sim.c
@@ -349,8 +349,10 @@
 S_offer_to_peer (const MrObject *object, void *user)
 {
   MrControlTask *to = user;
-  if (object->version > mr_registry_version (to->registry, object->kind, object->name) &&
-      !mr_control_era_hold (to, object->kind, object->name, object->version,
+  if (object->version <= mr_registry_version (to->registry, object->kind, object->name))
+    return;
+  mr_control_era_seen_at_peer (to, object->kind, object->version);
+  if (!mr_control_era_hold (to, object->kind, object->name, object->version,
                             mr_text_of (object->body)))
     mr_replication_offer (to->replication, object->kind, mr_text (object->name), object->version,
                           mr_text_of (object->body), "peer");
