A write that an earlier era of the store answers is repeated

Found by reading: the discarded answer left the write of a quarantine marked as on its way, so that it was never repeated. It now ends as a write whose outcome is unknown. No test: the stand-in can't answer in an earlier era; process_restored_quarantine passes as before.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -456,11 +456,18 @@
 
 /* Ends the call without using its answer, which was given in an earlier era of the store. */
 static void
-S_discard_outdated (MrControlTask *task, MrTime now, int index)
+S_discard_outdated (MrControlTask *task, MrTime now, int index, MrPlatformResult *result)
 {
   if (index < WATCH_COUNT)
-    mr_watch_ended (&task->watches[index], now, false, mr_control_is_watcher (task),
-                    g_rand_double (task->random));
+    {
+      mr_watch_ended (&task->watches[index], now, false, mr_control_is_watcher (task),
+                      g_rand_double (task->random));
+      return;
+    }
+  g_ptr_array_set_size (result->objects, 0);
+  result->status = MR_ERROR_OUTCOME_UNKNOWN;
+  if (result->request->action == MR_PLATFORM_WRITE)
+    S_on_write_result (task, now, result);
 }
 
 void
@@ -473,7 +480,7 @@
     return;
   if (!current)
     {
-      S_discard_outdated (task, now, index);
+      S_discard_outdated (task, now, index, result);
       return;
     }
   mr_control_era_add_to_versions (task, result);
