Soak: the store comes back from a copy, in series with the other faults

Copies are taken 1 to 6 s apart and restored up to 8 s later, with the pending watches cut or never answered; operators and searchers write theirs again within 2 s.

--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -90,6 +90,7 @@
 {
   s->recovery_started = TRUE;
   soak_end_faults (s, TRUE);
+  soak_run_restore (s, TRUE);
   if (s->evacuation.since != 0)
     soak_set_evacuation (s, FALSE);
   for (guint i = 0; i < SEARCHERS; i++)
@@ -135,6 +136,8 @@
   soak_reap_searchers (s);
   soak_end_faults (s, FALSE);
   soak_track_store_faults (s);
+  if (now < s->faults_end && !s->only_mode)
+    soak_run_restore (s, FALSE);
   if (now >= s->loss.next && now < s->faults_end)
     {
       s->loss.next = now + S_random_seconds (s->loss.random, 8, 20);
@@ -311,6 +314,7 @@
     .random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 3),
     .sent = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free),
   };
+  s.restore.random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 4);
   s.loss.random = g_rand_new_with_seed ((guint32) atoi (argv[2]) + 2);
   s.loop = mr_loop_new (&s.handler, 2000);
   s.start = mr_now ();
@@ -318,6 +322,7 @@
   s.now = mr_now ();
   s.next_request = s.now + 2 * MR_SECOND;
   s.crasher.next = s.now + 5 * MR_SECOND;
+  soak_schedule_restore (&s);
   s.evacuation.next = s.now + S_random_seconds (s.evacuation.random, 3, 6);
   s.loss.next = s.now + S_random_seconds (s.loss.random, 10, 20);
   s.next_fault = s.now + 4 * MR_SECOND;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -78,6 +78,15 @@
   MrTime sent_at;
 } SoakEvacuatedRequest;
 
+/* The store comes back from a copy; operators and searchers then write again what it has lost. */
+typedef struct
+{
+  GRand *random;     /* separate, as for crashing requests */
+  MrTime copy_at;    /* when the next copy is taken; MR_NEVER: it has been */
+  MrTime restore_at; /* when the store goes back to it */
+  MrTime rewrite_at; /* when all is written again; 0: nothing is missing */
+} StoreRestore;
+
 /* Outcome of an order as reported to the caller. */
 typedef enum
 {
@@ -115,6 +124,7 @@
   CrashingRequests crasher;
   RelayLoss loss;
   Evacuation evacuation;
+  StoreRestore restore;
   MrTime next_tick;
   MrTime longest_stall; /* of this process, when it was not scheduled */
   MrTime next_request;
@@ -142,6 +152,8 @@
 void soak_start_searcher (Soak *s, guint index);
 void soak_start_relay (Soak *s, guint index);
 void soak_unregister_searcher (Soak *s, guint index);
+/* Writes again the entries of all searchers, and removes those of their earlier processes. */
+void soak_rewrite_searchers (Soak *s);
 /* Sends an operator's request to a stand-in and waits for the response. */
 void soak_http_send (int port, const char *method, const char *path, const char *body);
 /* Returns the body of GET @path, to be freed by the caller; empty on failure. */
@@ -149,6 +161,9 @@
 /* Publishes the next configuration version, with two or three services. */
 void soak_publish_configuration (Soak *s);
 
+/* Writes the newest configuration again. */
+void soak_rewrite_configuration (Soak *s);
+
 /* Sends a request of random kind; the response is checked when it arrives. */
 void soak_send_request (Soak *s);
 /* Sends a request that crashes every searcher that starts it. */
@@ -165,6 +180,10 @@
 
 /* Begins an evacuation or ends the current one. */
 void soak_set_evacuation (Soak *s, gboolean begins);
+/* Schedules the next copy of the store and the restore after it. */
+void soak_schedule_restore (Soak *s);
+/* Takes the copy, restores it, or writes again what is missing, as due. @all: writes now. */
+void soak_run_restore (Soak *s, gboolean all);
 /* Injects a random fault; with SOAK_ONLY set, always that mode of all searchers. */
 void soak_inject_fault (Soak *s);
 /* Ends the faults that are due, or all of them. */
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -42,7 +42,7 @@
 void
 soak_track_store_faults (Soak *s)
 {
-  gboolean disturbed = s->store_recovers_at != 0;
+  gboolean disturbed = s->store_recovers_at != 0 || s->restore.rewrite_at != 0;
   if (disturbed)
     s->evacuation.store_last_disturbed = s->now;
   for (guint i = 0; i < RELAYS; i++)
@@ -133,6 +133,61 @@
   e->next = s->now + (MrTime) (g_rand_double_range (e->random, min_s, max_s) * (double) MR_SECOND);
 }
 
+static MrTime
+S_restore_delay (Soak *s, double min_s, double max_s)
+{
+  return (MrTime) (g_rand_double_range (s->restore.random, min_s, max_s) * (double) MR_SECOND);
+}
+
+void
+soak_schedule_restore (Soak *s)
+{
+  StoreRestore *restore = &s->restore;
+  restore->copy_at = s->now + S_restore_delay (s, 1, 6);
+  restore->restore_at = restore->copy_at + S_restore_delay (s, 0.2, 8);
+}
+
+static void
+S_restore_store (Soak *s)
+{
+  gboolean cut = g_rand_boolean (s->restore.random);
+  soak_log (s, "the store comes back from a copy, watches are %s", cut ? "cut" : "not answered");
+  soak_http_send (soak_first_port + STORE_PORT, "PUT", cut ? "/restore/cut" : "/restore/mute", "");
+  s->restore.rewrite_at = s->now + S_restore_delay (s, 0, 2);
+  soak_schedule_restore (s);
+}
+
+/* Operators and searchers write again what the store may have lost. */
+static void
+S_rewrite_store (Soak *s)
+{
+  const Evacuation *e = &s->evacuation;
+  s->restore.rewrite_at = 0;
+  soak_rewrite_configuration (s);
+  soak_rewrite_searchers (s);
+  for (guint i = 0; i < RELAYS; i++)
+    {
+      gboolean evacuated = e->since != 0 && e->domain == i;
+      g_autofree char *path = g_strdup_printf ("/objects/evacuations/z%u", i);
+      soak_http_send (soak_first_port + STORE_PORT, evacuated ? "PUT" : "DELETE", path, "{}");
+    }
+}
+
+void
+soak_run_restore (Soak *s, gboolean all)
+{
+  StoreRestore *restore = &s->restore;
+  if (restore->rewrite_at != 0 && (all || s->now >= restore->rewrite_at))
+    S_rewrite_store (s);
+  if (!all && s->now >= restore->copy_at)
+    {
+      soak_http_send (soak_first_port + STORE_PORT, "PUT", "/copy", "");
+      restore->copy_at = MR_NEVER;
+    }
+  if (!all && s->now >= restore->restore_at && restore->rewrite_at == 0)
+    S_restore_store (s);
+}
+
 static void
 S_inject_proxy_fault (Soak *s, guint index)
 {
--- a/test/soak/soak_processes.c
+++ b/test/soak/soak_processes.c
@@ -84,6 +84,11 @@
   g_snprintf (id, ID_BYTES, "s%u-%u", index, generation);
 }
 
+enum
+{
+  EARLIER_PROCESSES_MAX = 8, /* of a searcher that a copy of the store may list */
+};
+
 static void
 S_register_searcher (Soak *s, guint index, const char *state)
 {
@@ -108,6 +113,33 @@
   soak_http_send (soak_first_port + STORE_PORT, "DELETE", path, "");
 }
 
+static void
+S_remove_earlier_entries (Soak *s, guint index)
+{
+  Child *searcher = &s->searchers[index];
+  guint current = searcher->generation;
+  for (guint i = 1; i <= EARLIER_PROCESSES_MAX && i < current; i++)
+    {
+      searcher->generation = current - i;
+      soak_unregister_searcher (s, index);
+    }
+  searcher->generation = current;
+}
+
+void
+soak_rewrite_searchers (Soak *s)
+{
+  for (guint i = 0; i < SEARCHERS; i++)
+    {
+      if (i % 2 != 0) /* the others keep their id */
+        S_remove_earlier_entries (s, i);
+      if (s->searchers[i].recovers_at == 0 || s->searchers[i].stopped)
+        S_register_searcher (s, i, "ready");
+      else
+        soak_unregister_searcher (s, i);
+    }
+}
+
 void
 soak_start_searcher (Soak *s, guint index)
 {
@@ -176,6 +208,12 @@
 {
   s->three_services = soak_random_below (s, 2) == 0;
   s->version++;
+  soak_rewrite_configuration (s);
+}
+
+void
+soak_rewrite_configuration (Soak *s)
+{
   g_autofree char *body = g_strdup_printf (
       "{\"version\":%u,\"routes\":["
       "{\"name\":\"all\",\"host\":\"h\",\"path_prefix\":\"/all/\",\"kind\":\"safe\","
