--- a/src/control_era.c
+++ b/src/control_era.c
@@ -65,11 +65,13 @@
 {
   guint64 previous = task->store_era;
   task->store_era = era;
+  mr_metrics_set_store_era (era);
   if (previous == 0 && !S_has_read (task))
     {
       mr_log (MR_LOG_INFO, MR_EVENT_STORE_ERA, "the store is in era %" G_GUINT64_FORMAT, era);
       return;
     }
+  task->reads_again = TRUE;
   mr_metrics_add (MR_METRIC_STORE_ERAS, 1);
   mr_log (MR_LOG_WARNING, MR_EVENT_STORE_ERA,
           "the store has come back from a copy: era %" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT
@@ -215,6 +217,19 @@
   g_hash_table_remove (task->held_entries, key);
 }
 
+void
+mr_control_era_targets_read (MrControlTask *task, guint missing)
+{
+  if (!task->reads_again)
+    return;
+  task->reads_again = FALSE;
+  mr_log (MR_LOG_NOTICE, MR_EVENT_STORE_ERA,
+          "read again in era %" G_GUINT64_FORMAT
+          ": %u targets known, %u of them not listed, %u entries held back",
+          task->store_era, mr_target_table_count (task->target_table), missing,
+          g_hash_table_size (task->held_entries));
+}
+
 static gboolean
 S_is_of_kind (gpointer key, gpointer item, gpointer kind)
 {
--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -304,17 +304,20 @@
 {
   MrControlTask *task;
   MrTime now;
+  guint count;
 } Unlisted;
 
 static void
 S_remove_if_unlisted (const char *id, void *user)
 {
-  const Unlisted *unlisted = user;
+  Unlisted *unlisted = user;
   const MrControlTask *task = unlisted->task;
   guint64 version = mr_removal_filter_listing_version (task->removal_filter);
-  if (!mr_removal_filter_is_listed (task->removal_filter, id) &&
-      mr_registry_version (task->registry, MR_OBJECT_TARGET, id) < version)
-    mr_removal_filter_add_removed (task->removal_filter, unlisted->now, id, version);
+  if (mr_removal_filter_is_listed (task->removal_filter, id) ||
+      mr_registry_version (task->registry, MR_OBJECT_TARGET, id) >= version)
+    return;
+  unlisted->count++;
+  mr_removal_filter_add_removed (task->removal_filter, unlisted->now, id, version);
 }
 
 /* Reports the known targets that the full listing lacks as removed. */
@@ -323,6 +326,7 @@
 {
   Unlisted unlisted = { .task = task, .now = now };
   mr_target_table_foreach (task->target_table, S_remove_if_unlisted, &unlisted);
+  mr_control_era_targets_read (task, unlisted.count);
 }
 
 static void
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -87,6 +87,7 @@
   gboolean restriction_call_failed; /* since everything else was read */
   guint64 store_era;                /* highest one seen in an answer or a version; 0: none */
   gboolean reads_alone;     /* no other daemon is known to read the store in its current era */
+  gboolean reads_again;     /* the targets have not been read yet since the store came back */
   GHashTable *held_entries; /* "<kind>/<name>" -> HeldEntry */
   MrTime next_link_prune;
   MrTime next_traffic_log; /* when to log the next traffic line */
@@ -174,6 +175,8 @@
 gboolean mr_control_era_is_held (const MrControlTask *task, MrObjectKind kind, const char *name);
 /* Drops the held entry of this name, if any, because the object has changed since. */
 void mr_control_era_release (MrControlTask *task, MrObjectKind kind, const char *name);
+/* Logs what the first full listing of targets since a restore has shown. */
+void mr_control_era_targets_read (MrControlTask *task, guint missing);
 /* Drops all held entries of @kind, because a full listing replaces them. */
 void mr_control_era_release_kind (MrControlTask *task, MrObjectKind kind);
 /* Offers the held entries once they are due. */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -5,6 +5,7 @@
 static atomic_ullong counters[MR_METRIC_COUNT];
 
 static atomic_uint open_batches;
+static atomic_ullong store_era;
 
 static const struct
 {
@@ -89,6 +90,12 @@
   return atomic_load (&open_batches);
 }
 
+void
+mr_metrics_set_store_era (guint64 era)
+{
+  atomic_store (&store_era, era);
+}
+
 void
 mr_metrics_write (GString *out)
 {
@@ -98,6 +105,11 @@
                             "merlinring_%s_total %" G_GUINT64_FORMAT "\n",
                             descriptions[i].name, descriptions[i].help, descriptions[i].name,
                             descriptions[i].name, mr_metrics_get ((MrMetric) i));
+  g_string_append_printf (out,
+                          "# HELP merlinring_store_era era of the platform's store\n"
+                          "# TYPE merlinring_store_era gauge\n"
+                          "merlinring_store_era %llu\n",
+                          atomic_load (&store_era));
 }
 
 void
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -58,7 +58,10 @@
 void mr_metrics_set_open_batches (guint count);
 guint mr_metrics_open_batches (void);
 
-/* Appends all counters to @out. */
+/* Era of the platform's store; 0: none is known. */
+void mr_metrics_set_store_era (guint64 era);
+
+/* Appends all counters and the store's era to @out. */
 void mr_metrics_write (GString *out);
 
 /* Appends one histogram in seconds to @out; @label has the form `key="value"`. */
--- a/test/platform/process_restored_mute.sh
+++ b/test/platform/process_restored_mute.sh
@@ -20,4 +20,12 @@
   configure $((10 * round + 1)) '"a"'
   for r in 1 2 3; do until_true 3 shards $r 1 || fail "relay $r misses the next change, $round"; done
 done
+
+# Operators see the era, and what was read again.
+for r in 1 2 3; do
+  http "http://127.0.0.1:$(relay_port $r 4)/metrics" | grep -q '^merlinring_store_era 4$' ||
+    fail "relay $r does not state the era"
+  grep -q 'read again in era 4: 4 targets known, 0 of them not listed, 0 entries held back' "$LOGS/r$r.log" ||
+    fail "relay $r does not tell what it has read again"
+done
 say "restored mute: ok"
