--- a/src/control_era.c
+++ b/src/control_era.c
@@ -20,29 +20,11 @@
  * not renewed. */
 static const MrTime HOLD_TIME = 5 * MR_SECOND;
 
-/* An entry that is held back. */
-typedef struct
-{
-  MrObjectKind kind;
-  char *name;
-  guint64 version;
-  GString *body;
-  MrTime due; /* 0: to be set at the next tick */
-} HeldEntry;
-
-static void
-S_held_free (gpointer data)
-{
-  HeldEntry *held = data;
-  g_free (held->name);
-  g_string_free (held->body, TRUE);
-  g_free (held);
-}
-
 void
 mr_control_era_init (MrControlTask *task)
 {
-  task->held_entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, S_held_free);
+  task->held_entries =
+      g_hash_table_new_full (g_str_hash, g_str_equal, g_free, mr_deferred_offer_free);
 }
 
 void
@@ -184,17 +166,11 @@
   if (!known || !S_contradicts (known, version, body))
     return FALSE;
   g_autofree char *key = S_key (kind, name);
-  const HeldEntry *earlier = g_hash_table_lookup (task->held_entries, key);
+  const MrDeferredOffer *earlier = g_hash_table_lookup (task->held_entries, key);
   if (earlier && earlier->version >= version)
     return TRUE;
-  HeldEntry *held = g_new (HeldEntry, 1);
-  *held = (HeldEntry){
-    .kind = kind,
-    .name = g_strdup (name),
-    .version = version,
-    .body = g_string_new_len (body.data, (gssize) body.len),
-    .due = earlier ? earlier->due : 0,
-  };
+  MrDeferredOffer *held = mr_deferred_offer_new (kind, name, version, body);
+  held->due = earlier ? earlier->due : 0; /* set at the next tick */
   g_hash_table_replace (task->held_entries, g_steal_pointer (&key), held);
   mr_metrics_add (MR_METRIC_ENTRIES_HELD, 1);
   mr_log (MR_LOG_NOTICE, MR_EVENT_ENTRY_HELD,
@@ -234,7 +210,7 @@
 S_is_of_kind (gpointer key, gpointer item, gpointer kind)
 {
   (void) key;
-  return ((const HeldEntry *) item)->kind == *(const MrObjectKind *) kind;
+  return ((const MrDeferredOffer *) item)->kind == *(const MrObjectKind *) kind;
 }
 
 void
@@ -253,7 +229,7 @@
   g_hash_table_iter_init (&iter, task->held_entries);
   while (g_hash_table_iter_next (&iter, NULL, &item))
     {
-      HeldEntry *held = item;
+      MrDeferredOffer *held = item;
       if (held->due == 0)
         held->due = now + HOLD_TIME;
       if (now < held->due)
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -43,7 +43,19 @@
   return watch == WATCH_EVIDENCE || watch == WATCH_EVACUATIONS;
 }
 
-typedef struct _MrDeferredOffer MrDeferredOffer;
+/* A version of an object that is to be offered later. */
+typedef struct
+{
+  MrObjectKind kind;
+  char *name;
+  guint64 version;
+  GString *body;
+  MrTime due; /* 0: not set */
+} MrDeferredOffer;
+
+MrDeferredOffer *
+mr_deferred_offer_new (MrObjectKind kind, const char *name, guint64 version, MrText body);
+void mr_deferred_offer_free (gpointer deferred);
 
 struct _MrControlTask
 {
@@ -88,7 +100,7 @@
   guint64 store_era;                /* highest one seen in an answer or a version; 0: none */
   gboolean reads_alone;     /* no other daemon is known to read the store in its current era */
   gboolean reads_again;     /* the targets have not been read yet since the store came back */
-  GHashTable *held_entries; /* "<kind>/<name>" -> HeldEntry */
+  GHashTable *held_entries; /* "<kind>/<name>" -> MrDeferredOffer */
   MrTime next_link_prune;
   MrTime next_traffic_log; /* when to log the next traffic line */
   MrQuarantine *quarantine;
--- a/src/control_start.c
+++ b/src/control_start.c
@@ -23,16 +23,21 @@
 /* Delay before a failed call for the restrictions is repeated while other objects wait for it. */
 static const MrTime RETRY_DELAY = 100 * MR_MS;
 
-struct _MrDeferredOffer
+MrDeferredOffer *
+mr_deferred_offer_new (MrObjectKind kind, const char *name, guint64 version, MrText body)
 {
-  MrObjectKind kind;
-  char *name;
-  guint64 version;
-  GString *body;
-};
+  MrDeferredOffer *deferred = g_new (MrDeferredOffer, 1);
+  *deferred = (MrDeferredOffer){
+    .kind = kind,
+    .name = g_strdup (name),
+    .version = version,
+    .body = g_string_new_len (body.data, (gssize) body.len),
+  };
+  return deferred;
+}
 
-static void
-S_deferred_offer_free (gpointer data)
+void
+mr_deferred_offer_free (gpointer data)
 {
   MrDeferredOffer *deferred = data;
   g_free (deferred->name);
@@ -43,7 +48,7 @@
 void
 mr_control_start_init (MrControlTask *task)
 {
-  task->deferred_offers = g_ptr_array_new_with_free_func (S_deferred_offer_free);
+  task->deferred_offers = g_ptr_array_new_with_free_func (mr_deferred_offer_free);
 }
 
 void
@@ -100,14 +105,9 @@
                             mr_text_of (object->body), NULL);
       return;
     }
-  MrDeferredOffer *deferred = g_new (MrDeferredOffer, 1);
-  *deferred = (MrDeferredOffer){
-    .kind = kind,
-    .name = g_strdup (object->name),
-    .version = object->version,
-    .body = g_string_new_len (object->body->str, (gssize) object->body->len),
-  };
-  g_ptr_array_add (task->deferred_offers, deferred);
+  g_ptr_array_add (
+      task->deferred_offers,
+      mr_deferred_offer_new (kind, object->name, object->version, mr_text_of (object->body)));
 }
 
 /* A daemon other than a relay defers no offers but becomes ready only after this. */
