--- a/test/platform/era_sim.c
+++ b/test/platform/era_sim.c
@@ -29,7 +29,6 @@
 
 typedef struct
 {
-  gboolean started;
   gboolean alive;
   gboolean leaving;
   MrTime write_at; /* when it renews its entry, or its entry expires; MR_NEVER: not scheduled */
@@ -537,7 +536,7 @@
       if (sim->target_count == TARGETS_MAX)
         return;
       index = sim->target_count++;
-      sim->targets[index] = (Target){ .started = TRUE, .alive = TRUE, .write_at = MR_NEVER };
+      sim->targets[index] = (Target){ .alive = TRUE, .write_at = MR_NEVER };
     }
   else if (!sim->targets[index].leaving)
     sim->targets[index].leaving = TRUE;
