--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -1,9 +1,10 @@
 # Helpers for the process tests of the platform adapter: a store, searchers and relays run
 # as separate processes on loopback.  Requires BUILD, the build directory.
 
-STORE=127.0.0.1:18000
-SEARCHER_BASE=18100
-RELAY_BASE=18200 # ten ports each: front, ready, directory, control, metrics
+FIRST_PORT=${MR_FIRST_PORT:-18000} # of 300; two runs at once need different ones
+STORE=127.0.0.1:$FIRST_PORT
+SEARCHER_BASE=$((FIRST_PORT + 100))
+RELAY_BASE=$((FIRST_PORT + 200)) # ten ports each: front, ready, directory, control, metrics
 LOGS=$(mktemp -d)
 
 LOG_GLOB='r*.log'
@@ -124,7 +125,7 @@
 # Starts a store, four searchers (two of service a, one each of b and c) and relays.
 start_platform() { # RELAYS
   local i
-  start store "$BUILD/test/standin" store 18000
+  start store "$BUILD/test/standin" store "$FIRST_PORT"
   until_true 5 http "http://$STORE/objects/config" || fail "the store does not start"
   configure 1 '"a","b","c"'
   start_searcher 1 i-1 a
--- a/test/platform/process_key_added.sh
+++ b/test/platform/process_key_added.sh
@@ -10,7 +10,7 @@
 BUILD=$1
 . "$(dirname "$0")/lib.sh"
 trap stop_all EXIT
-PROXY_PORT=18001
+PROXY_PORT=$((FIRST_PORT + 1))
 ROUNDS=5
 
 # configure_keys VERSION KEYS: one organisation with KEYS (a JSON list), and a route to service a.
