Planned stop: its own module, and a log of what it leaves unanswered

After a planned stop no line told whether a caller's request had been read, had been passed on, or who closed its connection, so that a record of lost requests could not be told from a crash of the process, from a close before the answer was written, or from an ordinary end. E1006 now closes each planned stop with the requests open at its begin, read since and cut, the connections and the bytes of answers that the kernel had not taken; E1708 names each request that was read and has no answer, with its age and its sends. merlinring_relay_stop_read_total counts the requests read since SIGTERM.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -326,6 +326,48 @@
   return server->callers.length;
 }
 
+void
+mr_caller_server_foreach_open (const MrCallerServer *server,
+                               void (*visit) (const MrCaller *caller,
+                                              const MrHttpParser *request,
+                                              MrTime first_byte_at,
+                                              void *user),
+                               void *user)
+{
+  for (const GList *link = server->callers.head; link; link = link->next)
+    {
+      const MrCaller *c = link->data;
+      if (c->busy)
+        visit (c, c->parser, c->first_byte_at, user);
+    }
+}
+
+static void
+S_count_open (const MrCaller *caller, const MrHttpParser *request, MrTime first_byte_at, void *user)
+{
+  (void) caller;
+  (void) request;
+  (void) first_byte_at;
+  (*(guint *) user)++;
+}
+
+guint
+mr_caller_server_open_requests (const MrCallerServer *server)
+{
+  guint count = 0;
+  mr_caller_server_foreach_open (server, S_count_open, &count);
+  return count;
+}
+
+gsize
+mr_caller_server_unwritten_bytes (const MrCallerServer *server)
+{
+  gsize bytes = 0;
+  for (const GList *link = server->callers.head; link; link = link->next)
+    bytes += mr_stream_buffered_bytes (((const MrCaller *) link->data)->stream);
+  return bytes;
+}
+
 void
 mr_caller_set_user (MrCaller *c, gpointer user)
 {
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -39,6 +39,17 @@
 void mr_caller_server_close (MrCallerServer *server);
 
 guint mr_caller_server_connections (const MrCallerServer *server);
+/* Requests that were read and are not answered. */
+guint mr_caller_server_open_requests (const MrCallerServer *server);
+/* @request is borrowed. */
+void mr_caller_server_foreach_open (const MrCallerServer *server,
+                                    void (*visit) (const MrCaller *caller,
+                                                   const MrHttpParser *request,
+                                                   MrTime first_byte_at,
+                                                   void *user),
+                                    void *user);
+/* Bytes of answers that the kernel has not accepted yet. */
+gsize mr_caller_server_unwritten_bytes (const MrCallerServer *server);
 
 /* The host's data for the caller's current request. */
 void mr_caller_set_user (MrCaller *caller, gpointer user);
--- a/src/relay.h
+++ b/src/relay.h
@@ -297,6 +297,9 @@
  * returns, in which case it returns NULL. */
 MrActiveRequest *mr_relay_submit (MrRelay *relay, MrTime now, const MrRelayRequestParams *request);
 
+/* Calls of the request that were sent to targets. */
+guint mr_active_request_sends (const MrActiveRequest *request);
+
 /* An answer that was due at its soft deadline has been sent, @took after it. */
 void mr_relay_record_response_overhead (MrRelay *relay, MrTime took);
 /* Time reserved for that before each soft deadline. */
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -21,7 +21,7 @@
   const MrRelayTask *task = ((PageHost *) host)->task;
   (void) began;
   gboolean recognized = task->dialect->is_readiness_check (mr_http_parser_target (in));
-  gboolean ready = mr_relay_task_ready (task) && task->stop_began == 0;
+  gboolean ready = mr_relay_task_ready (task) && !mr_relay_stop_has_begun (task);
   int status = !recognized ? STATUS_NOT_FOUND : ready ? STATUS_OK : STATUS_UNAVAILABLE;
   mr_caller_answer (caller, status, (MrText){ 0 }, (MrText){ 0 });
 }
@@ -118,6 +118,7 @@
     { "relay_skipped_answers_total", client.unmatched_responses },
     { "relay_stray_bytes_total", client.stray_byte_closes },
     { "relay_probes_repeated_total", client.repeated_probes },
+    { "relay_stop_read_total", task->stop.read_requests },
   };
   for (gsize i = 0; i < G_N_ELEMENTS (counters); i++)
     S_append_metric (out, counters[i].name, "counter", counters[i].value);
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -585,6 +585,8 @@
 {
   MrRelayTask *task = RELAY_TASK_OF (host, caller_host);
   MrTime now = mr_now ();
+  if (mr_relay_stop_has_begun (task))
+    task->stop.read_requests++;
   MrQueuedRequest queued = {
     .caller = caller, .request = in, .first_byte_at = began, .received_at = now
   };
@@ -643,6 +645,25 @@
   S_request_free (request);
 }
 
+static void
+S_log_unanswered (const MrCaller *caller, const MrHttpParser *in, MrTime first_byte_at, void *user)
+{
+  const MrRelayTask *task = user;
+  const Request *request = mr_caller_user (caller);
+  MrLogLine *line = mr_log_begin (MR_LOG_WARNING, MR_EVENT_REQUEST_UNANSWERED);
+  mr_log_text (line, "request", mr_http_parser_find_field (in, task->dialect->request_id, NULL));
+  mr_log_number (line, "age_us", mr_now () - first_byte_at);
+  mr_log_number (line, "sends",
+                 request && request->active ? mr_active_request_sends (request->active) : 0);
+  mr_log_end (line);
+}
+
+void
+mr_relay_request_log_unanswered (const MrRelayTask *task)
+{
+  mr_caller_server_foreach_open (task->caller_server, S_log_unanswered, (void *) task);
+}
+
 void
 mr_relay_request_init (MrRelayTask *task)
 {
--- a/src/relay_send.c
+++ b/src/relay_send.c
@@ -9,6 +9,12 @@
   return NULL;
 }
 
+guint
+mr_active_request_sends (const MrActiveRequest *request)
+{
+  return request->sends->len;
+}
+
 static guint
 S_add_send_record (MrActiveRequest *request,
                    const RequestPart *part,
--- /dev/null
+++ b/src/relay_stop.c
@@ -0,0 +1,74 @@
+#include "relay_task_private.h"
+
+#include "log.h"
+
+/* Parts of a planned stop's grace period reserved for the last requests, and for the end of the
+ * process. */
+static const MrTime LAST_REQUESTS_TIME = 1400 * MR_MS;
+static const MrTime EXIT_TIME = 300 * MR_MS;
+static const MrTime POLL_INTERVAL = 50 * MR_MS;
+
+gboolean
+mr_relay_stop_has_begun (const MrRelayTask *task)
+{
+  return task->stop.began != 0;
+}
+
+/* The daemon is removed from address answers at once.  It keeps serving callers that still use an
+ * older answer, and ends when no connection is open. */
+void
+mr_relay_stop_begin (MrRelayTask *task)
+{
+  MrRelayStop *stop = &task->stop;
+  if (stop->began != 0)
+    return;
+  stop->began = mr_now ();
+  stop->open_requests = mr_caller_server_open_requests (task->caller_server);
+  mr_log (MR_LOG_NOTICE, MR_EVENT_STOPPING,
+          "planned stop begun: %u open requests, %u connected callers", stop->open_requests,
+          mr_caller_server_connections (task->caller_server));
+  mr_caller_server_drain (task->caller_server);
+  mr_mailbox_post (task->control, &mr_local_state_message_new (MR_MEMBER_LEAVING, TRUE)->base);
+}
+
+static void
+S_log_summary (const MrRelayTask *task, MrTime now)
+{
+  const MrRelayStop *stop = &task->stop;
+  const MrCallerServer *server = task->caller_server;
+  MrLogLine *line = mr_log_begin (MR_LOG_NOTICE, MR_EVENT_STOP_SUMMARY);
+  mr_log_number (line, "took_us", now - stop->began);
+  mr_log_number (line, "open", stop->open_requests);
+  mr_log_number (line, "read", (gint64) stop->read_requests);
+  mr_log_number (line, "cut", mr_caller_server_open_requests (server));
+  mr_log_number (line, "connections", mr_caller_server_connections (server));
+  mr_log_number (line, "unwritten_bytes", (gint64) mr_caller_server_unwritten_bytes (server));
+  mr_log_end (line);
+}
+
+static void
+S_end (MrRelayTask *task, MrTime now)
+{
+  task->stop.ended = TRUE;
+  mr_relay_request_log_unanswered (task);
+  S_log_summary (task, now);
+  task->on_stopped (task->user);
+}
+
+void
+mr_relay_stop_continue (MrRelayTask *task, MrTime now, MrTime *next)
+{
+  if (task->stop.began == 0 || task->stop.ended)
+    return;
+  MrTime end = task->stop.began + task->settings->grace_ms * MR_MS;
+  if (now >= end - LAST_REQUESTS_TIME)
+    {
+      mr_caller_server_close (task->caller_server);
+      if (mr_caller_server_connections (task->caller_server) == 0 || now >= end - EXIT_TIME)
+        {
+          S_end (task, now);
+          return;
+        }
+    }
+  *next = MIN (*next, MAX (now + POLL_INTERVAL, end - LAST_REQUESTS_TIME));
+}
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -2,10 +2,6 @@
 
 #include "log.h"
 
-/* Parts of a planned stop's grace period reserved for the last requests, and for the end of the
- * process. */
-static const MrTime LAST_REQUESTS_TIME = 1400 * MR_MS;
-static const MrTime EXIT_TIME = 300 * MR_MS;
 /* Total CPU cost of one call a second in thousandths of a core (docs/CAPACITY.md).  The load of a
  * daemon is reported in steps from MIN_LOAD_STEP up. */
 static const double CALL_CPU_COST = 0.045;
@@ -60,7 +56,7 @@
 {
   gboolean ready = mr_relay_task_ready (task);
   if ((ready == task->announced_ready && task->load == task->announced_load) ||
-      task->stop_began != 0)
+      mr_relay_stop_has_begun (task))
     return;
   task->announced_ready = ready;
   task->announced_load = task->load;
@@ -118,41 +114,6 @@
   S_announce (task);
 }
 
-/* A daemon that stops as planned is removed from address answers at once.  It keeps serving callers
- * that still use an older answer, and ends when no connection is open. */
-static void
-S_on_stop (MrRelayTask *task)
-{
-  if (task->stop_began != 0)
-    return;
-  task->stop_began = mr_now ();
-  mr_log (MR_LOG_NOTICE, MR_EVENT_STOPPING,
-          "planned stop begun: %u open requests, %u connected callers",
-          mr_relay_request_count (task->relay), mr_caller_server_connections (task->caller_server));
-  mr_caller_server_drain (task->caller_server);
-  mr_mailbox_post (task->control, &mr_local_state_message_new (MR_MEMBER_LEAVING, TRUE)->base);
-}
-
-static void
-S_continue_stop (MrRelayTask *task, MrTime now, MrTime *next)
-{
-  if (task->stop_began == 0 || task->stopped)
-    return;
-  MrTime end = task->stop_began + task->settings->grace_ms * MR_MS;
-  if (now >= end - LAST_REQUESTS_TIME)
-    {
-      mr_caller_server_close (task->caller_server);
-      if (mr_caller_server_connections (task->caller_server) == 0 || now >= end - EXIT_TIME)
-        {
-          task->stopped = TRUE;
-          task->on_stopped (task->user);
-          return;
-        }
-    }
-  const MrTime step = 50 * MR_MS;
-  *next = MIN (*next, MAX (now + step, end - LAST_REQUESTS_TIME));
-}
-
 /* Measures the load in steps of a factor of two.  The hysteresis between rising and falling makes
  * changes, which are sent to all members, rare. */
 static void
@@ -208,7 +169,7 @@
   else if (message->type == MR_MESSAGE_LIMIT)
     mr_relay_limits_receive (task, (const MrLimitTaskMessage *) message);
   else if (message->type == MR_MESSAGE_STOP)
-    S_on_stop (task);
+    mr_relay_stop_begin (task);
   else if (message->type == MR_MESSAGE_VERSION_REPLY)
     S_on_version_reply (task, (const MrVersionReplyMessage *) message);
   mr_message_free (message);
@@ -229,7 +190,7 @@
   next = MIN (next, mr_denial_check_tick (task->denial_check, now));
   next = MIN (next, mr_relay_tick (task->relay, now));
   S_measure_load (task, now, &next);
-  S_continue_stop (task, now, &next);
+  mr_relay_stop_continue (task, now, &next);
   return next;
 }
 
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -1,9 +1,10 @@
 /* Internals of the relay task, shared by its files:
- *   relay_task.c     views, readiness, planned stop, event loop
+ *   relay_task.c     views, readiness, event loop
  *   relay_request.c  requests from arrival to answer
  *   relay_limits.c   rate limits of organisations
  *   relay_log.c      log lines of the results of requests
- *   relay_pages.c    readiness, addresses, metrics, quarantine */
+ *   relay_pages.c    readiness, addresses, metrics, quarantine
+ *   relay_stop.c     planned stop */
 #pragma once
 
 #include "access.h"
@@ -26,6 +27,15 @@
   MrRelayTask *task;
 } PageHost;
 
+/* A planned stop. */
+typedef struct
+{
+  MrTime began; /* 0: not begun */
+  gboolean ended;
+  guint open_requests;   /* read and unanswered when it began */
+  guint64 read_requests; /* since */
+} MrRelayStop;
+
 struct _MrRelayTask
 {
   MrLoopHandler loop_handler;
@@ -61,8 +71,7 @@
   MrStartupQueue *early_requests; /* requests that arrived before this daemon was ready */
   guint64 content_key;            /* the deployment's key for fingerprints */
   guint64 early_request_count;    /* requests ever queued in early_requests */
-  MrTime stop_began;              /* when the planned stop began; 0: none */
-  gboolean stopped;
+  MrRelayStop stop;
   void (*on_stopped) (void *user);
   void *user;
   guint64 success_count; /* complete answers without hedges or retries, to sample their log lines */
@@ -135,4 +144,11 @@
 /* Starts the requests that arrived early once this daemon is ready; refuses them when their waiting
  * time is over.  Lowers @next to that time. */
 void mr_relay_request_flush_early (MrRelayTask *task, MrTime now, MrTime *next);
+/* Logs the requests that were read and are not answered, when the process ends. */
+void mr_relay_request_log_unanswered (const MrRelayTask *task);
 void mr_relay_pages_init (MrRelayTask *task);
+
+gboolean mr_relay_stop_has_begun (const MrRelayTask *task);
+void mr_relay_stop_begin (MrRelayTask *task);
+/* Carries out what is due; lowers @next to the time of the next step. */
+void mr_relay_stop_continue (MrRelayTask *task, MrTime now, MrTime *next);
