Streams: go on writing after the kernel has taken part of the bytes twice

Callers that read slowly got the beginning of a large answer and then nothing, until the relay closed their connection: 1 s after the answer while it stops, after the idle timeout otherwise. Requests with large bodies to targets could stand still in the same way.

Cause: a stream that could not write all of its buffer asked for the next writable callback from within that callback, and libwebsockets clears the request when the callback returns. The first partial write is made outside of it, so that only a second one stopped the stream.

The next callback is now requested by a timer of the loop, outside of the callback. test_stream, on the code before: the peer got 5,500,572 and 3,962,104 of 12,582,912 bytes in 20 s (accepted and connecting streams); now all of them in 0.3 s.

--- a/src/stream.c
+++ b/src/stream.c
@@ -39,6 +39,7 @@
   gboolean established;
   gboolean closed;
   GString *write_buffer;
+  lws_sorted_usec_list_t flush_timer;
   guint64 sent_bytes;
 };
 
@@ -234,6 +235,22 @@
   lws_callback_on_writable (stream->wsi);
 }
 
+static void
+S_on_flush_timer (lws_sorted_usec_list_t *timer)
+{
+  MrStream *stream = lws_container_of (timer, MrStream, flush_timer);
+  if (!stream->closed)
+    lws_callback_on_writable (stream->wsi);
+}
+
+/* Continues in the next iteration of the loop: libwebsockets clears a request for the writable
+ * callback that is made from within that callback. */
+static void
+S_flush_later (MrStream *stream)
+{
+  lws_sul_schedule (mr_loop_context (stream->loop), 0, &stream->flush_timer, S_on_flush_timer, 1);
+}
+
 static void
 S_flush (MrStream *stream)
 {
@@ -247,7 +264,7 @@
     }
   g_string_erase (stream->write_buffer, 0, n);
   if (stream->write_buffer->len > 0)
-    lws_callback_on_writable (stream->wsi);
+    S_flush_later (stream);
 }
 
 static void
@@ -295,6 +312,8 @@
         S_connect_error (stream);
       S_end (stream, MR_STREAM_RESET);
     }
+  lws_sul_schedule (mr_loop_context (stream->loop), 0, &stream->flush_timer, NULL,
+                    LWS_SET_TIMER_USEC_CANCEL);
   g_string_free (stream->write_buffer, TRUE);
   g_free (stream);
 }
--- /dev/null
+++ b/test/test_stream.c
@@ -0,0 +1,171 @@
+/* Guards against streams that stop writing: a peer that reads slowly gets all bytes, however
+ * often the kernel takes only part of them. */
+
+#include "stream.h"
+
+#include <arpa/inet.h>
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cmocka.h>
+
+enum
+{
+  DESCRIPTORS = 64,
+  PORT = 28118,
+  RECEIVE_BUFFER_BYTES = 128 * 1024,
+  READ_BYTES = 64 * 1024,
+};
+
+static const MrTime TEST_TIMEOUT = 20 * MR_SECOND;
+
+typedef struct
+{
+  const char *name;
+  gboolean connects; /* the stream is the one that opens the connection */
+  gsize bytes;
+} Case;
+
+static const Case cases[] = {
+  { "accepted, one write", FALSE, 1000 },
+  { "accepted, many writes", FALSE, 12 * 1024 * 1024 },
+  { "connecting, one write", TRUE, 1000 },
+  { "connecting, many writes", TRUE, 12 * 1024 * 1024 },
+};
+
+typedef struct
+{
+  MrLoopHandler loop_handler;
+  MrStreamHandler stream_handler;
+  MrStream *stream;
+  gsize bytes;
+} Fixture;
+
+static void
+S_write (Fixture *f)
+{
+  g_autofree char *bytes = g_malloc0 (f->bytes);
+  mr_stream_write (f->stream, (MrText){ .data = bytes, .len = f->bytes });
+}
+
+static void
+S_on_open (MrStreamHandler *handler, MrStream *stream)
+{
+  (void) stream;
+  S_write ((Fixture *) ((char *) handler - offsetof (Fixture, stream_handler)));
+}
+
+static void
+S_on_data (MrStreamHandler *handler, MrStream *stream, MrText bytes)
+{
+  (void) handler;
+  (void) stream;
+  (void) bytes;
+}
+
+static void
+S_on_end (MrStreamHandler *handler, MrStream *stream, MrStreamEnd end)
+{
+  Fixture *f = (Fixture *) ((char *) handler - offsetof (Fixture, stream_handler));
+  (void) stream;
+  (void) end;
+  f->stream = NULL;
+}
+
+static void
+S_on_accept (void *user, MrStream *stream)
+{
+  Fixture *f = user;
+  f->stream = stream;
+  mr_stream_set_handler (stream, &f->stream_handler);
+  S_write (f);
+}
+
+static MrTime
+S_on_tick (MrLoopHandler *handler, MrTime now)
+{
+  (void) handler;
+  return now + MR_MS;
+}
+
+static int
+S_socket (void)
+{
+  const int size = RECEIVE_BUFFER_BYTES;
+  const int on = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  return fd;
+}
+
+/* Returns the peer's socket. */
+static int
+S_connect_peer (Fixture *f, MrLoop *loop, const Case *c)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons (PORT),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = S_socket ();
+  if (!c->connects)
+    {
+      assert_non_null (mr_listener_new (loop, "127.0.0.1", PORT, S_on_accept, f));
+      connect (fd, (struct sockaddr *) &address, sizeof address);
+      return fd;
+    }
+  assert_int_equal (bind (fd, (struct sockaddr *) &address, sizeof address), 0);
+  assert_int_equal (listen (fd, 1), 0);
+  f->stream = mr_stream_connect (loop, &f->stream_handler, "127.0.0.1", PORT);
+  int peer = -1;
+  for (MrTime end = mr_now () + TEST_TIMEOUT; peer < 0 && mr_now () < end;)
+    {
+      mr_loop_step (loop);
+      peer = accept4 (fd, NULL, NULL, SOCK_NONBLOCK);
+    }
+  close (fd);
+  return peer;
+}
+
+static void
+S_run_case (const Case *c)
+{
+  Fixture f = {
+    .loop_handler = { .on_tick = S_on_tick },
+    .stream_handler = { .on_open = S_on_open, .on_data = S_on_data, .on_end = S_on_end },
+    .bytes = c->bytes,
+  };
+  g_autofree char *buffer = g_malloc (READ_BYTES);
+  MrLoop *loop = mr_loop_new (&f.loop_handler, DESCRIPTORS);
+  int peer = S_connect_peer (&f, loop, c);
+  gsize received = 0;
+  for (MrTime end = mr_now () + TEST_TIMEOUT; received < c->bytes && mr_now () < end;)
+    {
+      mr_loop_step (loop);
+      gssize n = recv (peer, buffer, READ_BYTES, 0);
+      received += n > 0 ? (gsize) n : 0;
+    }
+  if (received != c->bytes)
+    fail_msg ("%s: the peer got %zu of %zu bytes", c->name, received, c->bytes);
+  close (peer);
+  mr_loop_free (loop);
+}
+
+static void
+test_writes (void **state)
+{
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    S_run_case (&cases[i]);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_writes),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
