Planned stop: every request that was read gets its answer before the process ends

Callers saw connections end without an answer around SIGTERM: a relay read requests until 1.4 s before the end of its grace period and ended 0.3 s before it whatever was open. A caller whose address answer is old, or whose connection was opened before SIGTERM and idle since, sends its request that late, and a call, a queue or a retry takes longer than what is left.

Cause: the end of the process was a time of its own, which no request knew. The deadline of a request came from its caller and its route alone. Class: a process ends by a clock that its work is not bound to.

The end of a planned stop is now a limit of every request, like its route's: open requests end by 0.6 s before the end of the grace period, merged from what is there, as 503 if they have not run and as 502 if they may have; requests read during the stop get the same limit, their calls carry it as their deadline, and those that would usually not end by then are refused at once, as another relay can serve them. Requests that wait for the start, a key or a rate limit are refused (503). What is ready when a deadline and the merge of a search fall on the same moment is now delivered. E1006 and two counters say how many were refused and failed for the stop.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -327,35 +327,22 @@
 }
 
 void
-mr_caller_server_foreach_open (const MrCallerServer *server,
-                               void (*visit) (const MrCaller *caller,
-                                              const MrHttpParser *request,
-                                              MrTime first_byte_at,
-                                              void *user),
-                               void *user)
+mr_caller_server_foreach_open (const MrCallerServer *server, MrOpenRequestFunc visit, gpointer user)
 {
   for (const GList *link = server->callers.head; link; link = link->next)
     {
-      const MrCaller *c = link->data;
+      MrCaller *c = link->data;
       if (c->busy)
-        visit (c, c->parser, c->first_byte_at, user);
+        visit (c, c->parser, user);
     }
 }
 
-static void
-S_count_open (const MrCaller *caller, const MrHttpParser *request, MrTime first_byte_at, void *user)
-{
-  (void) caller;
-  (void) request;
-  (void) first_byte_at;
-  (*(guint *) user)++;
-}
-
 guint
 mr_caller_server_open_requests (const MrCallerServer *server)
 {
   guint count = 0;
-  mr_caller_server_foreach_open (server, S_count_open, &count);
+  for (const GList *link = server->callers.head; link; link = link->next)
+    count += ((const MrCaller *) link->data)->busy ? 1 : 0;
   return count;
 }
 
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -33,7 +33,8 @@
 
 void mr_caller_server_set_limits (MrCallerServer *server, const MrCallerLimits *limits);
 
-/* Announces in every response from now on that the connection will be closed. */
+/* Announces in every response from now on that the connection will be closed.  Requests are still
+ * read. */
 void mr_caller_server_drain (MrCallerServer *server);
 /* Stops accepting connections and closes those without a request. */
 void mr_caller_server_close (MrCallerServer *server);
@@ -41,13 +42,11 @@
 guint mr_caller_server_connections (const MrCallerServer *server);
 /* Requests that were read and are not answered. */
 guint mr_caller_server_open_requests (const MrCallerServer *server);
-/* @request is borrowed. */
+typedef void (*MrOpenRequestFunc) (MrCaller *caller, const MrHttpParser *request, gpointer user);
+/* @visit may answer its caller; @request is valid until then. */
 void mr_caller_server_foreach_open (const MrCallerServer *server,
-                                    void (*visit) (const MrCaller *caller,
-                                                   const MrHttpParser *request,
-                                                   MrTime first_byte_at,
-                                                   void *user),
-                                    void *user);
+                                    MrOpenRequestFunc visit,
+                                    gpointer user);
 /* Bytes of answers that the kernel has not accepted yet. */
 gsize mr_caller_server_unwritten_bytes (const MrCallerServer *server);
 
--- a/src/relay.c
+++ b/src/relay.c
@@ -16,6 +16,7 @@
     [MR_CAUSE_SOFT_END] = "soft-end",
     [MR_CAUSE_QUARANTINED] = "quarantined",
     [MR_CAUSE_SUSPECT] = "suspect",
+    [MR_CAUSE_STOPPING] = "stopping",
   };
   return names[cause];
 }
@@ -91,6 +92,7 @@
   relay->crash_checks = g_ptr_array_new_with_free_func (g_free);
   relay->unix_offset = options->unix_offset;
   relay->timers = mr_timers_new ();
+  relay->stop_at = MR_NEVER;
   return relay;
 }
 
--- a/src/relay.h
+++ b/src/relay.h
@@ -69,6 +69,7 @@
   MR_CAUSE_SOFT_END,    /* the soft deadline passed; answered without the missing shards */
   MR_CAUSE_QUARANTINED, /* targets have crashed repeatedly while serving its content */
   MR_CAUSE_SUSPECT,     /* targets have crashed while serving its content; left to another daemon */
+  MR_CAUSE_STOPPING,    /* this daemon stops before the request can be served */
 } MrCause;
 
 const char *mr_cause_name (MrCause cause);
@@ -233,6 +234,8 @@
   guint64
       crashes_excused; /* crashes, or reports of them, under a content that was answered recently */
   guint64 trials;      /* calls of suspect contents that were sent to a single target */
+  guint64 stop_refused; /* requests refused because this daemon stops */
+  guint64 stop_failed;  /* requests that its stop ended after they had been sent */
   guint64 withdrawn; /* calls withdrawn before they were sent, because their domain was evacuated */
   guint64 quarantined; /* requests refused or given up because their content is quarantined */
 } MrRelayCounts;
@@ -268,6 +271,10 @@
  * domains may get some again. */
 void mr_relay_set_evacuated (MrRelay *relay, MrTime now, GHashTable *domains);
 
+/* This daemon stops: every request gets its verdict by @at, and those that cannot be served by then
+ * are refused at once. */
+void mr_relay_set_stop_time (MrRelay *relay, MrTime at);
+
 /* Adds the target to @group_name, besides the groups that it is in already, or updates it; @leaving
  * targets get no new calls.  Another start time or address under the same id means another process:
  * calls to the former process end as broken. */
--- a/src/relay_admit.c
+++ b/src/relay_admit.c
@@ -144,8 +144,11 @@
     .arrived = arrived,
     .deadline = params->deadline,
     .fingerprint = params->fingerprint,
-    .soft_deadline = shards ? arrived + S_time_to_soft_deadline (relay, params, arrived) : MR_NEVER,
-    .hard_deadline = MIN (params->deadline - reserve, arrived + route->time_limit),
+    .soft_deadline =
+        shards ? MIN (arrived + S_time_to_soft_deadline (relay, params, arrived), relay->stop_at)
+               : MR_NEVER,
+    .hard_deadline =
+        MIN (MIN (params->deadline - reserve, arrived + route->time_limit), relay->stop_at),
     .cancel_at = MR_NEVER,
     .part_count = route->kind >= MR_ROUTE_SHARDS ? route->service_count : 1,
     .needed_parts = S_needed_parts (route),
@@ -246,10 +249,19 @@
   return random < fraction;
 }
 
+/* TRUE if this daemon stops before the request's call would end, with @wait before it.  The caller
+ * can still be served by another daemon; later it would only learn that this one gave up. */
+static gboolean
+S_stops_before_end (const MrRelay *relay, const MrActiveRequest *request, MrTime now, MrTime wait)
+{
+  return request->hard_deadline == relay->stop_at &&
+         now + wait + request->stats->hedge_delay > relay->stop_at;
+}
+
 /* Why the request cannot be served; MR_CAUSE_NONE if it can.  Also sets the parts that may be left
  * out. */
 static MrCause
-S_check_capacity (MrActiveRequest *request, MrTime now, MrTime *wait)
+S_check_capacity (const MrRelay *relay, MrActiveRequest *request, MrTime now, MrTime *wait)
 {
   MrCause no_target_cause = MR_CAUSE_NO_TARGET;
   guint usable_groups = 0;
@@ -257,7 +269,7 @@
   double room = 0;
   *wait = 0;
   if (request->hard_deadline <= now)
-    return MR_CAUSE_TIME;
+    return mr_relay_time_cause (relay, request);
   if (request->needed_parts == 0)
     return MR_CAUSE_NONE;
   MrTime max_wait = (MrTime) (WAIT_FRACTION_MAX * (double) MIN (request->route->latency_goal,
@@ -281,6 +293,8 @@
   if (usable_groups < request->needed_parts)
     return no_target_cause;
   request->omittable_parts = usable_groups - request->needed_parts;
+  if (S_stops_before_end (relay, request, now, *wait))
+    return MR_CAUSE_STOPPING;
   if (timely_groups >= request->needed_parts)
     return MR_CAUSE_NONE;
   request->over_share =
@@ -309,7 +323,7 @@
   relay->counts.requests++;
   request->cause = mr_relay_admit_content (relay, now, request);
   if (request->cause == MR_CAUSE_NONE)
-    request->cause = S_check_capacity (request, now, &wait);
+    request->cause = S_check_capacity (relay, request, now, &wait);
   if (request->cause == MR_CAUSE_NONE && S_should_shed (relay, request, now))
     request->cause = MR_CAUSE_OVERLOAD;
   if (request->cause != MR_CAUSE_NONE)
--- a/src/relay_finish.c
+++ b/src/relay_finish.c
@@ -17,6 +17,8 @@
   MrTime wait = 0;
   if (request->cause == MR_CAUSE_QUARANTINED)
     return 0; /* not to be retried */
+  if (request->cause == MR_CAUSE_STOPPING)
+    return RETRY_MIN; /* another daemon can serve it now */
   for (guint i = 0; i < request->part_count; i++)
     wait = MAX (wait, mr_relay_expected_wait (&request->parts[i], now));
   if (request->cause == MR_CAUSE_NO_TARGET)
@@ -75,6 +77,10 @@
         verdict == MR_VERDICT_REFUSED ? mr_relay_expected_wait (&request->parts[0], now) : 0,
   };
   S_count_verdict (relay, verdict, result.missing_parts);
+  relay->counts.stop_refused +=
+      request->cause == MR_CAUSE_STOPPING && verdict == MR_VERDICT_REFUSED ? 1 : 0;
+  relay->counts.stop_failed +=
+      request->cause == MR_CAUSE_STOPPING && verdict == MR_VERDICT_FAILED ? 1 : 0;
   relay->counts.over_share += result.over_share ? 1 : 0;
   if (verdict == MR_VERDICT_REFUSED)
     mr_relay_record_refusal (now, request);
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -119,6 +119,8 @@
     { "relay_stray_bytes_total", client.stray_byte_closes },
     { "relay_probes_repeated_total", client.repeated_probes },
     { "relay_stop_read_total", task->stop.read_requests },
+    { "relay_stop_refused_total", counts->stop_refused },
+    { "relay_stop_failed_total", counts->stop_failed },
   };
   for (gsize i = 0; i < G_N_ELEMENTS (counters); i++)
     S_append_metric (out, counters[i].name, "counter", counters[i].value);
--- a/src/relay_private.h
+++ b/src/relay_private.h
@@ -232,6 +232,7 @@
   MrRecentAnswers *recent_answers;
   CrashedTarget crashed_targets[CRASHED_TARGETS_KEPT];
   guint crashed_count; /* since the start */
+  MrTime stop_at;      /* planned end of this daemon; MR_NEVER: none */
   MrTime staged_until; /* until then searches are sent to one shard first */
   MrTime unix_offset;
   MrTimers *timers;
@@ -452,6 +453,8 @@
 void
 mr_relay_finish_request (MrRelay *relay, MrTime now, MrActiveRequest *request, MrVerdict verdict);
 void mr_relay_schedule (MrRelay *relay, MrActiveRequest *request);
+/* Why the request ends at its hard deadline. */
+MrCause mr_relay_time_cause (const MrRelay *relay, const MrActiveRequest *request);
 /* The call has ended. */
 void mr_relay_call_free (MrRelay *relay, MrTime now, Call *call);
 
--- a/src/relay_request.c
+++ b/src/relay_request.c
@@ -646,22 +646,45 @@
 }
 
 static void
-S_log_unanswered (const MrCaller *caller, const MrHttpParser *in, MrTime first_byte_at, void *user)
+S_refuse_waiting (MrCaller *caller, const MrHttpParser *in, gpointer user)
+{
+  MrRelayTask *task = user;
+  Request *request = mr_caller_user (caller);
+  if (request && !request->awaits_limit)
+    return; /* gets the relay's verdict */
+  mr_startup_queue_remove (task->early_requests, caller);
+  mr_denial_check_remove (task->denial_check, caller);
+  if (request)
+    {
+      mr_limits_cancel (task->limits, request);
+      S_request_free (request);
+    }
+  S_refuse (task, caller, in, STATUS_UNAVAILABLE, mr_cause_name (MR_CAUSE_STOPPING));
+}
+
+void
+mr_relay_request_refuse_waiting (MrRelayTask *task)
+{
+  mr_caller_server_foreach_open (task->caller_server, S_refuse_waiting, task);
+}
+
+static void
+S_log_unanswered (MrCaller *caller, const MrHttpParser *in, gpointer user)
 {
   const MrRelayTask *task = user;
   const Request *request = mr_caller_user (caller);
   MrLogLine *line = mr_log_begin (MR_LOG_WARNING, MR_EVENT_REQUEST_UNANSWERED);
   mr_log_text (line, "request", mr_http_parser_find_field (in, task->dialect->request_id, NULL));
-  mr_log_number (line, "age_us", mr_now () - first_byte_at);
+  mr_log_number (line, "age_us", request ? mr_now () - request->began : 0);
   mr_log_number (line, "sends",
                  request && request->active ? mr_active_request_sends (request->active) : 0);
   mr_log_end (line);
 }
 
 void
-mr_relay_request_log_unanswered (const MrRelayTask *task)
+mr_relay_request_log_unanswered (MrRelayTask *task)
 {
-  mr_caller_server_foreach_open (task->caller_server, S_log_unanswered, (void *) task);
+  mr_caller_server_foreach_open (task->caller_server, S_log_unanswered, task);
 }
 
 void
--- a/src/relay_send.c
+++ b/src/relay_send.c
@@ -239,7 +239,7 @@
   if (too_late)
     {
       relay->counts.expired++;
-      mr_relay_finish_part (relay, now, part, MR_CAUSE_TIME);
+      mr_relay_finish_part (relay, now, part, mr_relay_time_cause (relay, part->request));
     }
   else
     S_send (relay, now, part, target, part->send_reason);
--- a/src/relay_stop.c
+++ b/src/relay_stop.c
@@ -2,12 +2,21 @@
 
 #include "log.h"
 
-/* Parts of a planned stop's grace period reserved for the last requests, and for the end of the
- * process. */
+/* Steps of a planned stop, as times before the end of its grace period, when the process is killed.
+ * Requests are read until LAST_REQUESTS_TIME.  At LAST_ANSWERS_TIME all that are still open are
+ * answered, so that callers have the answers before the process ends at EXIT_TIME.  Each step may
+ * run late by the time for which the process is not scheduled. */
 static const MrTime LAST_REQUESTS_TIME = 1400 * MR_MS;
+static const MrTime LAST_ANSWERS_TIME = 600 * MR_MS;
 static const MrTime EXIT_TIME = 300 * MR_MS;
 static const MrTime POLL_INTERVAL = 50 * MR_MS;
 
+static MrTime
+S_end (const MrRelayTask *task)
+{
+  return task->stop.began + task->settings->grace_ms * MR_MS;
+}
+
 gboolean
 mr_relay_stop_has_begun (const MrRelayTask *task)
 {
@@ -28,6 +37,7 @@
           "planned stop begun: %u open requests, %u connected callers", stop->open_requests,
           mr_caller_server_connections (task->caller_server));
   mr_caller_server_drain (task->caller_server);
+  mr_relay_set_stop_time (task->relay, S_end (task) - LAST_ANSWERS_TIME);
   mr_mailbox_post (task->control, &mr_local_state_message_new (MR_MEMBER_LEAVING, TRUE)->base);
 }
 
@@ -36,10 +46,13 @@
 {
   const MrRelayStop *stop = &task->stop;
   const MrCallerServer *server = task->caller_server;
+  const MrRelayCounts *counts = mr_relay_counts (task->relay);
   MrLogLine *line = mr_log_begin (MR_LOG_NOTICE, MR_EVENT_STOP_SUMMARY);
   mr_log_number (line, "took_us", now - stop->began);
   mr_log_number (line, "open", stop->open_requests);
   mr_log_number (line, "read", (gint64) stop->read_requests);
+  mr_log_number (line, "refused", (gint64) counts->stop_refused);
+  mr_log_number (line, "failed", (gint64) counts->stop_failed);
   mr_log_number (line, "cut", mr_caller_server_open_requests (server));
   mr_log_number (line, "connections", mr_caller_server_connections (server));
   mr_log_number (line, "unwritten_bytes", (gint64) mr_caller_server_unwritten_bytes (server));
@@ -47,7 +60,7 @@
 }
 
 static void
-S_end (MrRelayTask *task, MrTime now)
+S_stop_process (MrRelayTask *task, MrTime now)
 {
   task->stop.ended = TRUE;
   mr_relay_request_log_unanswered (task);
@@ -60,13 +73,15 @@
 {
   if (task->stop.began == 0 || task->stop.ended)
     return;
-  MrTime end = task->stop.began + task->settings->grace_ms * MR_MS;
+  MrTime end = S_end (task);
+  if (now >= end - LAST_ANSWERS_TIME)
+    mr_relay_request_refuse_waiting (task);
   if (now >= end - LAST_REQUESTS_TIME)
     {
       mr_caller_server_close (task->caller_server);
       if (mr_caller_server_connections (task->caller_server) == 0 || now >= end - EXIT_TIME)
         {
-          S_end (task, now);
+          S_stop_process (task, now);
           return;
         }
     }
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -144,8 +144,10 @@
 /* Starts the requests that arrived early once this daemon is ready; refuses them when their waiting
  * time is over.  Lowers @next to that time. */
 void mr_relay_request_flush_early (MrRelayTask *task, MrTime now, MrTime *next);
+/* Refuses the requests that were read and not submitted to the relay yet. */
+void mr_relay_request_refuse_waiting (MrRelayTask *task);
 /* Logs the requests that were read and are not answered, when the process ends. */
-void mr_relay_request_log_unanswered (const MrRelayTask *task);
+void mr_relay_request_log_unanswered (MrRelayTask *task);
 void mr_relay_pages_init (MrRelayTask *task);
 
 gboolean mr_relay_stop_has_begun (const MrRelayTask *task);
--- a/src/relay_timers.c
+++ b/src/relay_timers.c
@@ -1,5 +1,7 @@
 #include "relay_private.h"
 
+#include "safeguard.h"
+
 enum
 {
   SAMPLES_MIN = 30, /* answers below which the quantiles are not used */
@@ -166,21 +168,48 @@
   mr_timers_set (relay->timers, &request->timer, due);
 }
 
-static void
-S_on_request_timer (MrRelay *relay, MrTime now, MrActiveRequest *request)
+MrCause
+mr_relay_time_cause (const MrRelay *relay, const MrActiveRequest *request)
 {
-  if (now >= request->hard_deadline)
+  return request->hard_deadline == relay->stop_at ? MR_CAUSE_STOPPING : MR_CAUSE_TIME;
+}
+
+void
+mr_relay_set_stop_time (MrRelay *relay, MrTime at)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  if (!MR_SAFEGUARD (MR_GUARD_STOP_ANSWERS))
+    return;
+  relay->stop_at = at;
+  g_hash_table_iter_init (&iter, relay->requests);
+  while (g_hash_table_iter_next (&iter, &item, NULL))
     {
-      request->cause = MR_CAUSE_TIME;
-      mr_relay_finish_request (relay, now, request, MR_VERDICT_TIMEOUT);
-      return;
+      MrActiveRequest *request = item;
+      request->hard_deadline = MIN (request->hard_deadline, at);
+      if (request->soft_deadline != MR_NEVER)
+        request->soft_deadline = MIN (request->soft_deadline, at);
+      mr_relay_schedule (relay, request);
     }
+}
+
+static void
+S_on_request_timer (MrRelay *relay, MrTime now, MrActiveRequest *request)
+{
   if (now >= request->soft_deadline && request->answered_parts >= request->needed_parts)
     {
       request->cause = MR_CAUSE_SOFT_END;
       mr_relay_finish_request (relay, now, request, MR_VERDICT_MERGE);
       return;
     }
+  if (now >= request->hard_deadline)
+    {
+      request->cause = mr_relay_time_cause (relay, request);
+      mr_relay_finish_request (relay, now, request,
+                               request->cause == MR_CAUSE_STOPPING ? MR_VERDICT_REFUSED
+                                                                   : MR_VERDICT_TIMEOUT);
+      return;
+    }
   if (now >= request->cancel_at)
     {
       mr_relay_cancel_calls (relay, now, request);
--- a/src/safeguard.h
+++ b/src/safeguard.h
@@ -35,6 +35,7 @@
   MR_GUARD_LIMIT_ACQUIRE, /* an organisation is counted only with the votes of a majority */
   MR_GUARD_LIMIT_BALANCE, /* tokens granted in advance are few and expire */
   MR_GUARD_FAIR_SHARE,    /* where room is short, organisations get equal shares */
+  MR_GUARD_STOP_ANSWERS,  /* a planned stop answers every request that was read */
   MR_GUARD_COUNT,
 } MrGuard;
 
--- a/test/prop_relay.cpp
+++ b/test/prop_relay.cpp
@@ -2,7 +2,7 @@
 //
 // Guards against non-idempotent requests that run twice, requests reported as not run that have
 // run, more hedges and retries than the fleet's budget allows, calls to targets that leave, and
-// responses with wrong shard counts.
+// responses with wrong shard counts; requests that a planned stop cuts off.
 
 #include "core.hpp"
 
@@ -162,6 +162,23 @@
   return p;
 }
 
+// One of the daemons stops as planned, while targets have the faults of random_plan () and some do
+// not respond for longer than the stop takes.
+SimPlan
+stop_plan (guint32 seed)
+{
+  SimPlan p = random_plan (seed);
+  GRand *random = g_rand_new_with_seed (seed + 3);
+  p.daemons = 2 + pick (random, 2);
+  p.stop.from_ms = 1200 + pick (random, 1500);
+  p.stop.read_ms = p.stop.from_ms + pick (random, 800);
+  p.stop.until_ms = p.stop.read_ms + pick (random, 800);
+  p.faults[4] =
+      SimFault{ SIM_FAULT_UNRESPONSIVE, pick (random, 4), 11, 1 + pick (random, 3), 1000, 5000, 0 };
+  g_rand_free (random);
+  return p;
+}
+
 guint
 excess_late_poison_calls (const SimResult &r)
 {
@@ -173,7 +190,8 @@
 {
   return r.max_budget_excess + r.ran_twice + r.false_not_run + r.excess_attempts +
          r.calls_after_leaving + r.calls_after_evacuation + r.cold_excess + r.deadlines_extended +
-         r.unanswered + r.late_verdicts + r.calls_after_abandon + r.wrong_shard_counts;
+         r.cut_by_stop + r.unanswered + r.late_verdicts + r.calls_after_abandon +
+         r.wrong_shard_counts;
 }
 
 SimResult
@@ -257,6 +275,13 @@
                     RC_ASSERT (violations (run (evacuation_plan (seed))) == 0U);
                   }) &&
        ok;
+  ok = rc::check ("a planned stop leaves no request without a verdict",
+                  [&] {
+                    auto base = *rc::gen::inRange<guint32> (0, 1U << 30);
+                    for (guint32 i = 0; i < 10; i++)
+                      RC_ASSERT (violations (run (stop_plan (base + i))) == 0U);
+                  }) &&
+       ok;
   for (guint32 seed = 1; seed <= 50; seed++)
     {
       guint count = violations (run (outage_plan (seed))) + violations (run (leaving_plan (seed)));
@@ -288,5 +313,8 @@
                       violates (evacuation_plan,
                                 [] (const SimResult &r) { return r.calls_after_evacuation; })) &&
        ok;
+  ok = fails_without ("planned stop", MR_GUARD_STOP_ANSWERS, 400,
+                      violates (stop_plan, [] (const SimResult &r) { return r.cut_by_stop; })) &&
+       ok;
   return ok ? 0 : 1;
 }
--- a/test/relay_sim.c
+++ b/test/relay_sim.c
@@ -37,6 +37,8 @@
   EVENT_CRASH,    /* of the target of a poison request's call */
   EVENT_RESTART,  /* of a crashed target */
   EVENT_EVIDENCE, /* arrives at the other daemons */
+  EVENT_STOP,     /* of the first daemon begins */
+  EVENT_STOPPED,
 } EventType;
 
 typedef struct
@@ -629,6 +631,9 @@
   if (sim->plan->first_daemon_ratio > 0 &&
       g_rand_double (sim->random) < sim->plan->first_daemon_ratio)
     request->daemon = &sim->daemons[0];
+  if (sim->plan->stop.from_ms > 0 && sim->now >= S_ms (sim->plan->stop.read_ms) &&
+      request->daemon == &sim->daemons[0])
+    request->daemon = &sim->daemons[sim->plan->daemons - 1];
   return request;
 }
 
@@ -926,6 +931,34 @@
     }
 }
 
+static void
+S_begin_stop (Simulation *sim)
+{
+  Daemon *daemon = &sim->daemons[0];
+  mr_relay_set_stop_time (daemon->relay, S_ms (sim->plan->stop.until_ms));
+  S_schedule_tick (daemon, sim->now);
+}
+
+static void
+S_check_stopped (Simulation *sim)
+{
+  for (guint i = 0; i < sim->requests->len; i++)
+    {
+      const Request *request = g_ptr_array_index (sim->requests, i);
+      if (request->daemon == &sim->daemons[0] && !request->done)
+        sim->result->cut_by_stop++;
+    }
+}
+
+static void
+S_schedule_stop (Simulation *sim)
+{
+  if (sim->plan->stop.from_ms <= 0)
+    return;
+  S_schedule (sim, S_ms (sim->plan->stop.from_ms), EVENT_STOP, NULL, 0);
+  S_schedule (sim, S_ms (sim->plan->stop.until_ms) + MR_MS, EVENT_STOPPED, NULL, 0);
+}
+
 static void
 S_schedule_poison (Simulation *sim)
 {
@@ -984,6 +1017,12 @@
     case EVENT_EVIDENCE:
       S_on_evidence (sim, event->object);
       break;
+    case EVENT_STOP:
+      S_begin_stop (sim);
+      break;
+    case EVENT_STOPPED:
+      S_check_stopped (sim);
+      break;
     case EVENT_RESTART:
       sim->targets[event->index].fault = SIM_FAULT_NONE;
       break;
@@ -1119,6 +1158,7 @@
   S_make_targets (sim);
   S_schedule_faults (sim);
   S_schedule_poison (sim);
+  S_schedule_stop (sim);
   for (guint r = 0; r < SIM_ROUTES_MAX && plan->routes[r].requests_per_second > 0; r++)
     {
       char path[8];
--- a/test/relay_sim.h
+++ b/test/relay_sim.h
@@ -88,6 +88,14 @@
   guint retries;    /* of a refused request of the busy organisation, immediately */
 } SimOrganisations;
 
+/* A planned stop of the first daemon. */
+typedef struct
+{
+  double from_ms;  /* 0: none */
+  double read_ms;  /* it gets no requests later */
+  double until_ms; /* its requests must have their verdicts */
+} SimStop;
+
 typedef struct
 {
   guint32 seed;
@@ -108,6 +116,7 @@
   SimFault faults[8];
   SimPoisonRequest poison;
   SimOrganisations organisations;
+  SimStop stop;
   double cold_rate;          /* call rate per second that a cold target can take; 0: unlimited */
   double first_daemon_ratio; /* fraction of the requests that all come to the first daemon */
   double connect_ms;         /* time to connect before a call is sent */
@@ -156,6 +165,7 @@
   guint cold_excess;         /* calls over the rate limit of a cold target, in its worst second */
   guint calls_after_evacuation; /* that arrived in an evacuated domain and were sent after it was */
   guint deadlines_extended;     /* calls with a later deadline than their request */
+  guint cut_by_stop;            /* requests without a verdict when their daemon has stopped */
   guint unanswered;             /* requests neither answered nor abandoned by the end */
   guint late_verdicts;          /* later than half a second after the route's time limit */
   guint calls_after_abandon; /* idempotent calls of abandoned requests, still running at the end */
