Caller server: a close loses neither requests that have arrived nor answers that are read slowly

When a relay closed its listener at the end of a planned stop, connections that the kernel had established and nobody had accepted were reset, with the requests in them; so were connections that were idle by the server's state and had a request in the socket. An answer that its caller read slowly was cut 1 s after it was begun, as the connection of an answer with "Connection: close" was closed then, whatever was still to be written; without it, at the idle timeout.

The listener now accepts what is established before it closes; a connection with unread bytes stays open and its request is answered; the time for the caller to close counts from the moment in which the answer is written, as long as the caller takes bytes of it. A new connection on a closed server waits 1 s for its request.

test_caller_server, its cases on the code before: reset, reset, and 8,447,307 of 12,582,912 bytes; now all answers are whole.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -23,8 +23,8 @@
 /* The timeout for a body, as a multiple of the one for a head: bodies are larger, and no
  * setting bounds their time. */
 static const gint64 BODY_TIMEOUT_FACTOR = 4;
-/* Time for the caller to close a connection whose end was announced; after that the server
- * closes it. */
+/* Time for the caller to close a connection whose end was announced, once the response is written;
+ * after that the server closes it. */
 static const MrTime CLOSE_TIMEOUT = 1 * MR_SECOND;
 /* Idle connections are kept this much longer than the configured idle timeout, so that a
  * request sent at the last moment does not arrive after the server has closed the connection. */
@@ -41,6 +41,8 @@
   MrTimer timer;
   MrTime first_byte_at;       /* when the first byte of the request arrived */
   MrTime round_trip;          /* 0: not measured yet, or not known */
+  guint64 written_bytes;      /* on the connection, when they were last seen to increase */
+  MrTime written_at;          /* when that was */
   gboolean busy;              /* the host is handling a request */
   gboolean close_after_write; /* close the connection once the response is written */
   gboolean continue_handled;  /* 100 Continue was sent, or is not needed */
@@ -149,7 +151,8 @@
   mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .max_head_bytes = limits->max_head_bytes,
                                                         .max_body_bytes = limits->max_body_bytes });
   c->continue_handled = FALSE;
-  mr_timers_set (c->server->timers, &c->timer, now + limits->idle_timeout + IDLE_GRACE);
+  mr_timers_set (c->server->timers, &c->timer,
+                 now + (c->server->closed ? CLOSE_TIMEOUT : limits->idle_timeout + IDLE_GRACE));
 }
 
 /* Acts on the parser's new state. */
@@ -315,7 +318,7 @@
       MrCaller *c = link->data;
       link = link->next;
       if (!c->busy && mr_http_parser_state (c->parser) == MR_HTTP_IDLE && c->pipelined->len == 0 &&
-          mr_stream_buffered_bytes (c->stream) == 0)
+          mr_stream_buffered_bytes (c->stream) == 0 && !mr_stream_has_unread_bytes (c->stream))
         S_close (c);
     }
 }
@@ -372,10 +375,12 @@
 {
   if (c->server->draining)
     c->close_after_write = TRUE;
+  MrTime now = mr_now ();
+  c->written_bytes = mr_stream_sent_bytes (c->stream);
+  c->written_at = now;
   S_write_response (c, status, fields, body);
   c->busy = FALSE;
   c->user = NULL;
-  MrTime now = mr_now ();
   if (c->close_after_write)
     {
       mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
@@ -398,11 +403,27 @@
   S_on_progress (c, now, MR_HTTP_IDLE);
 }
 
+/* TRUE while a caller that reads slowly still takes bytes of its response: at least one in each
+ * idle timeout. */
+static gboolean
+S_is_writing (MrCaller *c, MrTime now)
+{
+  guint64 written = mr_stream_sent_bytes (c->stream);
+  if (mr_stream_buffered_bytes (c->stream) == 0)
+    return FALSE;
+  if (written > c->written_bytes)
+    c->written_at = now;
+  c->written_bytes = written;
+  return now - c->written_at < c->server->limits.idle_timeout;
+}
+
 static void
 S_on_timer (MrCaller *c, MrTime now)
 {
-  if (!c->close_after_write && !c->busy && c->pipelined->len > 0 &&
-      mr_http_parser_state (c->parser) == MR_HTTP_IDLE)
+  if (S_is_writing (c, now))
+    mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
+  else if (!c->close_after_write && !c->busy && c->pipelined->len > 0 &&
+           mr_http_parser_state (c->parser) == MR_HTTP_IDLE)
     S_read_pipelined (c, now);
   else if (!c->close_after_write && mr_http_parser_state (c->parser) != MR_HTTP_IDLE)
     S_reject (c, STATUS_TIMEOUT);
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -36,7 +36,8 @@
 /* Announces in every response from now on that the connection will be closed.  Requests are still
  * read. */
 void mr_caller_server_drain (MrCallerServer *server);
-/* Stops accepting connections and closes those without a request. */
+/* Accepts the connections that are established, stops listening, and closes connections without a
+ * request.  Requests of which the kernel has received bytes are still read. */
 void mr_caller_server_close (MrCallerServer *server);
 
 guint mr_caller_server_connections (const MrCallerServer *server);
--- a/src/stream.c
+++ b/src/stream.c
@@ -154,6 +154,13 @@
   return stream->write_buffer->len;
 }
 
+gboolean
+mr_stream_has_unread_bytes (const MrStream *stream)
+{
+  char byte = 0;
+  return !stream->closed && recv (stream->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 MrTime
 mr_stream_round_trip (const MrStream *stream)
 {
@@ -318,16 +325,26 @@
   g_free (stream);
 }
 
-static void
+/* FALSE if no connection is waiting. */
+static gboolean
 S_accept (MrListener *listener)
 {
   int fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd < 0)
-    return;
+    return FALSE;
   S_set_options (fd);
   MrStream *stream = S_stream_new (listener->loop, fd);
   if (stream)
     listener->on_accept (listener->user, stream);
+  return TRUE;
+}
+
+static void
+S_listener_free (MrListener *listener)
+{
+  while (!mr_loop_is_closing (listener->loop) && S_accept (listener))
+    ;
+  g_free (listener);
 }
 
 MrListener *
@@ -402,7 +419,7 @@
     case LWS_CALLBACK_RAW_CLOSE_FILE:
       lws_set_opaque_user_data (wsi, NULL);
       if (listener)
-        g_free (user_data);
+        S_listener_free ((MrListener *) (void *) user_data);
       else
         S_stream_free ((MrStream *) (void *) user_data);
       return 0;
--- a/src/stream.h
+++ b/src/stream.h
@@ -54,6 +54,9 @@
 guint64 mr_stream_sent_bytes (const MrStream *stream);
 gsize mr_stream_buffered_bytes (const MrStream *stream);
 
+/* TRUE if the kernel has received bytes that on_data () has not been called with yet. */
+gboolean mr_stream_has_unread_bytes (const MrStream *stream);
+
 /* Round-trip time to the peer as measured by the kernel; 0 if unknown. */
 MrTime mr_stream_round_trip (const MrStream *stream);
 
@@ -66,4 +69,5 @@
                              int port,
                              void (*on_accept) (void *user, MrStream *stream),
                              void *user);
+/* Accepts the connections that are established by then, so that none of them is reset. */
 void mr_listener_close (MrListener *listener);
