Planned stop: its steps are parts of the grace period, with a sixth of it left for answers

Answers at the end of a planned stop were due 0.6 s before the process is killed, and its end 0.3 s, whatever the grace period is. On a busy machine a process may not be scheduled for longer than that, and a platform with a short grace period got no time for requests at all.

--- a/src/relay_stop.c
+++ b/src/relay_stop.c
@@ -2,19 +2,19 @@
 
 #include "log.h"
 
-/* Steps of a planned stop, as times before the end of its grace period, when the process is killed.
- * Requests are read until LAST_REQUESTS_TIME.  At LAST_ANSWERS_TIME all that are still open are
- * answered, so that callers have the answers before the process ends at EXIT_TIME.  Each step may
- * run late by the time for which the process is not scheduled. */
-static const MrTime LAST_REQUESTS_TIME = 1400 * MR_MS;
-static const MrTime LAST_ANSWERS_TIME = 600 * MR_MS;
-static const MrTime EXIT_TIME = 300 * MR_MS;
+/* Steps of a planned stop, as fractions of its grace period, at whose end the process is killed.
+ * The listener closes at LAST_REQUESTS.  At LAST_ANSWERS all requests that are still open are
+ * answered, so that callers have the answers even if the process is not scheduled for a while.
+ * It ends when no connection is open, at EXIT at the latest. */
+static const double LAST_REQUESTS = 0.7;
+static const double LAST_ANSWERS = 5.0 / 6;
+static const double EXIT = 0.95;
 static const MrTime POLL_INTERVAL = 50 * MR_MS;
 
 static MrTime
-S_end (const MrRelayTask *task)
+S_time_of (const MrRelayTask *task, double step)
 {
-  return task->stop.began + task->settings->grace_ms * MR_MS;
+  return task->stop.began + (MrTime) (step * (double) (task->settings->grace_ms * MR_MS));
 }
 
 gboolean
@@ -37,7 +37,7 @@
           "planned stop begun: %u open requests, %u connected callers", stop->open_requests,
           mr_caller_server_connections (task->caller_server));
   mr_caller_server_drain (task->caller_server);
-  mr_relay_set_stop_time (task->relay, S_end (task) - LAST_ANSWERS_TIME);
+  mr_relay_set_stop_time (task->relay, S_time_of (task, LAST_ANSWERS));
   mr_mailbox_post (task->control, &mr_local_state_message_new (MR_MEMBER_LEAVING, TRUE)->base);
 }
 
@@ -73,17 +73,16 @@
 {
   if (task->stop.began == 0 || task->stop.ended)
     return;
-  MrTime end = S_end (task);
-  if (now >= end - LAST_ANSWERS_TIME)
+  if (now >= S_time_of (task, LAST_ANSWERS))
     mr_relay_request_refuse_waiting (task);
-  if (now >= end - LAST_REQUESTS_TIME)
+  if (now >= S_time_of (task, LAST_REQUESTS))
     {
       mr_caller_server_close (task->caller_server);
-      if (mr_caller_server_connections (task->caller_server) == 0 || now >= end - EXIT_TIME)
+      if (mr_caller_server_connections (task->caller_server) == 0 || now >= S_time_of (task, EXIT))
         {
           S_stop_process (task, now);
           return;
         }
     }
-  *next = MIN (*next, MAX (now + POLL_INTERVAL, end - LAST_REQUESTS_TIME));
+  *next = MIN (*next, MAX (now + POLL_INTERVAL, S_time_of (task, LAST_REQUESTS)));
 }
