Caller server: a timeout that passes while the process is late loses no request

A request that arrived while its process was not scheduled was lost when the idle timeout of its kept connection passed in the meantime: the caller's connection ended without an answer. A request whose last bytes arrived in time got 408.

Cause: the loop handles timers before it reads sockets, and the idle timeout closed the connection without a look at what had arrived. Bytes that are unread then are now read first.

test_late_idle_timeout, on the code before: no whole answer; now it comes.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -417,6 +417,7 @@
   return now - c->written_at < c->server->limits.idle_timeout;
 }
 
+/* Bytes that are unread when a timeout has passed arrived in time, and the process is late. */
 static void
 S_on_timer (MrCaller *c, MrTime now)
 {
@@ -425,6 +426,8 @@
   else if (!c->close_after_write && !c->busy && c->pipelined->len > 0 &&
            mr_http_parser_state (c->parser) == MR_HTTP_IDLE)
     S_read_pipelined (c, now);
+  else if (!c->close_after_write && mr_stream_has_unread_bytes (c->stream))
+    mr_timers_set (c->server->timers, &c->timer, now + MR_MS);
   else if (!c->close_after_write && mr_http_parser_state (c->parser) != MR_HTTP_IDLE)
     S_reject (c, STATUS_TIMEOUT);
   else
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -61,8 +61,19 @@
   GString *body;
   guint requests;
   guint disconnected;
+  gboolean holds;   /* requests stay open until S_answer () */
+  MrCaller *caller; /* of the open request */
+  GString *seen;    /* targets of the requests */
 } Fixture;
 
+static void
+S_answer (Fixture *f)
+{
+  MrCaller *caller = f->caller;
+  f->caller = NULL;
+  mr_caller_answer (caller, 200, (MrText){ 0 }, mr_text_of (f->body));
+}
+
 static void
 S_on_request (MrCallerServerHost *host,
               MrCaller *caller,
@@ -70,10 +81,14 @@
               MrTime first_byte_at)
 {
   Fixture *f = (Fixture *) ((char *) host - offsetof (Fixture, host));
-  (void) request;
   (void) first_byte_at;
   f->requests++;
-  mr_caller_answer (caller, 200, (MrText){ 0 }, mr_text_of (f->body));
+  if (f->seen)
+    g_string_append_len (f->seen, mr_http_parser_target (request).data,
+                         (gssize) mr_http_parser_target (request).len);
+  f->caller = caller;
+  if (!f->holds)
+    S_answer (f);
 }
 
 static void
@@ -192,11 +207,91 @@
     S_run_case (&cases[i]);
 }
 
+/* Single faults. */
+
+typedef struct
+{
+  Fixture f;
+  MrLoop *loop;
+  int fd;
+} Connection;
+
+static Connection *
+S_open (void **state, const MrCallerLimits *caller_limits, gsize body_bytes)
+{
+  Connection *c = g_new (Connection, 1);
+  *state = c;
+  *c = (Connection){
+    .f = { .loop_handler = { .on_tick = S_on_tick },
+           .host = { .request = S_on_request, .disconnected = S_on_disconnected },
+           .body = g_string_new (NULL),
+           .seen = g_string_new (NULL) },
+  };
+  g_string_set_size (c->f.body, body_bytes);
+  c->loop = mr_loop_new (&c->f.loop_handler, DESCRIPTORS);
+  c->f.server = mr_caller_server_new (&c->f.host, c->loop, "127.0.0.1", PORT);
+  assert_non_null (c->f.server);
+  mr_caller_server_set_limits (c->f.server, caller_limits);
+  c->fd = S_connect ();
+  S_await_connections (&c->f, c->loop, 1);
+  return c;
+}
+
+static int
+S_close (void **state)
+{
+  Connection *c = *state;
+  close (c->fd);
+  mr_loop_free (c->loop);
+  mr_caller_server_free (c->f.server);
+  g_string_free (c->f.body, TRUE);
+  g_string_free (c->f.seen, TRUE);
+  g_free (c);
+  return 0;
+}
+
+/* Reads until there are @wanted bytes, or the connection ends; returns them. */
+static GString *
+S_receive (const Connection *c, gsize wanted)
+{
+  enum
+  {
+    PIECE = 64 * 1024,
+  };
+  g_autofree char *buffer = g_malloc (PIECE);
+  GString *received = g_string_new (NULL);
+  for (MrTime end = mr_now () + TEST_TIMEOUT; received->len < wanted && mr_now () < end;)
+    {
+      mr_loop_step (c->loop);
+      gssize n = recv (c->fd, buffer, PIECE, MSG_DONTWAIT);
+      if (n == 0 || (n < 0 && errno != EAGAIN))
+        break;
+      g_string_append_len (received, buffer, MAX (n, 0));
+    }
+  return received;
+}
+
+/* Guards against a request that arrives while the process is not scheduled and is then lost to the
+ * idle timeout. */
+static void
+test_late_idle_timeout (void **state)
+{
+  static const MrCallerLimits short_limits = { .max_head_bytes = 4096,
+                                               .head_timeout = MR_SECOND,
+                                               .idle_timeout = 10 * MR_MS };
+  Connection *c = S_open (state, &short_limits, SMALL_BODY_BYTES);
+  g_usleep (700 * MR_MS);
+  S_send_request (c->fd);
+  g_autoptr (GString) answer = S_receive (c, SMALL_BODY_BYTES);
+  assert_true (answer->len >= SMALL_BODY_BYTES);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_close),
+    cmocka_unit_test_teardown (test_late_idle_timeout, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
