Caller server: pipelined requests stay in order

Callers with two requests under way on a connection got the answer to another request, or 400 for a request that is well formed.

Cause: after an answer, pipelined bytes are parsed by the next tick. Bytes that arrive in the same round of the loop, after the answer and before that tick, were parsed first. They are now appended to the pipelined bytes.

test_in_order, on the code before: requests in the order 1, 3, 2; now 1, 2, 3.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -204,11 +204,11 @@
   (void) stream;
   if (c->close_after_write && !c->busy)
     return; /* rejected: ignore the remaining bytes */
-  gsize used = 0;
-  if (!c->busy)
+  /* The next request begins with the pipelined bytes, even if they have not been parsed yet. */
+  if (!c->busy && c->pipelined->len == 0)
     {
       MrHttpState previous = mr_http_parser_state (c->parser);
-      used = mr_http_parser_feed (c->parser, bytes);
+      gsize used = mr_http_parser_feed (c->parser, bytes);
       gboolean more = used < bytes.len;
       if (more)
         g_string_append_len (c->pipelined, bytes.data + used, (gssize) (bytes.len - used));
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -61,9 +61,10 @@
   GString *body;
   guint requests;
   guint disconnected;
-  gboolean holds;   /* requests stay open until S_answer () */
-  MrCaller *caller; /* of the open request */
-  GString *seen;    /* targets of the requests */
+  gboolean holds;        /* requests stay open until S_answer () */
+  gboolean answers_open; /* a request lets the open one be answered */
+  MrCaller *caller;      /* of the open request */
+  GString *seen;         /* targets of the requests */
 } Fixture;
 
 static void
@@ -86,6 +87,12 @@
   if (f->seen)
     g_string_append_len (f->seen, mr_http_parser_target (request).data,
                          (gssize) mr_http_parser_target (request).len);
+  if (f->answers_open)
+    {
+      f->holds = FALSE;
+      S_answer (f);
+    }
+  f->answers_open = FALSE;
   f->caller = caller;
   if (!f->holds)
     S_answer (f);
@@ -216,6 +223,13 @@
   int fd;
 } Connection;
 
+static const MrCallerLimits limits = {
+  .max_head_bytes = 4096,
+  .max_body_bytes = 1000,
+  .head_timeout = MR_SECOND,
+  .idle_timeout = 5 * MR_SECOND,
+};
+
 static Connection *
 S_open (void **state, const MrCallerLimits *caller_limits, gsize body_bytes)
 {
@@ -250,6 +264,19 @@
   return 0;
 }
 
+static void
+S_run_for (const Connection *c, MrTime duration)
+{
+  for (MrTime end = mr_now () + duration; mr_now () < end;)
+    mr_loop_step (c->loop);
+}
+
+static void
+S_send_text (const Connection *c, const char *text)
+{
+  assert_int_equal (send (c->fd, text, strlen (text), 0), strlen (text));
+}
+
 /* Reads until there are @wanted bytes, or the connection ends; returns them. */
 static GString *
 S_receive (const Connection *c, gsize wanted)
@@ -286,12 +313,33 @@
   assert_true (answer->len >= SMALL_BODY_BYTES);
 }
 
+/* Guards against pipelined bytes that are parsed after bytes that arrive in the same round of the
+ * loop as the answer before them. */
+static void
+test_in_order (void **state)
+{
+  Connection *c = S_open (state, &limits, 1);
+  int first = c->fd; /* polled first */
+  c->fd = S_connect ();
+  S_await_connections (&c->f, c->loop, 2);
+  c->f.holds = TRUE;
+  S_send_text (c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  S_run_for (c, 50 * MR_MS);
+  c->f.answers_open = TRUE;
+  S_send_text (c, "GET /3 HTTP/1.1\r\nHost: h\r\n\r\n");
+  assert_int_equal (send (first, request_text, strlen (request_text), 0), strlen (request_text));
+  S_run_for (c, 50 * MR_MS);
+  assert_string_equal (c->f.seen->str, "/1/q/2/3");
+  close (first);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_close),
     cmocka_unit_test_teardown (test_late_idle_timeout, S_close),
+    cmocka_unit_test_teardown (test_in_order, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
