Caller server: many pipelined bytes do not end an open request

A caller that pipelined more than 64 KiB and a body behind an open request lost this request without an answer, though a searcher was at work on it, together with all requests behind it.

Cause: the limit on pipelined bytes closed the connection. The server now stops reading it until the pipelined requests are served, so that the caller has to wait.

test_many_pipelined_bytes (4,000 requests at once), on the code before: the connection is closed with the first request open; now all 4,000 are served.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -9,7 +9,7 @@
   STATUS_TIMEOUT = 408,
   STATUS_CONTENT_TOO_LARGE = 413,
   STATUS_HEADERS_TOO_LARGE = 431,
-  /* Most bytes that a caller may pipeline, beside the largest body. */
+  /* Most pipelined bytes of a caller that are read, beside the largest body. */
   PIPELINED_BYTES_MAX = 64 * 1024,
 };
 
@@ -45,6 +45,7 @@
   MrTime written_at;          /* when that was */
   gboolean busy;              /* the host is handling a request */
   gboolean close_after_write; /* close the connection once the response is written */
+  gboolean paused;            /* too many bytes are pipelined to read more */
   gboolean continue_handled;  /* 100 Continue was sent, or is not needed */
   gpointer user;
 };
@@ -133,12 +134,25 @@
   g_string_free (out, TRUE);
 }
 
+/* Once a close is announced, all bytes are read, and dropped: bytes that are unread at the close
+ * would reset the connection. */
+static void
+S_set_paused (MrCaller *c)
+{
+  gboolean paused = !(c->close_after_write && !c->busy) &&
+                    c->pipelined->len > PIPELINED_BYTES_MAX + c->server->limits.max_body_bytes;
+  if (paused != c->paused)
+    mr_stream_set_reading (c->stream, !paused);
+  c->paused = paused;
+}
+
 /* Responds to a request that cannot be parsed.  Its connection is closed afterwards, as it is
  * unknown where the next request would begin. */
 static void
 S_reject (MrCaller *c, int status)
 {
   c->close_after_write = TRUE;
+  S_set_paused (c);
   S_write_response (c, status, (MrText){ 0 }, (MrText){ 0 });
   mr_timers_set (c->server->timers, &c->timer, mr_now () + CLOSE_TIMEOUT);
 }
@@ -216,11 +230,7 @@
       return;
     }
   g_string_append_len (c->pipelined, bytes.data, (gssize) bytes.len);
-  if (c->pipelined->len > PIPELINED_BYTES_MAX + c->server->limits.max_body_bytes)
-    {
-      c->server->host->disconnected (c->server->host, c);
-      S_close (c);
-    }
+  S_set_paused (c);
 }
 
 static void
@@ -381,6 +391,7 @@
   S_write_response (c, status, fields, body);
   c->busy = FALSE;
   c->user = NULL;
+  S_set_paused (c);
   if (c->close_after_write)
     {
       mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
@@ -400,6 +411,7 @@
   gsize used = mr_http_parser_feed (c->parser, mr_text_of (pipelined));
   g_string_append_len (c->pipelined, pipelined->str + used, (gssize) (pipelined->len - used));
   g_string_free (pipelined, TRUE);
+  S_set_paused (c);
   S_on_progress (c, now, MR_HTTP_IDLE);
 }
 
--- a/src/stream.c
+++ b/src/stream.c
@@ -154,6 +154,13 @@
   return stream->write_buffer->len;
 }
 
+void
+mr_stream_set_reading (MrStream *stream, gboolean reading)
+{
+  if (!stream->closed)
+    lws_rx_flow_control (stream->wsi, reading ? 1 : 0);
+}
+
 gboolean
 mr_stream_has_unread_bytes (const MrStream *stream)
 {
--- a/src/stream.h
+++ b/src/stream.h
@@ -54,6 +54,9 @@
 guint64 mr_stream_sent_bytes (const MrStream *stream);
 gsize mr_stream_buffered_bytes (const MrStream *stream);
 
+/* FALSE: on_data () waits, and so does the peer once the kernel's buffers are full. */
+void mr_stream_set_reading (MrStream *stream, gboolean reading);
+
 /* TRUE if the kernel has received bytes that on_data () has not been called with yet. */
 gboolean mr_stream_has_unread_bytes (const MrStream *stream);
 
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -333,6 +333,37 @@
   close (first);
 }
 
+/* Guards against an open request that is lost because its caller pipelines many others. */
+static void
+test_many_pipelined_bytes (void **state)
+{
+  enum
+  {
+    COUNT = 4000,
+  };
+  Connection *c = S_open (state, &limits, 1);
+  c->f.holds = TRUE;
+  g_autoptr (GString) sent = g_string_new (NULL);
+  for (guint i = 0; i < COUNT; i++)
+    g_string_append (sent, request_text);
+  gsize at = 0;
+  for (MrTime end = mr_now () + 300 * MR_MS; mr_now () < end; mr_loop_step (c->loop))
+    at +=
+        (gsize) MAX (send (c->fd, sent->str + at, sent->len - at, MSG_DONTWAIT | MSG_NOSIGNAL), 0);
+  assert_int_equal (c->f.disconnected, 0);
+  assert_int_equal (c->f.requests, 1);
+  c->f.holds = FALSE;
+  S_answer (&c->f);
+  for (MrTime end = mr_now () + TEST_TIMEOUT; c->f.requests < COUNT && mr_now () < end;)
+    {
+      g_autoptr (GString) answer = S_receive (c, 1);
+      if (at < sent->len)
+        at += (gsize) MAX (
+            send (c->fd, sent->str + at, sent->len - at, MSG_DONTWAIT | MSG_NOSIGNAL), 0);
+    }
+  assert_int_equal (c->f.requests, COUNT);
+}
+
 int
 main (void)
 {
@@ -340,6 +371,7 @@
     cmocka_unit_test (test_close),
     cmocka_unit_test_teardown (test_late_idle_timeout, S_close),
     cmocka_unit_test_teardown (test_in_order, S_close),
+    cmocka_unit_test_teardown (test_many_pipelined_bytes, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
