Planned stop: pipelined requests that were read are answered

A caller with several requests under way on a connection got the answer to one of them after SIGTERM and then the end of the connection, 1 s later, though the process had read the others.

Cause: every answer after SIGTERM announced the end of its connection, and what followed the request was dropped. Now only an answer that no pipelined bytes follow announces it.

test_pipelined_at_stop, on the code before: the second request is not seen by the host; now both are answered, and the second answer announces the close.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -204,8 +204,7 @@
     case MR_HTTP_DONE:
       c->busy = TRUE;
       mr_timers_set (c->server->timers, &c->timer, MR_NEVER);
-      if (!mr_http_parser_keep_alive (c->parser) || c->server->draining)
-        c->close_after_write = TRUE;
+      c->close_after_write = !mr_http_parser_keep_alive (c->parser);
       c->server->host->request (c->server->host, c, c->parser, c->first_byte_at);
       return;
     }
@@ -312,8 +311,6 @@
 mr_caller_server_drain (MrCallerServer *server)
 {
   server->draining = TRUE;
-  for (const GList *link = server->callers.head; link; link = link->next)
-    ((MrCaller *) link->data)->close_after_write |= ((MrCaller *) link->data)->busy;
 }
 
 void
@@ -383,7 +380,7 @@
 void
 mr_caller_answer (MrCaller *c, int status, MrText fields, MrText body)
 {
-  if (c->server->draining)
+  if (c->server->draining && c->pipelined->len == 0)
     c->close_after_write = TRUE;
   MrTime now = mr_now ();
   c->written_bytes = mr_stream_sent_bytes (c->stream);
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -33,8 +33,8 @@
 
 void mr_caller_server_set_limits (MrCallerServer *server, const MrCallerLimits *limits);
 
-/* Announces in every response from now on that the connection will be closed.  Requests are still
- * read. */
+/* Announces from now on that the connection will be closed, in every response that no pipelined
+ * bytes follow.  Requests are still read. */
 void mr_caller_server_drain (MrCallerServer *server);
 /* Accepts the connections that are established, stops listening, and closes connections without a
  * request.  Requests of which the kernel has received bytes are still read. */
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -242,6 +242,7 @@
            .seen = g_string_new (NULL) },
   };
   g_string_set_size (c->f.body, body_bytes);
+  memset (c->f.body->str, '.', body_bytes);
   c->loop = mr_loop_new (&c->f.loop_handler, DESCRIPTORS);
   c->f.server = mr_caller_server_new (&c->f.host, c->loop, "127.0.0.1", PORT);
   assert_non_null (c->f.server);
@@ -298,6 +299,15 @@
   return received;
 }
 
+static guint
+S_count (const GString *text, const char *part)
+{
+  guint count = 0;
+  for (const char *at = strstr (text->str, part); at; at = strstr (at + 1, part))
+    count++;
+  return count;
+}
+
 /* Guards against a request that arrives while the process is not scheduled and is then lost to the
  * idle timeout. */
 static void
@@ -364,6 +374,25 @@
   assert_int_equal (c->f.requests, COUNT);
 }
 
+/* Guards against pipelined requests that were read and are dropped when a stop begins. */
+static void
+test_pipelined_at_stop (void **state)
+{
+  Connection *c = S_open (state, &limits, 1);
+  c->f.holds = TRUE;
+  S_send_text (c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  S_run_for (c, 50 * MR_MS);
+  mr_caller_server_drain (c->f.server);
+  S_answer (&c->f);
+  S_run_for (c, 50 * MR_MS);
+  assert_string_equal (c->f.seen->str, "/1/2");
+  mr_caller_server_close (c->f.server);
+  S_answer (&c->f);
+  g_autoptr (GString) answers = S_receive (c, G_MAXSIZE);
+  assert_int_equal (S_count (answers, "HTTP/1.1 200"), 2);
+  assert_int_equal (S_count (answers, "Connection: close"), 1);
+}
+
 int
 main (void)
 {
@@ -372,6 +401,7 @@
     cmocka_unit_test_teardown (test_late_idle_timeout, S_close),
     cmocka_unit_test_teardown (test_in_order, S_close),
     cmocka_unit_test_teardown (test_many_pipelined_bytes, S_close),
+    cmocka_unit_test_teardown (test_pipelined_at_stop, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
