Caller server: callers that pause get the rest of their answers

A caller that did not read for more than 3 s, such as one whose VM stands still, lost what was left of an answer that is larger than its receive buffer.

Cause: TCP_USER_TIMEOUT of 3 s holds for a receive buffer that stays full, too, while the server itself waits for the idle timeout. Both now wait for the idle timeout. It costs that a caller that vanishes without a close is noticed after the idle timeout rather than after 3 s; its requests end by their deadlines.

test_paused_caller (12 MiB, no read for 4.5 s), on the code before: part of the answer; now all of it.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -26,6 +26,8 @@
 /* Time for the caller to close a connection whose end was announced, once the response is written;
  * after that the server closes it. */
 static const MrTime CLOSE_TIMEOUT = 1 * MR_SECOND;
+/* Least time for which a caller may be out of reach while it has an answer to get. */
+static const MrTime MIN_SEND_TIMEOUT = 3 * MR_SECOND;
 /* Idle connections are kept this much longer than the configured idle timeout, so that a
  * request sent at the last moment does not arrive after the server has closed the connection. */
 static const MrTime IDLE_GRACE = 500 * MR_MS;
@@ -262,6 +264,8 @@
   c->link.data = c;
   g_queue_push_tail_link (&server->callers, &c->link);
   mr_stream_set_handler (stream, &c->handler);
+  /* S_is_writing () waits as long for a caller that reads slowly. */
+  mr_stream_set_send_timeout (stream, MAX (server->limits.idle_timeout, MIN_SEND_TIMEOUT));
   S_await_request (c, mr_now ());
 }
 
--- a/src/stream.c
+++ b/src/stream.c
@@ -17,7 +17,8 @@
   KEEPALIVE_IDLE_S = 1,
   KEEPALIVE_INTERVAL_S = 1,
   KEEPALIVE_COUNT = 2,
-  /* The connection is lost if sent bytes are not acknowledged for this long. */
+  /* The connection is lost if sent bytes are not acknowledged for this long, or if the peer's
+   * receive buffer stays full. */
   USER_TIMEOUT_MS = 3000,
 };
 
@@ -154,6 +155,14 @@
   return stream->write_buffer->len;
 }
 
+void
+mr_stream_set_send_timeout (MrStream *stream, MrTime timeout)
+{
+  const unsigned timeout_ms = (unsigned) (timeout / MR_MS);
+  if (!stream->closed)
+    setsockopt (stream->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
 void
 mr_stream_set_reading (MrStream *stream, gboolean reading)
 {
--- a/src/stream.h
+++ b/src/stream.h
@@ -54,6 +54,10 @@
 guint64 mr_stream_sent_bytes (const MrStream *stream);
 gsize mr_stream_buffered_bytes (const MrStream *stream);
 
+/* Time after which the connection is lost if the peer neither acknowledges sent bytes nor has room
+ * for more; 3 s without a call. */
+void mr_stream_set_send_timeout (MrStream *stream, MrTime timeout);
+
 /* FALSE: on_data () waits, and so does the peer once the kernel's buffers are full. */
 void mr_stream_set_reading (MrStream *stream, gboolean reading);
 
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -393,6 +393,18 @@
   assert_int_equal (S_count (answers, "Connection: close"), 1);
 }
 
+/* Guards against an answer that is lost because its caller does not read for longer than the kernel
+ * waits by default. */
+static void
+test_paused_caller (void **state)
+{
+  Connection *c = S_open (state, &limits, LARGE_BODY_BYTES);
+  S_send_request (c->fd);
+  S_run_for (c, 4500 * MR_MS);
+  g_autoptr (GString) answer = S_receive (c, LARGE_BODY_BYTES);
+  assert_true (answer->len >= LARGE_BODY_BYTES);
+}
+
 int
 main (void)
 {
@@ -402,6 +414,7 @@
     cmocka_unit_test_teardown (test_in_order, S_close),
     cmocka_unit_test_teardown (test_many_pipelined_bytes, S_close),
     cmocka_unit_test_teardown (test_pipelined_at_stop, S_close),
+    cmocka_unit_test_teardown (test_paused_caller, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
