Caller server: a close waits until the kernel has delivered the answer

A caller that read a large answer with "Connection: close" slowly, and sent bytes in the meantime, lost the rest of the answer.

Cause: 1 s after the server had handed the last byte to its kernel it closed the connection; the next bytes of the caller then reset it, with all that the kernel had not delivered. At the end of a process the rest is also lost if its VM ends with it. The time for the caller to close now counts from the moment in which all bytes are acknowledged, as long as the caller takes some.

test_bytes_after_close (1 MiB), on the code before: part of the answer; now all of it.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -43,7 +43,7 @@
   MrTimer timer;
   MrTime first_byte_at;       /* when the first byte of the request arrived */
   MrTime round_trip;          /* 0: not measured yet, or not known */
-  guint64 written_bytes;      /* on the connection, when they were last seen to increase */
+  guint64 written_bytes;      /* that the caller had, when they were last seen to increase */
   MrTime written_at;          /* when that was */
   gboolean busy;              /* the host is handling a request */
   gboolean close_after_write; /* close the connection once the response is written */
@@ -324,13 +324,18 @@
     return;
   server->closed = TRUE;
   mr_listener_close (server->listener);
+  MrTime now = mr_now ();
   for (GList *link = server->callers.head; link;)
     {
       MrCaller *c = link->data;
       link = link->next;
-      if (!c->busy && mr_http_parser_state (c->parser) == MR_HTTP_IDLE && c->pipelined->len == 0 &&
-          mr_stream_buffered_bytes (c->stream) == 0 && !mr_stream_has_unread_bytes (c->stream))
+      if (c->busy || mr_http_parser_state (c->parser) != MR_HTTP_IDLE || c->pipelined->len > 0 ||
+          mr_stream_has_unread_bytes (c->stream))
+        continue;
+      if (mr_stream_buffered_bytes (c->stream) + mr_stream_unacknowledged_bytes (c->stream) == 0)
         S_close (c);
+      else
+        mr_timers_set (server->timers, &c->timer, now + CLOSE_TIMEOUT);
     }
 }
 
@@ -387,7 +392,7 @@
   if (c->server->draining && c->pipelined->len == 0)
     c->close_after_write = TRUE;
   MrTime now = mr_now ();
-  c->written_bytes = mr_stream_sent_bytes (c->stream);
+  c->written_bytes = mr_stream_sent_bytes (c->stream) - mr_stream_unacknowledged_bytes (c->stream);
   c->written_at = now;
   S_write_response (c, status, fields, body);
   c->busy = FALSE;
@@ -417,12 +422,14 @@
 }
 
 /* TRUE while a caller that reads slowly still takes bytes of its response: at least one in each
- * idle timeout. */
+ * idle timeout.  Bytes that the kernel still has are lost if others arrive after the close, or if
+ * the VM ends after the process. */
 static gboolean
 S_is_writing (MrCaller *c, MrTime now)
 {
-  guint64 written = mr_stream_sent_bytes (c->stream);
-  if (mr_stream_buffered_bytes (c->stream) == 0)
+  gsize unacknowledged = mr_stream_unacknowledged_bytes (c->stream);
+  guint64 written = mr_stream_sent_bytes (c->stream) - unacknowledged;
+  if (mr_stream_buffered_bytes (c->stream) + unacknowledged == 0)
     return FALSE;
   if (written > c->written_bytes)
     c->written_at = now;
@@ -434,11 +441,11 @@
 static void
 S_on_timer (MrCaller *c, MrTime now)
 {
-  if (S_is_writing (c, now))
-    mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
-  else if (!c->close_after_write && !c->busy && c->pipelined->len > 0 &&
-           mr_http_parser_state (c->parser) == MR_HTTP_IDLE)
+  if (!c->close_after_write && !c->busy && c->pipelined->len > 0 &&
+      mr_http_parser_state (c->parser) == MR_HTTP_IDLE && mr_stream_buffered_bytes (c->stream) == 0)
     S_read_pipelined (c, now);
+  else if (S_is_writing (c, now))
+    mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
   else if (!c->close_after_write && mr_stream_has_unread_bytes (c->stream))
     mr_timers_set (c->server->timers, &c->timer, now + MR_MS);
   else if (!c->close_after_write && mr_http_parser_state (c->parser) != MR_HTTP_IDLE)
--- a/src/stream.c
+++ b/src/stream.c
@@ -3,7 +3,9 @@
 #include "status.h"
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -155,6 +157,15 @@
   return stream->write_buffer->len;
 }
 
+gsize
+mr_stream_unacknowledged_bytes (const MrStream *stream)
+{
+  int bytes = 0;
+  if (stream->closed || ioctl (stream->fd, SIOCOUTQ, &bytes) != 0)
+    return 0;
+  return (gsize) bytes;
+}
+
 void
 mr_stream_set_send_timeout (MrStream *stream, MrTime timeout)
 {
--- a/src/stream.h
+++ b/src/stream.h
@@ -53,6 +53,8 @@
 /* Bytes that the kernel has accepted so far, and bytes that are still buffered here. */
 guint64 mr_stream_sent_bytes (const MrStream *stream);
 gsize mr_stream_buffered_bytes (const MrStream *stream);
+/* Bytes that the kernel has accepted and that the peer has not acknowledged. */
+gsize mr_stream_unacknowledged_bytes (const MrStream *stream);
 
 /* Time after which the connection is lost if the peer neither acknowledges sent bytes nor has room
  * for more; 3 s without a call. */
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -405,6 +405,25 @@
   assert_true (answer->len >= LARGE_BODY_BYTES);
 }
 
+/* Guards against an announced close that resets the connection while the kernel still has bytes of
+ * the answer. */
+static void
+test_bytes_after_close (void **state)
+{
+  enum
+  {
+    BODY_BYTES = 1024 * 1024, /* that the kernels of both ends take, the caller's only in part */
+  };
+  Connection *c = S_open (state, &limits, BODY_BYTES);
+  S_send_text (c, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  S_run_for (c, 1500 * MR_MS);
+  send (c->fd, request_text, strlen (request_text), MSG_NOSIGNAL);
+  S_run_for (c, 50 * MR_MS);
+  g_autoptr (GString) answer = S_receive (c, BODY_BYTES);
+  assert_true (answer->len >= BODY_BYTES);
+  assert_int_equal (c->f.requests, 1);
+}
+
 int
 main (void)
 {
@@ -415,6 +434,7 @@
     cmocka_unit_test_teardown (test_many_pipelined_bytes, S_close),
     cmocka_unit_test_teardown (test_pipelined_at_stop, S_close),
     cmocka_unit_test_teardown (test_paused_caller, S_close),
+    cmocka_unit_test_teardown (test_bytes_after_close, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
