Planned stop: process test of a roll over all relays

Four relays are replaced one after the other, 1.25 s between the stops, under 200 requests/s: callers that keep connections, callers whose addresses are three times as old as they may be, work of 0.2 to 1.3 s and sometimes of 3 s, on routes with a limit of 5 s, gathered, single, and not idempotent. A request that a searcher saw, or that is older than 0.2 s, must not end without a whole answer.

The searcher stand-in takes the time that a path asks for.

--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -88,7 +88,7 @@
  "listen":{"front":"127.0.0.1:$(relay_port "$r" 0)","ready":"127.0.0.1:$(relay_port "$r" 1)",
   "directory":"127.0.0.1:$(relay_port "$r" 2)","control":"127.0.0.1:$(relay_port "$r" 3)"},
  "limits":{"cpu_share":0.25,"cores":1,"max_fds":1000,"link_mbps":1000},
- "bounds":{"grace_s":4,"budget_window_s":10,"retry_budget_ratio":0.2,"retry_budget_slack":600${EXTRA_BOUNDS:-}},
+ "bounds":{"grace_s":${GRACE_S:-4},"budget_window_s":10,"retry_budget_ratio":0.2,"retry_budget_slack":600${EXTRA_BOUNDS:-}},
  "platform":{"address":"$STORE"}}
 JSON
   MERLINRING_CONFIG="$LOGS/r$r.json" start "r$r" "$BUILD/merlinring-relay"
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -14,6 +14,8 @@
  * connection closes first.  With "crash-late" the connection closes
  * LISTENER_CLOSE_DELAY before the listener, as can happen on a busy machine.
  *
+ * A searcher takes N ms over a request whose path contains "work-N".
+ *
  * PUT /mode/NAME sets a fault of either.  For the store, "slow" and "error" affect only
  * listings of quarantines, and "shed" leaves all reads but those of configurations
  * without a response. */
@@ -534,11 +536,13 @@
       mr_stream_close (connection->stream);
       return;
     }
-  if (server->mode == MODE_SLOW)
+  const char *work = strstr (target, "work-");
+  if (server->mode == MODE_SLOW || work)
     {
+      MrTime delay = work ? atoi (work + strlen ("work-")) * MR_MS : SLOW_DELAY;
       g_free (connection->last_id);
       connection->last_id = g_steal_pointer (&id);
-      mr_timers_set (server->timers, &connection->timer, mr_now () + SLOW_DELAY);
+      mr_timers_set (server->timers, &connection->timer, mr_now () + delay);
       return;
     }
   S_send_response (connection, id);
