Caller server: the last answer of a connection ends it for the caller at once

A caller that sent another request while the last answer of its connection was on its way, or that reads until the end of the connection, learned only 1 s later that nothing more would come: the server read and dropped the request, and waited for the caller to close.

The server now ends its side of the connection once the answer is written, and still reads, so that nothing the caller sends resets the connection before it has the answer.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -148,15 +148,23 @@
   c->paused = paused;
 }
 
+/* The caller learns at once that requests which it has sent since will not be answered. */
+static void
+S_await_close (MrCaller *c, MrTime now)
+{
+  mr_stream_end_writing (c->stream);
+  S_set_paused (c);
+  mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
+}
+
 /* Responds to a request that cannot be parsed.  Its connection is closed afterwards, as it is
  * unknown where the next request would begin. */
 static void
 S_reject (MrCaller *c, int status)
 {
   c->close_after_write = TRUE;
-  S_set_paused (c);
   S_write_response (c, status, (MrText){ 0 }, (MrText){ 0 });
-  mr_timers_set (c->server->timers, &c->timer, mr_now () + CLOSE_TIMEOUT);
+  S_await_close (c, mr_now ());
 }
 
 static void
@@ -397,10 +405,9 @@
   S_write_response (c, status, fields, body);
   c->busy = FALSE;
   c->user = NULL;
-  S_set_paused (c);
   if (c->close_after_write)
     {
-      mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
+      S_await_close (c, now);
       return;
     }
   S_await_request (c, now);
--- a/src/stream.c
+++ b/src/stream.c
@@ -41,6 +41,7 @@
   gboolean connecting;
   gboolean established;
   gboolean closed;
+  gboolean ends_writing; /* once write_buffer is empty */
   GString *write_buffer;
   lws_sorted_usec_list_t flush_timer;
   guint64 sent_bytes;
@@ -299,6 +300,16 @@
   g_string_erase (stream->write_buffer, 0, n);
   if (stream->write_buffer->len > 0)
     S_flush_later (stream);
+  else if (stream->ends_writing)
+    shutdown (stream->fd, SHUT_WR);
+}
+
+void
+mr_stream_end_writing (MrStream *stream)
+{
+  stream->ends_writing = TRUE;
+  if (!stream->closed && stream->write_buffer->len == 0)
+    shutdown (stream->fd, SHUT_WR);
 }
 
 static void
--- a/src/stream.h
+++ b/src/stream.h
@@ -69,6 +69,10 @@
 /* Round-trip time to the peer as measured by the kernel; 0 if unknown. */
 MrTime mr_stream_round_trip (const MrStream *stream);
 
+/* Ends the connection in this direction once the buffered bytes are written; nothing may be written
+ * afterwards.  on_data () is still called. */
+void mr_stream_end_writing (MrStream *stream);
+
 /* Closes the connection and drops the buffered bytes. */
 void mr_stream_close (MrStream *stream);
 
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -424,6 +424,19 @@
   assert_int_equal (c->f.requests, 1);
 }
 
+/* Guards against a caller that waits for the end of a connection, after its last answer, for as
+ * long as the server waits for the caller to close. */
+static void
+test_end_of_answers (void **state)
+{
+  Connection *c = S_open (state, &limits, SMALL_BODY_BYTES);
+  MrTime began = mr_now ();
+  S_send_text (c, "GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  g_autoptr (GString) answer = S_receive (c, G_MAXSIZE);
+  assert_true (answer->len >= SMALL_BODY_BYTES);
+  assert_true (mr_now () - began < 500 * MR_MS);
+}
+
 int
 main (void)
 {
@@ -435,6 +448,7 @@
     cmocka_unit_test_teardown (test_pipelined_at_stop, S_close),
     cmocka_unit_test_teardown (test_paused_caller, S_close),
     cmocka_unit_test_teardown (test_bytes_after_close, S_close),
+    cmocka_unit_test_teardown (test_end_of_answers, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
