--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -9,7 +9,7 @@
   STATUS_TIMEOUT = 408,
   STATUS_CONTENT_TOO_LARGE = 413,
   STATUS_HEADERS_TOO_LARGE = 431,
-  /* Most bytes that a caller may pipeline, beside the largest body. */
+  /* Most pipelined bytes of a caller that are read, beside the largest body. */
   PIPELINED_BYTES_MAX = 64 * 1024,
 };
 
@@ -26,6 +26,8 @@
 /* Time for the caller to close a connection whose end was announced, once the response is written;
  * after that the server closes it. */
 static const MrTime CLOSE_TIMEOUT = 1 * MR_SECOND;
+/* Least time for which a caller may be out of reach while it has an answer to get. */
+static const MrTime MIN_SEND_TIMEOUT = 3 * MR_SECOND;
 /* Idle connections are kept this much longer than the configured idle timeout, so that a
  * request sent at the last moment does not arrive after the server has closed the connection. */
 static const MrTime IDLE_GRACE = 500 * MR_MS;
@@ -41,10 +43,11 @@
   MrTimer timer;
   MrTime first_byte_at;       /* when the first byte of the request arrived */
   MrTime round_trip;          /* 0: not measured yet, or not known */
-  guint64 written_bytes;      /* on the connection, when they were last seen to increase */
+  guint64 written_bytes;      /* that the caller had, when they were last seen to increase */
   MrTime written_at;          /* when that was */
   gboolean busy;              /* the host is handling a request */
   gboolean close_after_write; /* close the connection once the response is written */
+  gboolean paused;            /* too many bytes are pipelined to read more */
   gboolean continue_handled;  /* 100 Continue was sent, or is not needed */
   gpointer user;
 };
@@ -133,6 +136,27 @@
   g_string_free (out, TRUE);
 }
 
+/* Once a close is announced, all bytes are read, and dropped: bytes that are unread at the close
+ * would reset the connection. */
+static void
+S_set_paused (MrCaller *c)
+{
+  gboolean paused = !(c->close_after_write && !c->busy) &&
+                    c->pipelined->len > PIPELINED_BYTES_MAX + c->server->limits.max_body_bytes;
+  if (paused != c->paused)
+    mr_stream_set_reading (c->stream, !paused);
+  c->paused = paused;
+}
+
+/* The caller learns at once that requests which it has sent since will not be answered. */
+static void
+S_await_close (MrCaller *c, MrTime now)
+{
+  mr_stream_end_writing (c->stream);
+  S_set_paused (c);
+  mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
+}
+
 /* Responds to a request that cannot be parsed.  Its connection is closed afterwards, as it is
  * unknown where the next request would begin. */
 static void
@@ -140,7 +164,7 @@
 {
   c->close_after_write = TRUE;
   S_write_response (c, status, (MrText){ 0 }, (MrText){ 0 });
-  mr_timers_set (c->server->timers, &c->timer, mr_now () + CLOSE_TIMEOUT);
+  S_await_close (c, mr_now ());
 }
 
 static void
@@ -190,8 +214,7 @@
     case MR_HTTP_DONE:
       c->busy = TRUE;
       mr_timers_set (c->server->timers, &c->timer, MR_NEVER);
-      if (!mr_http_parser_keep_alive (c->parser) || c->server->draining)
-        c->close_after_write = TRUE;
+      c->close_after_write = !mr_http_parser_keep_alive (c->parser);
       c->server->host->request (c->server->host, c, c->parser, c->first_byte_at);
       return;
     }
@@ -204,11 +227,11 @@
   (void) stream;
   if (c->close_after_write && !c->busy)
     return; /* rejected: ignore the remaining bytes */
-  gsize used = 0;
-  if (!c->busy)
+  /* The next request begins with the pipelined bytes, even if they have not been parsed yet. */
+  if (!c->busy && c->pipelined->len == 0)
     {
       MrHttpState previous = mr_http_parser_state (c->parser);
-      used = mr_http_parser_feed (c->parser, bytes);
+      gsize used = mr_http_parser_feed (c->parser, bytes);
       gboolean more = used < bytes.len;
       if (more)
         g_string_append_len (c->pipelined, bytes.data + used, (gssize) (bytes.len - used));
@@ -216,11 +239,7 @@
       return;
     }
   g_string_append_len (c->pipelined, bytes.data, (gssize) bytes.len);
-  if (c->pipelined->len > PIPELINED_BYTES_MAX + c->server->limits.max_body_bytes)
-    {
-      c->server->host->disconnected (c->server->host, c);
-      S_close (c);
-    }
+  S_set_paused (c);
 }
 
 static void
@@ -253,6 +272,8 @@
   c->link.data = c;
   g_queue_push_tail_link (&server->callers, &c->link);
   mr_stream_set_handler (stream, &c->handler);
+  /* S_is_writing () waits as long for a caller that reads slowly. */
+  mr_stream_set_send_timeout (stream, MAX (server->limits.idle_timeout, MIN_SEND_TIMEOUT));
   S_await_request (c, mr_now ());
 }
 
@@ -302,8 +323,6 @@
 mr_caller_server_drain (MrCallerServer *server)
 {
   server->draining = TRUE;
-  for (const GList *link = server->callers.head; link; link = link->next)
-    ((MrCaller *) link->data)->close_after_write |= ((MrCaller *) link->data)->busy;
 }
 
 void
@@ -313,13 +332,18 @@
     return;
   server->closed = TRUE;
   mr_listener_close (server->listener);
+  MrTime now = mr_now ();
   for (GList *link = server->callers.head; link;)
     {
       MrCaller *c = link->data;
       link = link->next;
-      if (!c->busy && mr_http_parser_state (c->parser) == MR_HTTP_IDLE && c->pipelined->len == 0 &&
-          mr_stream_buffered_bytes (c->stream) == 0 && !mr_stream_has_unread_bytes (c->stream))
+      if (c->busy || mr_http_parser_state (c->parser) != MR_HTTP_IDLE || c->pipelined->len > 0 ||
+          mr_stream_has_unread_bytes (c->stream))
+        continue;
+      if (mr_stream_buffered_bytes (c->stream) + mr_stream_unacknowledged_bytes (c->stream) == 0)
         S_close (c);
+      else
+        mr_timers_set (server->timers, &c->timer, now + CLOSE_TIMEOUT);
     }
 }
 
@@ -373,17 +397,17 @@
 void
 mr_caller_answer (MrCaller *c, int status, MrText fields, MrText body)
 {
-  if (c->server->draining)
+  if (c->server->draining && c->pipelined->len == 0)
     c->close_after_write = TRUE;
   MrTime now = mr_now ();
-  c->written_bytes = mr_stream_sent_bytes (c->stream);
+  c->written_bytes = mr_stream_sent_bytes (c->stream) - mr_stream_unacknowledged_bytes (c->stream);
   c->written_at = now;
   S_write_response (c, status, fields, body);
   c->busy = FALSE;
   c->user = NULL;
   if (c->close_after_write)
     {
-      mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
+      S_await_close (c, now);
       return;
     }
   S_await_request (c, now);
@@ -400,16 +424,19 @@
   gsize used = mr_http_parser_feed (c->parser, mr_text_of (pipelined));
   g_string_append_len (c->pipelined, pipelined->str + used, (gssize) (pipelined->len - used));
   g_string_free (pipelined, TRUE);
+  S_set_paused (c);
   S_on_progress (c, now, MR_HTTP_IDLE);
 }
 
 /* TRUE while a caller that reads slowly still takes bytes of its response: at least one in each
- * idle timeout. */
+ * idle timeout.  Bytes that the kernel still has are lost if others arrive after the close, or if
+ * the VM ends after the process. */
 static gboolean
 S_is_writing (MrCaller *c, MrTime now)
 {
-  guint64 written = mr_stream_sent_bytes (c->stream);
-  if (mr_stream_buffered_bytes (c->stream) == 0)
+  gsize unacknowledged = mr_stream_unacknowledged_bytes (c->stream);
+  guint64 written = mr_stream_sent_bytes (c->stream) - unacknowledged;
+  if (mr_stream_buffered_bytes (c->stream) + unacknowledged == 0)
     return FALSE;
   if (written > c->written_bytes)
     c->written_at = now;
@@ -417,14 +444,17 @@
   return now - c->written_at < c->server->limits.idle_timeout;
 }
 
+/* Bytes that are unread when a timeout has passed arrived in time, and the process is late. */
 static void
 S_on_timer (MrCaller *c, MrTime now)
 {
-  if (S_is_writing (c, now))
-    mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
-  else if (!c->close_after_write && !c->busy && c->pipelined->len > 0 &&
-           mr_http_parser_state (c->parser) == MR_HTTP_IDLE)
+  if (!c->close_after_write && !c->busy && c->pipelined->len > 0 &&
+      mr_http_parser_state (c->parser) == MR_HTTP_IDLE && mr_stream_buffered_bytes (c->stream) == 0)
     S_read_pipelined (c, now);
+  else if (S_is_writing (c, now))
+    mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
+  else if (!c->close_after_write && mr_stream_has_unread_bytes (c->stream))
+    mr_timers_set (c->server->timers, &c->timer, now + MR_MS);
   else if (!c->close_after_write && mr_http_parser_state (c->parser) != MR_HTTP_IDLE)
     S_reject (c, STATUS_TIMEOUT);
   else
--- a/src/stream.c
+++ b/src/stream.c
@@ -3,7 +3,9 @@
 #include "status.h"
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -17,7 +19,8 @@
   KEEPALIVE_IDLE_S = 1,
   KEEPALIVE_INTERVAL_S = 1,
   KEEPALIVE_COUNT = 2,
-  /* The connection is lost if sent bytes are not acknowledged for this long. */
+  /* The connection is lost if sent bytes are not acknowledged for this long, or if the peer's
+   * receive buffer stays full. */
   USER_TIMEOUT_MS = 3000,
 };
 
@@ -38,6 +41,7 @@
   gboolean connecting;
   gboolean established;
   gboolean closed;
+  gboolean ends_writing; /* once write_buffer is empty */
   GString *write_buffer;
   lws_sorted_usec_list_t flush_timer;
   guint64 sent_bytes;
@@ -154,6 +158,30 @@
   return stream->write_buffer->len;
 }
 
+gsize
+mr_stream_unacknowledged_bytes (const MrStream *stream)
+{
+  int bytes = 0;
+  if (stream->closed || ioctl (stream->fd, SIOCOUTQ, &bytes) != 0)
+    return 0;
+  return (gsize) bytes;
+}
+
+void
+mr_stream_set_send_timeout (MrStream *stream, MrTime timeout)
+{
+  const unsigned timeout_ms = (unsigned) (timeout / MR_MS);
+  if (!stream->closed)
+    setsockopt (stream->fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
+void
+mr_stream_set_reading (MrStream *stream, gboolean reading)
+{
+  if (!stream->closed)
+    lws_rx_flow_control (stream->wsi, reading ? 1 : 0);
+}
+
 gboolean
 mr_stream_has_unread_bytes (const MrStream *stream)
 {
@@ -272,6 +300,16 @@
   g_string_erase (stream->write_buffer, 0, n);
   if (stream->write_buffer->len > 0)
     S_flush_later (stream);
+  else if (stream->ends_writing)
+    shutdown (stream->fd, SHUT_WR);
+}
+
+void
+mr_stream_end_writing (MrStream *stream)
+{
+  stream->ends_writing = TRUE;
+  if (!stream->closed && stream->write_buffer->len == 0)
+    shutdown (stream->fd, SHUT_WR);
 }
 
 static void
--- a/src/stream.h
+++ b/src/stream.h
@@ -53,6 +53,15 @@
 /* Bytes that the kernel has accepted so far, and bytes that are still buffered here. */
 guint64 mr_stream_sent_bytes (const MrStream *stream);
 gsize mr_stream_buffered_bytes (const MrStream *stream);
+/* Bytes that the kernel has accepted and that the peer has not acknowledged. */
+gsize mr_stream_unacknowledged_bytes (const MrStream *stream);
+
+/* Time after which the connection is lost if the peer neither acknowledges sent bytes nor has room
+ * for more; 3 s without a call. */
+void mr_stream_set_send_timeout (MrStream *stream, MrTime timeout);
+
+/* FALSE: on_data () waits, and so does the peer once the kernel's buffers are full. */
+void mr_stream_set_reading (MrStream *stream, gboolean reading);
 
 /* TRUE if the kernel has received bytes that on_data () has not been called with yet. */
 gboolean mr_stream_has_unread_bytes (const MrStream *stream);
@@ -60,6 +69,10 @@
 /* Round-trip time to the peer as measured by the kernel; 0 if unknown. */
 MrTime mr_stream_round_trip (const MrStream *stream);
 
+/* Ends the connection in this direction once the buffered bytes are written; nothing may be written
+ * afterwards.  on_data () is still called. */
+void mr_stream_end_writing (MrStream *stream);
+
 /* Closes the connection and drops the buffered bytes. */
 void mr_stream_close (MrStream *stream);
 
