--- a/test/test_caller_pipelined.c
+++ b/test/test_caller_pipelined.c
@@ -20,6 +20,7 @@
   SMALL_BODY_BYTES = 1000,
   /* More than the kernel buffers of both ends take. */
   LARGE_BODY_BYTES = 12 * 1024 * 1024,
+  READ_BYTES = 1024 * 1024,
 };
 
 static const MrTime TEST_TIMEOUT = 10 * MR_SECOND;
@@ -31,7 +32,7 @@
   const char *name;
   gsize body_bytes;    /* of the first answer */
   const char *with;    /* sent while the first request is served */
-  const char *after;   /* sent PAUSE after its answer was begun, which the caller has not read yet */
+  const char *after;   /* sent PAUSE after its answer was begun; the caller reads later */
   const char *targets; /* of the requests that the host gets, in order */
 } Case;
 
@@ -116,12 +117,12 @@
 static void
 S_read_until (const Fixture *f, const Case *c, MrLoop *loop, int fd)
 {
-  g_autofree char *buffer = g_malloc (1024 * 1024);
+  g_autofree char *buffer = g_malloc (READ_BYTES);
   gssize n = 1;
   for (MrTime end = mr_now () + TEST_TIMEOUT; mr_now () < end && n != 0;)
     {
       mr_loop_step (loop);
-      n = recv (fd, buffer, 1024 * 1024, MSG_DONTWAIT);
+      n = recv (fd, buffer, READ_BYTES, MSG_DONTWAIT);
       if (strlen (c->targets) <= f->targets->len)
         return;
     }
