Planned stop: it ends in a later round of the loop than the one that closes the listener

A connection that was established when the listener closed could be accepted after the stop was complete: the listener accepts what waits when it is closed, which the loop does after the tick that asks for it, and that tick ended the process if no connection was open.

--- a/src/relay_stop.c
+++ b/src/relay_stop.c
@@ -68,6 +68,20 @@
   task->on_stopped (task->user);
 }
 
+/* TRUE in a later round of the loop than the one that closes the listener: connections that were
+ * established by then are accepted in between. */
+static gboolean
+S_close_listener (MrRelayTask *task, MrTime now)
+{
+  MrRelayStop *stop = &task->stop;
+  if (stop->listener_closed == 0)
+    {
+      stop->listener_closed = now;
+      mr_caller_server_close (task->caller_server);
+    }
+  return now >= stop->listener_closed + POLL_INTERVAL;
+}
+
 void
 mr_relay_stop_continue (MrRelayTask *task, MrTime now, MrTime *next)
 {
@@ -75,14 +89,11 @@
     return;
   if (now >= S_time_of (task, LAST_ANSWERS))
     mr_relay_request_refuse_waiting (task);
-  if (now >= S_time_of (task, LAST_REQUESTS))
+  if (now >= S_time_of (task, LAST_REQUESTS) && S_close_listener (task, now) &&
+      (mr_caller_server_connections (task->caller_server) == 0 || now >= S_time_of (task, EXIT)))
     {
-      mr_caller_server_close (task->caller_server);
-      if (mr_caller_server_connections (task->caller_server) == 0 || now >= S_time_of (task, EXIT))
-        {
-          S_stop_process (task, now);
-          return;
-        }
+      S_stop_process (task, now);
+      return;
     }
   *next = MIN (*next, MAX (now + POLL_INTERVAL, S_time_of (task, LAST_REQUESTS)));
 }
--- a/src/relay_task_private.h
+++ b/src/relay_task_private.h
@@ -30,7 +30,8 @@
 /* A planned stop. */
 typedef struct
 {
-  MrTime began; /* 0: not begun */
+  MrTime began;           /* 0: not begun */
+  MrTime listener_closed; /* 0: not yet */
   gboolean ended;
   guint open_requests;   /* read and unanswered when it began */
   guint64 read_requests; /* since */
