Target client: bound the bytes of a call that are no part of its answer

A target that sent empty lines, interim responses, answers to other requests, or a body in tiny chunks or with chunk extensions, one after another, held a call for its whole time limit, and the relay read all of it at full speed.

Cause: heads and bodies had limits of their own, and what is skipped counted towards neither.

The parser now counts the overhead, i.e. all bytes that belong neither to the head nor to the body, also across skipped messages, and stops beyond a limit. The target client allows 1 MiB for a call; beyond it the call is broken and its connection is closed.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -179,6 +179,7 @@
       c->continue_handled = TRUE;
       return;
     case MR_HTTP_MALFORMED:
+    case MR_HTTP_OVERHEAD_TOO_LARGE:
       S_reject (c, STATUS_BAD_REQUEST);
       return;
     case MR_HTTP_HEAD_TOO_LARGE:
--- a/src/http_message.c
+++ b/src/http_message.c
@@ -29,6 +29,7 @@
   gsize target;
   gsize target_len;
   GString *body;
+  guint64 received; /* bytes consumed since the last reset */
 };
 
 gboolean
@@ -148,13 +149,12 @@
   p->bodiless = bodiless;
 }
 
-void
-mr_http_parser_reset (MrHttpParser *p)
+static void
+S_discard_message (MrHttpParser *p)
 {
   http_parser_init (&p->parser, p->kind == MR_HTTP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
   p->parser.data = p;
   p->state = MR_HTTP_IDLE;
-  p->bodiless = FALSE;
   p->target = 0;
   p->target_len = 0;
   g_string_truncate (p->head, 0);
@@ -162,6 +162,30 @@
   g_array_set_size (p->fields, 0);
 }
 
+void
+mr_http_parser_reset (MrHttpParser *p)
+{
+  S_discard_message (p);
+  p->bodiless = FALSE;
+  p->received = 0;
+}
+
+static void
+S_check_overhead (MrHttpParser *p)
+{
+  guint64 overhead = p->received - p->head->len - p->body->len;
+  if (p->limits.max_overhead_bytes > 0 && overhead > p->limits.max_overhead_bytes &&
+      p->state <= MR_HTTP_DONE)
+    p->state = MR_HTTP_OVERHEAD_TOO_LARGE;
+}
+
+void
+mr_http_parser_skip (MrHttpParser *p)
+{
+  S_discard_message (p);
+  S_check_overhead (p);
+}
+
 /* Appends bytes to the head up to its end; FALSE on a byte that is not allowed in a head.  Only
  * some implementations accept a line feed without a carriage return as the end of a line, so that
  * what one reads as a header field, another reads as the start of a request. */
@@ -292,11 +316,7 @@
   else if (p->head->len == 0)
     p->state = MR_HTTP_IDLE;
   if (S_is_interim (p))
-    {
-      gboolean bodiless = p->bodiless;
-      mr_http_parser_reset (p);
-      p->bodiless = bodiless;
-    }
+    S_discard_message (p);
   return consumed;
 }
 
@@ -317,7 +337,10 @@
   while (consumed < bytes.len && p->state < MR_HTTP_DONE)
     {
       MrText rest = { .data = bytes.data + consumed, .len = bytes.len - consumed };
-      consumed += p->state == MR_HTTP_BODY ? S_feed_body (p, rest) : S_feed_head (p, rest);
+      gsize used = p->state == MR_HTTP_BODY ? S_feed_body (p, rest) : S_feed_head (p, rest);
+      p->received += used;
+      consumed += used;
+      S_check_overhead (p);
     }
   return consumed;
 }
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -26,13 +26,17 @@
   MR_HTTP_MALFORMED,      /* not HTTP, or framing ambiguous */
   MR_HTTP_HEAD_TOO_LARGE, /* head over the limit */
   MR_HTTP_BODY_TOO_LARGE,
+  MR_HTTP_OVERHEAD_TOO_LARGE,
 } MrHttpState;
 
-/* 0 means no limit for a body, and 80 KiB for a head. */
+/* 0 means no limit for a body and for the overhead, and 80 KiB for a head.  The overhead is what
+ * belongs neither to the head nor to the body: empty lines before the message, interim responses,
+ * skipped messages, the framing and extensions of chunks, and trailer fields. */
 typedef struct
 {
   gsize max_head_bytes;
   gsize max_body_bytes;
+  gsize max_overhead_bytes;
 } MrHttpLimits;
 
 typedef struct
@@ -48,6 +52,10 @@
 /* Discards the current message; the next byte starts a new one. */
 void mr_http_parser_reset (MrHttpParser *parser);
 
+/* Discards the complete message, whose bytes are overhead of the next one, as bodiless as this one
+ * was. */
+void mr_http_parser_skip (MrHttpParser *parser);
+
 /* The next response answers a HEAD request: it has no body, even if its head announces one. */
 void mr_http_parser_set_bodiless (MrHttpParser *parser, gboolean bodiless);
 
--- a/src/target_client.c
+++ b/src/target_client.c
@@ -10,6 +10,14 @@
   /* No response of a search target comes near this; it bounds the memory that a faulty one can
    * take. */
   RESPONSE_BODY_MAX = 8 * 1024 * 1024,
+  /* Bytes of a call that are not part of its response.  Late second responses to earlier calls and
+   * the framing of a body in small chunks stay far below it. */
+  RESPONSE_OVERHEAD_MAX = 1024 * 1024,
+};
+
+static const MrHttpLimits response_limits = {
+  .max_body_bytes = RESPONSE_BODY_MAX,
+  .max_overhead_bytes = RESPONSE_OVERHEAD_MAX,
 };
 
 /* Idle connections are closed after this fraction of the keep-alive timeout that the target
@@ -42,7 +50,6 @@
   guint64 call_id;       /* 0: none */
   guint64 sent_at_start; /* bytes sent on the connection before the call */
   char *request_id;
-  gboolean bodiless;
   gboolean is_part;
   GString *pending_request; /* the request, until the connection is established */
   MrHttpParser *parser;
@@ -264,7 +271,7 @@
 {
   MrHttpParser *response = c->parser;
   c->parser = mr_http_parser_new (MR_HTTP_RESPONSE);
-  mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .max_body_bytes = RESPONSE_BODY_MAX });
+  mr_http_parser_set_limits (c->parser, response_limits);
   MrCallOutcome outcome = S_classify_response (c, response);
   /* A target may respond before it has read the whole request; it would take the remaining bytes
    * for the next request. */
@@ -336,8 +343,12 @@
           return;
         }
       c->client->counts.unmatched_responses++;
-      mr_http_parser_reset (c->parser);
-      mr_http_parser_set_bodiless (c->parser, c->bodiless);
+      mr_http_parser_skip (c->parser);
+      if (mr_http_parser_state (c->parser) > MR_HTTP_DONE)
+        {
+          S_fail_call (c, MR_CALL_BROKEN);
+          return;
+        }
     }
 }
 
@@ -399,7 +410,7 @@
     }
   c->connecting = TRUE;
   c->parser = mr_http_parser_new (MR_HTTP_RESPONSE);
-  mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .max_body_bytes = RESPONSE_BODY_MAX });
+  mr_http_parser_set_limits (c->parser, response_limits);
   c->link.data = c;
   g_queue_push_tail_link (&client->connections, &c->link);
   mr_timers_set (client->timers, &c->timer, now + MR_CONNECT_TIMEOUT);
@@ -441,7 +452,6 @@
   c->sent_at_start = mr_stream_sent_bytes (c->stream);
   g_free (c->request_id);
   c->request_id = mr_text_dup (call->request_id);
-  c->bodiless = call->bodiless;
   c->is_part = call->is_part;
   mr_http_parser_reset (c->parser);
   mr_http_parser_set_bodiless (c->parser, call->bodiless);
--- a/test/test_http_message.c
+++ b/test/test_http_message.c
@@ -22,6 +22,10 @@
 #define GET "GET /a HTTP/1.1\r\nHost: h\r\n"
 #define POST "POST /a HTTP/1.1\r\nHost: h\r\n"
 #define OK "HTTP/1.1 200 OK\r\n"
+#define INTERIM_25 "HTTP/1.1 100 Continue\r\n\r\n"
+#define EMPTY_LINES_22 "\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n\r\n"
+#define EMPTY_LINES_66 EMPTY_LINES_22 EMPTY_LINES_22 EMPTY_LINES_22
+#define TEXT_64 "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
 
 static const Case cases[] = {
   { "plain", MR_HTTP_REQUEST, GET "\r\n", MR_HTTP_DONE, "", "" },
@@ -91,10 +95,29 @@
     "", "" },
   { "interim response first", MR_HTTP_RESPONSE,
     "HTTP/1.1 100 Continue\r\n\r\n" OK "Content-Length: 1\r\n\r\na", MR_HTTP_DONE, "a", "" },
+  { "overhead within the limit", MR_HTTP_RESPONSE,
+    "\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" OK "Transfer-Encoding: chunked\r\n\r\n"
+    "1;a=b\r\na\r\n0\r\nX-A: b\r\n\r\n",
+    MR_HTTP_DONE, "a", "" },
+  { "empty lines over the limit", MR_HTTP_RESPONSE, EMPTY_LINES_66 OK "Content-Length: 0\r\n\r\n",
+    MR_HTTP_OVERHEAD_TOO_LARGE, "", NULL },
+  { "interim responses over the limit", MR_HTTP_RESPONSE,
+    INTERIM_25 INTERIM_25 INTERIM_25 OK "Content-Length: 0\r\n\r\n", MR_HTTP_OVERHEAD_TOO_LARGE, "",
+    NULL },
+  { "chunk extension over the limit", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n1;" TEXT_64 "\r\na\r\n0\r\n\r\n",
+    MR_HTTP_OVERHEAD_TOO_LARGE, NULL, NULL },
+  { "trailer over the limit", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: " TEXT_64 "\r\n\r\n",
+    MR_HTTP_OVERHEAD_TOO_LARGE, NULL, NULL },
   { "response that is not HTTP", MR_HTTP_RESPONSE, "garbage\r\n\r\n", MR_HTTP_MALFORMED, "", NULL },
 };
 
-static const MrHttpLimits limits = { .max_head_bytes = 100, .max_body_bytes = 16 };
+static const MrHttpLimits limits = {
+  .max_head_bytes = 100,
+  .max_body_bytes = 16,
+  .max_overhead_bytes = 60,
+};
 
 static void
 S_check_case (const Case *c, const MrHttpParser *p, gsize consumed, const char *mode)
@@ -130,6 +153,42 @@
     }
 }
 
+/* Skipped messages count as overhead of the next one; a reset ends that. */
+static void
+test_skip (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    guint skipped;
+    gboolean reset; /* after them */
+    MrHttpState state;
+  } skip_cases[] = {
+    { "one", 1, FALSE, MR_HTTP_DONE },
+    { "too many", 2, FALSE, MR_HTTP_OVERHEAD_TOO_LARGE },
+    { "reset", 1, TRUE, MR_HTTP_DONE },
+    { "too many, reset", 2, TRUE, MR_HTTP_DONE },
+  };
+  const MrText message = MR_TEXT (OK "Content-Length: 2\r\n\r\nab");
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (skip_cases); i++)
+    {
+      MrHttpParser *p = mr_http_parser_new (MR_HTTP_RESPONSE);
+      mr_http_parser_set_limits (p, limits);
+      for (guint n = 0; n < skip_cases[i].skipped; n++)
+        {
+          assert_int_equal (mr_http_parser_feed (p, message), message.len);
+          mr_http_parser_skip (p);
+        }
+      if (skip_cases[i].reset)
+        mr_http_parser_reset (p);
+      mr_http_parser_feed (p, message);
+      if (mr_http_parser_state (p) != skip_cases[i].state)
+        fail_msg ("%s: state %d", skip_cases[i].name, mr_http_parser_state (p));
+      mr_http_parser_free (p);
+    }
+}
+
 /* A body without a length ends when the connection is closed without an error; any other message is
  * then incomplete. */
 static void
@@ -179,6 +238,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_messages),
+    cmocka_unit_test (test_skip),
     cmocka_unit_test (test_connection_end),
     cmocka_unit_test (test_fields),
   };
