HTTP client: bound the bytes of a response that are no part of its body

A response of the store, or of a target of the own dialect, in chunks could go on without a body: the size of a chunk may have any number of digits, and a body in tiny chunks is a small part of what is read. The process read all of it until the timeout of the call.

Cause: libwebsockets limits heads, and refuses interim responses, extensions of chunks and trailers; the client limits the body. Nothing limited the framing of chunks.

The client now counts what is read after the head, and closes the connection if it exceeds the body by more than 1 MiB.

Now below 16 MiB each, which includes what the kernel buffers; a page in chunks of 64 bytes and one of 2 MiB still arrive.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -10,6 +10,8 @@
   KEEPALIVE_SECONDS = 1,
   KEEPALIVE_PROBES = 1,
   MAX_RESPONSE_BYTES = 4 * 1024 * 1024,
+  /* Bytes after the head that are no part of the body: the framing of chunks. */
+  MAX_OVERHEAD_BYTES = 1024 * 1024,
   HEADER_VALUE_MAX = 64, /* including the terminating zero */
 };
 
@@ -38,6 +40,7 @@
   void *user;
   GString *request_body; /* NULL if there is none, or once it was sent */
   GString *response_body;
+  gsize received; /* bytes read after the head */
   int status;
   const char *wanted_header; /* NULL: none */
   char header_value[HEADER_VALUE_MAX];
@@ -155,13 +158,23 @@
     call->header_value[0] = '\0';
 }
 
+/* Reads once and passes the content on.  libwebsockets limits heads, but not the framing of chunks:
+ * the size of one may have any number of digits. */
 static int
-S_receive (struct lws *wsi)
+S_receive (struct lws *wsi, MrHttpCall *call)
 {
   char buffer[LWS_PRE + RECEIVE_BUFFER_BYTES];
-  char *data = buffer + LWS_PRE;
+  char *start = buffer + LWS_PRE;
+  char *data = start;
   int len = RECEIVE_BUFFER_BYTES;
-  return lws_http_client_read (wsi, &data, &len) < 0 ? -1 : 0;
+  if (lws_http_client_read (wsi, &data, &len) < 0)
+    return -1;
+  if (lws_get_opaque_user_data (wsi) != call)
+    return 0; /* the response is complete, and the call was freed */
+  /* Bytes that arrived together with the head are read from a buffer of libwebsockets. */
+  if (data > start && data <= start + RECEIVE_BUFFER_BYTES)
+    call->received += (gsize) (data - start);
+  return call->received > call->response_body->len + MAX_OVERHEAD_BYTES ? -1 : 0;
 }
 
 static int
@@ -199,7 +212,7 @@
       S_read_head (wsi, call);
       return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
-      return S_receive (wsi);
+      return S_receive (wsi, call);
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
       if (call->response_body->len + len > MAX_RESPONSE_BYTES)
         return -1;
--- a/test/test_http_client.c
+++ b/test/test_http_client.c
@@ -55,6 +55,8 @@
   MrHttpClient *client;
   int port;
   gboolean called;
+  MrTime timeout_at; /* 0: none */
+  gboolean ended;
   MrHttpOutcome outcome;
   int status;
   char header[32];
@@ -65,6 +67,7 @@
 S_on_response (void *user, const MrHttpResponse *response)
 {
   Call *call = user;
+  call->ended = TRUE;
   call->outcome = response->outcome;
   call->status = response->status;
   call->body_len = response->body.len;
@@ -78,9 +81,10 @@
 S_on_tick (MrLoopHandler *handler, MrTime now)
 {
   Call *call = (Call *) handler;
-  (void) now;
+  if (call->called && call->timeout_at > 0 && now >= call->timeout_at)
+    mr_loop_stop (call->loop);
   if (call->called)
-    return MR_NEVER;
+    return call->timeout_at > 0 ? call->timeout_at : MR_NEVER;
   call->called = TRUE;
   const MrHttpCallInfo info = {
     .method = "GET",
@@ -92,7 +96,7 @@
     .user = call,
   };
   assert_non_null (mr_http_client_call (call->client, &info, NULL));
-  return MR_NEVER;
+  return call->timeout_at > 0 ? call->timeout_at : MR_NEVER;
 }
 
 static void
@@ -149,11 +153,142 @@
     }
 }
 
+/* A response without end, or one with much beside its body. */
+typedef struct
+{
+  const char *name;
+  const char *first; /* sent once */
+  const char *unit;  /* sent again and again */
+  guint units;       /* 0: without end */
+  const char *last;  /* sent after the units */
+  MrHttpOutcome outcome;
+} LongResponse;
+
+#define OK "HTTP/1.1 200 OK\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
+#define LINE_64 "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+
+static const LongResponse long_responses[] = {
+  { "head", OK "X-A: ", LINE_64, 0, "", MR_HTTP_CONNECTION_LOST },
+  { "fields", OK, "X-A: " LINE_64 "\r\n", 0, "", MR_HTTP_CONNECTION_LOST },
+  { "empty lines", "", "\r\n", 0, "", MR_HTTP_CONNECTION_LOST },
+  { "interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n", 0, "", MR_HTTP_CONNECTION_LOST },
+  { "body without a length", OK "\r\n", LINE_64, 0, "", MR_HTTP_CONNECTION_LOST },
+  { "body with a length", OK "Content-Length: 100000000\r\n\r\n", LINE_64, 0, "",
+    MR_HTTP_CONNECTION_LOST },
+  { "chunks", OK CHUNKED, "40\r\n" LINE_64 "\r\n", 0, "", MR_HTTP_CONNECTION_LOST },
+  { "tiny chunks", OK CHUNKED, "1\r\nx\r\n", 0, "", MR_HTTP_CONNECTION_LOST },
+  { "chunk sizes with zeros", OK CHUNKED, "0000000000000001\r\nx\r\n", 0, "",
+    MR_HTTP_CONNECTION_LOST },
+  { "chunk size without end", OK CHUNKED, "0000000000000000", 0, "", MR_HTTP_CONNECTION_LOST },
+  { "chunk extension", OK CHUNKED "1;a=", LINE_64, 0, "", MR_HTTP_CONNECTION_LOST },
+  { "trailer", OK CHUNKED "0\r\n", "X-A: " LINE_64 "\r\n", 0, "", MR_HTTP_CONNECTION_LOST },
+
+  { "page in small chunks", OK CHUNKED, "40\r\n" LINE_64 "\r\n", 16384, "0\r\n\r\n", MR_HTTP_OK },
+  { "large page", OK "Content-Length: 2097152\r\n\r\n", LINE_64, 32768, "", MR_HTTP_OK },
+};
+
+enum
+{
+  PIECE_BYTES = 256 * 1024,
+  /* What a call may take, with what the kernel buffers. */
+  TAKEN_MAX = 16 * 1024 * 1024,
+};
+
+/* Far more than TAKEN_MAX bytes take. */
+static const MrTime END_TIMEOUT = 3 * MR_SECOND;
+
+typedef struct
+{
+  const LongResponse *response;
+  int listener;
+  gsize taken;
+} LongServer;
+
+static gboolean
+S_write_all (LongServer *server, int connection, MrText bytes)
+{
+  while (bytes.len > 0)
+    {
+      gssize n = send (connection, bytes.data, bytes.len, MSG_NOSIGNAL);
+      if (n <= 0)
+        return FALSE;
+      server->taken += (gsize) n;
+      bytes.data += n;
+      bytes.len -= (gsize) n;
+    }
+  return TRUE;
+}
+
+/* Reads one request and sends until the response ends or the client closes the connection. */
+static void *
+S_serve_long (void *user)
+{
+  LongServer *server = user;
+  const LongResponse *r = server->response;
+  char request[4096];
+  int connection = accept (server->listener, NULL, NULL);
+  g_autoptr (GString) piece = g_string_new (NULL);
+  while (r->units > 0 ? piece->len < r->units * strlen (r->unit) : piece->len < PIECE_BYTES)
+    g_string_append (piece, r->unit);
+  gboolean open = read (connection, request, sizeof request) > 0 &&
+                  S_write_all (server, connection, mr_text (r->first)) &&
+                  S_write_all (server, connection, mr_text_of (piece));
+  while (r->units == 0 && open)
+    open = S_write_all (server, connection, mr_text_of (piece));
+  if (open)
+    S_write_all (server, connection, mr_text (r->last));
+  close (connection);
+  return NULL;
+}
+
+static gboolean
+S_long_response_ends (const LongResponse *response)
+{
+  Server address;
+  pthread_t thread;
+  S_listen (&address);
+  LongServer server = { .response = response, .listener = address.listener };
+  assert_int_equal (pthread_create (&thread, NULL, S_serve_long, &server), 0);
+  MrTime started_at = mr_now ();
+  Call call = { .handler = { .on_tick = S_on_tick },
+                .port = address.port,
+                .timeout_at = started_at + END_TIMEOUT };
+  call.loop = mr_loop_new (&call.handler, 4);
+  call.client = mr_http_client_new (call.loop, 1);
+  mr_loop_run (call.loop);
+  gboolean ended = call.ended;
+  MrTime took = mr_now () - started_at;
+  mr_loop_free (call.loop);
+  mr_http_client_free (call.client);
+  pthread_join (thread, NULL);
+  close (address.listener);
+  gboolean passed = ended && call.outcome == response->outcome && server.taken <= TAKEN_MAX;
+  if (!passed)
+    print_error ("%s: ended %d, outcome %d, expected %d, after %d ms, %zu kB taken\n",
+                 response->name, ended, (int) call.outcome, (int) response->outcome,
+                 (int) (took / MR_MS), server.taken / 1024);
+  return passed;
+}
+
+/* Guards against responses of the store or a target that keep a call and the process busy until
+ * the call's timeout. */
+static void
+test_long_responses (void **state)
+{
+  guint failures = 0;
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (long_responses); i++)
+    failures += S_long_response_ends (&long_responses[i]) ? 0 : 1;
+  assert_int_equal (failures, 0);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_wanted_header),
+    cmocka_unit_test (test_long_responses),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
