HTTP client: bound the memory of all incomplete responses together

The store could take up to 128 MB of a process with responses that it did not complete: 16 calls, 4 MiB each, in bodies that grew by doubling. The targets of the own dialect were bounded by the number of their connections only.

The incomplete bodies of a client may now take 32 MiB together, eight of the largest ones. Beyond it the call with the largest body ends with MR_HTTP_CONNECTION_LOST, which its user repeats as before; the others go on. Bodies are kept in an MrBuffer, which grows by a quarter and at most to the limit; the parser of the relay uses it too. Responses that are given up are logged (E1414) and counted (responses_given_up).

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,5 +1,9 @@
 #include "http_client.h"
 
+#include "buffer.h"
+#include "log.h"
+#include "metrics.h"
+
 enum
 {
   IDLE_TIMEOUT_SECONDS = 30,
@@ -12,6 +16,8 @@
   MAX_RESPONSE_BYTES = 4 * 1024 * 1024,
   /* Bytes after the head that are no part of the body: the framing of chunks. */
   MAX_OVERHEAD_BYTES = 1024 * 1024,
+  /* Memory of all incomplete bodies of a client: eight of the largest ones. */
+  MAX_MEMORY_BYTES = 8 * MAX_RESPONSE_BYTES,
   HEADER_VALUE_MAX = 64, /* including the terminating zero */
 };
 
@@ -39,8 +45,10 @@
   MrHttpResponseFunc on_response;
   void *user;
   GString *request_body; /* NULL if there is none, or once it was sent */
-  GString *response_body;
-  gsize received; /* bytes read after the head */
+  MrBuffer response_body;
+  GList link;       /* in client->calls */
+  gboolean evicted; /* the body was freed for others; the connection is being closed */
+  gsize received;   /* bytes read after the head */
   int status;
   const char *wanted_header; /* NULL: none */
   char header_value[HEADER_VALUE_MAX];
@@ -54,15 +62,33 @@
   struct lws_protocols protocols[2];
   struct lws_vhost **vhosts;
   guint slot_count;
+  GQueue calls;                 /* MrHttpCall */
+  gsize memory;                 /* of their bodies */
   GHashTable *idle_connections; /* key -> struct lws* */
 };
 
+static void
+S_report_given_up (const MrHttpCall *call, const char *reason)
+{
+  mr_metrics_add (MR_METRIC_RESPONSES_GIVEN_UP, 1);
+  mr_log (MR_LOG_WARNING, MR_EVENT_RESPONSE_TOO_LARGE, "response from %s was given up: %s",
+          call->key, reason);
+}
+
+static void
+S_clear_body (MrHttpCall *call)
+{
+  call->client->memory -= call->response_body.allocated;
+  mr_buffer_clear (&call->response_body);
+}
+
 static void
 S_call_free (MrHttpCall *call)
 {
   if (call->request_body)
     g_string_free (call->request_body, TRUE);
-  g_string_free (call->response_body, TRUE);
+  S_clear_body (call);
+  g_queue_unlink (&call->client->calls, &call->link);
   g_free (call->key);
   g_free (call);
 }
@@ -105,7 +131,7 @@
     .outcome = outcome,
     .status = call->status,
     .header = mr_text (call->header_value),
-    .body = mr_text_of (call->response_body),
+    .body = mr_buffer_text (&call->response_body),
   };
   gboolean reuse = call->on_response (call->user, &response) && outcome == MR_HTTP_OK;
   if (reuse && wsi)
@@ -158,6 +184,49 @@
     call->header_value[0] = '\0';
 }
 
+/* Ends the calls with the largest incomplete bodies until @call can have an allocation of @bytes;
+ * FALSE if it is one of them. */
+static gboolean
+S_make_room (MrHttpCall *call, gsize bytes)
+{
+  MrHttpClient *client = call->client;
+  while (client->memory - call->response_body.allocated + bytes > MAX_MEMORY_BYTES)
+    {
+      MrHttpCall *largest = call;
+      for (const GList *link = client->calls.head; link; link = link->next)
+        {
+          MrHttpCall *other = link->data;
+          if (other->response_body.allocated >
+              (largest == call ? bytes : largest->response_body.allocated))
+            largest = other;
+        }
+      S_report_given_up (largest, "incomplete ones take too much memory together");
+      largest->evicted = TRUE;
+      S_clear_body (largest);
+      if (largest == call)
+        return FALSE;
+      lws_set_timeout (largest->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+  return TRUE;
+}
+
+/* FALSE if the connection must be closed. */
+static gboolean
+S_append_body (MrHttpCall *call, MrText bytes)
+{
+  gsize len = call->response_body.len + bytes.len;
+  if (len > MAX_RESPONSE_BYTES)
+    S_report_given_up (call, "its body is too large");
+  if (call->evicted || len > MAX_RESPONSE_BYTES)
+    return FALSE;
+  gsize allocation = mr_buffer_allocation (&call->response_body, len, MAX_RESPONSE_BYTES);
+  if (!S_make_room (call, allocation))
+    return FALSE;
+  call->client->memory += allocation - call->response_body.allocated;
+  mr_buffer_append (&call->response_body, bytes, MAX_RESPONSE_BYTES);
+  return TRUE;
+}
+
 /* Reads once and passes the content on.  libwebsockets limits heads, but not the framing of chunks:
  * the size of one may have any number of digits. */
 static int
@@ -174,7 +243,10 @@
   /* Bytes that arrived together with the head are read from a buffer of libwebsockets. */
   if (data > start && data <= start + RECEIVE_BUFFER_BYTES)
     call->received += (gsize) (data - start);
-  return call->received > call->response_body->len + MAX_OVERHEAD_BYTES ? -1 : 0;
+  if (call->received <= call->response_body.len + MAX_OVERHEAD_BYTES)
+    return 0;
+  S_report_given_up (call, "too many bytes that are no part of its body");
+  return -1;
 }
 
 static int
@@ -214,12 +286,9 @@
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
       return S_receive (wsi, call);
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
-      if (call->response_body->len + len > MAX_RESPONSE_BYTES)
-        return -1;
-      g_string_append_len (call->response_body, in, (gssize) len);
-      return 0;
+      return S_append_body (call, (MrText){ .data = in, .len = len }) ? 0 : -1;
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
-      return S_finish (call, MR_HTTP_OK) ? 0 : -1;
+      return S_finish (call, call->evicted ? MR_HTTP_CONNECTION_LOST : MR_HTTP_OK) ? 0 : -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
       S_finish (call, call->request_started ? MR_HTTP_CONNECTION_LOST : MR_HTTP_CONNECT_FAILED);
       return 0;
@@ -299,7 +368,8 @@
   call->state = CONNECTION_CALL;
   call->client = client;
   call->key = S_key (info->ip, info->port, info->connection_slot);
-  call->response_body = g_string_new (NULL);
+  call->link.data = call;
+  g_queue_push_tail_link (&client->calls, &call->link);
   call->wanted_header = info->wanted_header;
   if (info->body.len > 0)
     call->request_body = g_string_new_len (info->body.data, (gssize) info->body.len);
--- a/src/http_client.h
+++ b/src/http_client.h
@@ -3,7 +3,10 @@
  * A slot is a client vhost.  libwebsockets keeps at most one idle connection per vhost and server,
  * and queues further calls behind it, so that a slot carries one call per server at a time.  The
  * user of the client picks a free slot for each call; for each server, a slot corresponds to
- * one persistent connection. */
+ * one persistent connection.
+ *
+ * A response is limited in its body and the bytes around it, and all incomplete ones of a client
+ * together in their memory; a call beyond a limit ends with MR_HTTP_CONNECTION_LOST. */
 #pragma once
 
 #include "loop.h"
--- a/src/http_message.c
+++ b/src/http_message.c
@@ -1,12 +1,12 @@
 #include "http_message.h"
 
+#include "buffer.h"
 #include <http_parser.h>
 
 enum
 {
   /* Applies if the caller sets no limit for heads. */
   DEFAULT_MAX_HEAD_BYTES = 80 * 1024,
-  MIN_BODY_ALLOCATION = 256,
   /* A larger allocation of a body is not kept for the next message. */
   KEPT_BODY_ALLOCATION = 64 * 1024,
   MIN_FIELD_BYTES = 4, /* of a field in a head: a name, a colon and the end of the line */
@@ -21,15 +21,6 @@
   gsize value_len;
 } FieldRange;
 
-/* Unlike a GString, whose allocation doubles, it grows by a quarter: many incomplete large bodies
- * must not take twice their size. */
-typedef struct
-{
-  char *data;
-  gsize len;
-  gsize allocated;
-} Body;
-
 struct _MrHttpParser
 {
   http_parser parser;
@@ -41,7 +32,7 @@
   GArray *fields; /* FieldRange */
   gsize target;
   gsize target_len;
-  Body body;
+  MrBuffer body;
   guint64 received; /* bytes consumed since the last reset */
 };
 
@@ -96,17 +87,6 @@
   return p->bodiless ? no_body : 0;
 }
 
-/* Returns the size of the allocation for a body of @len bytes. */
-static gsize
-S_body_allocation (const MrHttpParser *p, gsize len)
-{
-  gsize max = p->limits.max_body_bytes;
-  if (len <= p->body.allocated)
-    return p->body.allocated;
-  gsize allocation = MAX (len + len / 4, MIN_BODY_ALLOCATION);
-  return max > 0 && allocation > max && len <= max ? max : allocation;
-}
-
 static int
 S_on_body (http_parser *parser, const char *at, size_t len)
 {
@@ -116,14 +96,7 @@
       p->state = MR_HTTP_BODY_TOO_LARGE;
       return 1;
     }
-  gsize allocation = S_body_allocation (p, p->body.len + len);
-  if (allocation > p->body.allocated)
-    {
-      p->body.data = g_realloc (p->body.data, allocation);
-      p->body.allocated = allocation;
-    }
-  memcpy (p->body.data + p->body.len, at, len);
-  p->body.len += len;
+  mr_buffer_append (&p->body, (MrText){ .data = at, .len = len }, p->limits.max_body_bytes);
   return 0;
 }
 
@@ -162,7 +135,7 @@
   if (!p)
     return;
   g_string_free (p->head, TRUE);
-  g_free (p->body.data);
+  mr_buffer_clear (&p->body);
   g_array_unref (p->fields);
   g_free (p);
 }
@@ -190,10 +163,7 @@
   g_string_truncate (p->head, 0);
   p->body.len = 0;
   if (p->body.allocated > KEPT_BODY_ALLOCATION)
-    {
-      g_clear_pointer (&p->body.data, g_free);
-      p->body.allocated = 0;
-    }
+    mr_buffer_clear (&p->body);
   g_array_set_size (p->fields, 0);
 }
 
@@ -406,7 +376,7 @@
 {
   gsize head = p->state == MR_HTTP_BODY ? 0 : p->head->len + count;
   gsize fields = head / MIN_FIELD_BYTES * sizeof (FieldRange);
-  gsize body = S_body_allocation (p, p->body.len + count);
+  gsize body = mr_buffer_allocation (&p->body, p->body.len + count, p->limits.max_body_bytes);
   return MAX (S_head_memory (p), 2 * (head + fields)) + body;
 }
 
@@ -437,7 +407,7 @@
 MrText
 mr_http_parser_body (const MrHttpParser *p)
 {
-  return (MrText){ .data = p->body.data ? p->body.data : "", .len = p->body.len };
+  return mr_buffer_text (&p->body);
 }
 
 guint
--- a/test/test_http_client.c
+++ b/test/test_http_client.c
@@ -3,9 +3,11 @@
 #include "http_client.h"
 
 #include <arpa/inet.h>
+#include <malloc.h>
 #include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
+#include <stdatomic.h>
 #include <stddef.h>
 #include <stdio.h>
 #include <sys/socket.h>
@@ -13,6 +15,11 @@
 
 #include <cmocka.h>
 
+enum
+{
+  HELD_CALLS_MAX = 16,
+};
+
 static const char HEADER[] = "store-era:";
 
 typedef struct
@@ -30,7 +37,7 @@
   address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   server->listener = socket (AF_INET, SOCK_STREAM, 0);
   assert_int_equal (bind (server->listener, (struct sockaddr *) &address, len), 0);
-  assert_int_equal (listen (server->listener, 1), 0);
+  assert_int_equal (listen (server->listener, HELD_CALLS_MAX), 0);
   assert_int_equal (getsockname (server->listener, (struct sockaddr *) &address, &len), 0);
   server->port = ntohs (address.sin_port);
 }
@@ -193,8 +200,13 @@
   PIECE_BYTES = 256 * 1024,
   /* What a call may take, with what the kernel buffers. */
   TAKEN_MAX = 16 * 1024 * 1024,
+  /* The limit of a client, the body that the server sends, and buffers. */
+  HELD_MEMORY_MAX = 32 * 1024 * 1024 + 3000000 + 2 * 1024 * 1024,
 };
 
+/* For the client to read what the kernel has buffered. */
+static const MrTime SETTLE_TIME = 300 * MR_MS;
+
 /* Far more than TAKEN_MAX bytes take. */
 static const MrTime END_TIMEOUT = 3 * MR_SECOND;
 
@@ -283,12 +295,156 @@
   assert_int_equal (failures, 0);
 }
 
+/* Calls whose responses send @bytes of a body and do not complete it. */
+typedef struct
+{
+  const char *name;
+  guint calls;
+  gsize bytes;
+  guint lost_min;
+  guint lost_max;
+} HeldCase;
+
+static const HeldCase held_cases[] = {
+  { "within the limit", 6, 3000000, 0, 0 },
+  { "beyond the limit", HELD_CALLS_MAX, 3000000, 5, 8 },
+};
+
+typedef struct
+{
+  const HeldCase *held_case;
+  int listener;
+  atomic_bool sent;
+} HeldServer;
+
+/* Answers all calls, and closes their connections when another one is made. */
+static void *
+S_serve_held (void *user)
+{
+  HeldServer *server = user;
+  const HeldCase *c = server->held_case;
+  LongServer writer = { 0 };
+  int connections[HELD_CALLS_MAX];
+  char request[4096];
+  g_autofree char *body = g_malloc0 (c->bytes);
+  for (guint i = 0; i < c->calls; i++)
+    {
+      connections[i] = accept (server->listener, NULL, NULL);
+      if (read (connections[i], request, sizeof request) > 0)
+        S_write_all (&writer, connections[i],
+                     MR_TEXT ("HTTP/1.1 200 OK\r\nContent-Length: 4000000\r\n\r\n"));
+    }
+  for (guint i = 0; i < c->calls; i++)
+    S_write_all (&writer, connections[i], (MrText){ .data = body, .len = c->bytes });
+  atomic_store (&server->sent, true);
+  int last = accept (server->listener, NULL, NULL);
+  for (guint i = 0; i < c->calls; i++)
+    close (connections[i]);
+  close (last);
+  return NULL;
+}
+
+typedef struct
+{
+  MrLoopHandler handler;
+  MrLoop *loop;
+  MrHttpClient *client;
+  const HeldServer *server;
+  int port;
+  gboolean called;
+  guint lost;
+  gsize peak;
+  MrTime stop_at;
+} HeldCalls;
+
+static gsize
+S_allocated_bytes (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+  return info.uordblks + info.hblkhd;
+}
+
+static gboolean
+S_on_held_end (void *user, const MrHttpResponse *response)
+{
+  HeldCalls *calls = user;
+  assert_int_equal (response->outcome, MR_HTTP_CONNECTION_LOST);
+  calls->lost++;
+  return FALSE;
+}
+
+/* Short interval, to observe the memory. */
+static MrTime
+S_on_held_tick (MrLoopHandler *handler, MrTime now)
+{
+  HeldCalls *calls = (HeldCalls *) handler;
+  for (guint slot = 0; slot < calls->server->held_case->calls && !calls->called; slot++)
+    {
+      const MrHttpCallInfo info = {
+        .method = "GET",
+        .ip = "127.0.0.1",
+        .port = calls->port,
+        .connection_slot = slot,
+        .path = "/",
+        .on_response = S_on_held_end,
+        .user = calls,
+      };
+      assert_non_null (mr_http_client_call (calls->client, &info, NULL));
+    }
+  calls->called = TRUE;
+  calls->peak = MAX (calls->peak, S_allocated_bytes ());
+  if (calls->stop_at == 0 && atomic_load (&calls->server->sent))
+    calls->stop_at = now + SETTLE_TIME;
+  if (calls->stop_at > 0 && now >= calls->stop_at)
+    mr_loop_stop (calls->loop);
+  return now + MR_MS;
+}
+
+/* Guards against many responses of a faulty store that are each within the limit of one and take
+ * the memory of the process together. */
+static void
+test_held_responses (void **state)
+{
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (held_cases); i++)
+    {
+      const HeldCase *c = &held_cases[i];
+      Server address;
+      pthread_t thread;
+      S_listen (&address);
+      HeldServer server = { .held_case = c, .listener = address.listener };
+      HeldCalls calls = { .handler = { .on_tick = S_on_held_tick },
+                          .server = &server,
+                          .port = address.port };
+      calls.loop = mr_loop_new (&calls.handler, HELD_CALLS_MAX);
+      calls.client = mr_http_client_new (calls.loop, HELD_CALLS_MAX);
+      gsize before = S_allocated_bytes ();
+      assert_int_equal (pthread_create (&thread, NULL, S_serve_held, &server), 0);
+      mr_loop_run (calls.loop);
+      guint lost = calls.lost;
+      struct sockaddr_in to = { .sin_family = AF_INET,
+                                .sin_port = htons ((guint16) address.port),
+                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+      int last = socket (AF_INET, SOCK_STREAM, 0);
+      assert_int_equal (connect (last, (struct sockaddr *) &to, sizeof to), 0);
+      pthread_join (thread, NULL);
+      close (last);
+      close (address.listener);
+      mr_loop_free (calls.loop);
+      mr_http_client_free (calls.client);
+      if (lost < c->lost_min || lost > c->lost_max || calls.peak - before > HELD_MEMORY_MAX)
+        fail_msg ("%s: %u calls were lost, %zu bytes were allocated", c->name, lost,
+                  calls.peak - before);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_wanted_header),
     cmocka_unit_test (test_long_responses),
+    cmocka_unit_test (test_held_responses),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
