Caller server: empty lines do not keep a connection open

A caller that sent one byte of an empty line at a time held its connection for ever, and so did one that sent an empty line after a request and nothing else.

Cause: the first byte of a line began a request, whose timer replaced that of the idle connection, again with each line; and a line read together with the request before it left the connection without any timer.

A connection that waits for a request now has the same limit of time whatever empty lines it gets.

test_endless_requests, idle timeout 0.5 s: both connections were open after 5 s; now they are closed within 2 s, and slow heads and bodies still get 408.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -39,6 +39,7 @@
   MrHttpParser *parser;
   GString *pipelined; /* bytes after the request that is being served */
   MrTimer timer;
+  MrTime idle_until;          /* when it is closed if no request has begun */
   MrTime first_byte_at;       /* when the first byte of the request arrived */
   MrTime round_trip;          /* 0: not measured yet, or not known */
   guint64 written_bytes;      /* on the connection, when they were last seen to increase */
@@ -151,8 +152,8 @@
   mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .max_head_bytes = limits->max_head_bytes,
                                                         .max_body_bytes = limits->max_body_bytes });
   c->continue_handled = FALSE;
-  mr_timers_set (c->server->timers, &c->timer,
-                 now + (c->server->closed ? CLOSE_TIMEOUT : limits->idle_timeout + IDLE_GRACE));
+  c->idle_until = now + (c->server->closed ? CLOSE_TIMEOUT : limits->idle_timeout + IDLE_GRACE);
+  mr_timers_set (c->server->timers, &c->timer, c->idle_until);
 }
 
 /* Acts on the parser's new state. */
@@ -171,6 +172,9 @@
   switch (state)
     {
     case MR_HTTP_IDLE:
+      /* Empty lines are no request, and do not prolong the time for one to begin. */
+      mr_timers_set (c->server->timers, &c->timer, c->idle_until);
+      return;
     case MR_HTTP_HEAD:
       return;
     case MR_HTTP_BODY:
