Caller server: bound the bytes around a request, and those read after it was rejected

A caller could make a relay read at full speed: empty lines until the idle timeout, extensions and zeros of chunk sizes until the limit of the body, and anything for a second after its request was rejected, on each connection.

Cause: the limits of the operators count heads and bodies only, and a rejected connection was read until its time was over.

The overhead of a request (empty lines, framing and extensions of chunks, trailers) is limited to as much as its head and body together, 400 beyond it; a body in chunks of at least 8 bytes fits in. A rejected connection is closed after 16 MiB more, or a second, as before; within that its caller can send a large body to its end and read the status.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -11,6 +11,9 @@
   STATUS_HEADERS_TOO_LARGE = 431,
   /* Most bytes that a caller may pipeline, beside the largest body. */
   PIPELINED_BYTES_MAX = 64 * 1024,
+  /* Bytes read after a rejected request, so that its caller can send the rest and read the response
+   * before the connection is closed. */
+  IGNORED_BYTES_MAX = 16 * 1024 * 1024,
 };
 
 /* Used until the operators' limits are known. */
@@ -44,6 +47,7 @@
   MrTime round_trip;          /* 0: not measured yet, or not known */
   guint64 written_bytes;      /* on the connection, when they were last seen to increase */
   MrTime written_at;          /* when that was */
+  gsize ignored_bytes;        /* after a rejected request */
   gboolean busy;              /* the host is handling a request */
   gboolean close_after_write; /* close the connection once the response is written */
   gboolean continue_handled;  /* 100 Continue was sent, or is not needed */
@@ -149,8 +153,12 @@
 {
   mr_http_parser_reset (c->parser);
   const MrCallerLimits *limits = &c->server->limits;
-  mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .max_head_bytes = limits->max_head_bytes,
-                                                        .max_body_bytes = limits->max_body_bytes });
+  mr_http_parser_set_limits (
+      c->parser, (MrHttpLimits){
+                     .max_head_bytes = limits->max_head_bytes,
+                     .max_body_bytes = limits->max_body_bytes,
+                     .max_overhead_bytes = limits->max_head_bytes + limits->max_body_bytes,
+                 });
   c->continue_handled = FALSE;
   c->idle_until = now + (c->server->closed ? CLOSE_TIMEOUT : limits->idle_timeout + IDLE_GRACE);
   mr_timers_set (c->server->timers, &c->timer, c->idle_until);
@@ -208,7 +216,13 @@
   MrCaller *c = (MrCaller *) handler;
   (void) stream;
   if (c->close_after_write && !c->busy)
-    return; /* rejected: ignore the remaining bytes */
+    {
+      /* Rejected, or the last response was written. */
+      c->ignored_bytes += bytes.len;
+      if (c->ignored_bytes > IGNORED_BYTES_MAX)
+        S_close (c);
+      return;
+    }
   gsize used = 0;
   if (!c->busy)
     {
--- a/test/test_endless_requests.c
+++ b/test/test_endless_requests.c
@@ -47,9 +47,17 @@
 } Case;
 
 static const Case cases[] = {
+  { "empty lines", "", "\r\n", 0, 2 * MR_SECOND, "HTTP/1.1 400" },
   { "empty lines, slowly", "", "\r\n", 80 * MR_MS, 2 * MR_SECOND, "" },
+  { "head", POST "X-A: ", LINE_64, 0, 2 * MR_SECOND, "HTTP/1.1 431" },
   { "head, slowly", POST "X-A: ", LINE_64, 20 * MR_MS, 2 * MR_SECOND, "HTTP/1.1 408" },
+  { "chunks", POST CHUNKED, "40\r\n" LINE_64 "\r\n", 0, 2 * MR_SECOND, "HTTP/1.1 413" },
   { "chunks, slowly", POST CHUNKED, "1\r\nx\r\n", 20 * MR_MS, 3 * MR_SECOND, "HTTP/1.1 408" },
+  { "chunk extensions", POST CHUNKED, "1;" LINE_64 "\r\nx\r\n", 0, 2 * MR_SECOND, "HTTP/1.1 400" },
+  { "chunk sizes with zeros", POST CHUNKED, "0000000000000000000000000000001\r\nx\r\n", 0,
+    2 * MR_SECOND, "HTTP/1.1 400" },
+  { "trailer fields", POST CHUNKED "0\r\n", "X-A: " LINE_64 "\r\n", 0, 2 * MR_SECOND,
+    "HTTP/1.1 400" },
   { "empty line after a request", "GET /q HTTP/1.1\r\nHost: h\r\n\r\n\r\n", "", 0, 2 * MR_SECOND,
     "HTTP/1.1 200" },
 };
