Test of answers that drip: calls and their connections end by the deadline

Searchers that send in small pieces, both of a service or the only one of a shard, do not hold a call beyond its deadline, nor a connection longer than the time for which a call lingers: at most 2,400 ms with a limit of 2,000 ms for the route, 404 ms for calls that lost to hedges, and 1,000 ms for orders whose caller has left. No fault was found; process_endless_answers now has these cases.

--- a/test/platform/process_endless_answers.sh
+++ b/test/platform/process_endless_answers.sh
@@ -23,7 +23,7 @@
 peak_kb() { awk '/^VmHWM/ { print $2 }' "/proc/${PIDS[r1]}/status"; }
 
 # ended KIND: lines of the searchers about responses of KIND whose connection was closed.
-ended() { cat "$LOGS/s1.log" "$LOGS/s2.log" | grep "^endless $1 "; }
+ended() { cat "$LOGS/s1.log" "$LOGS/s2.log" "$LOGS/s3.log" | grep "^endless $1 "; }
 some_ended() { [ "$(ended "$1" | wc -l)" -ge "$2" ]; } # KIND COUNT
 
 # check_ended KIND MS: each response of KIND took at most MS and TAKEN_MAX bytes.
@@ -85,6 +85,7 @@
   [ "$(runs "o-$kind")" = 1 ] || fail "$kind: an order ran $(runs "o-$kind") times"
   mode "$(searcher_at 1)" "endless-$kind-slow"
   mode "$(searcher_at 2)" "endless-$kind-slow"
+  ask_in_time /one/q "c-$kind" 2400 502 504
   METHOD='-X POST -d x' ask_in_time /order/q "p-$kind" 1300 502 504
   [ "$(runs "p-$kind")" = 1 ] || fail "$kind, slow: an order ran $(runs "p-$kind") times"
   # The caller leaves; the call to the searcher ends by the time limit of the route.
@@ -97,6 +98,16 @@
   mode "$(searcher_at 2)" ok
 done
 
+# The only searcher of a shard does so: the shard is missing from the merged response.
+for kind in other-ids body; do
+  for speed in "" -slow; do
+    mode "$(searcher_at 3)" "endless-$kind$speed"
+    ask_in_time /all/q "a-$kind$speed" 2400 200
+    [ "$(field X-Missing-Parts)" = 1 ] || fail "$kind$speed: $(field X-Missing-Parts) shards are missing"
+    mode "$(searcher_at 3)" ok
+  done
+done
+
 # Many large bodies at once, which are never complete.
 usual_kb=$(peak_kb)
 mode "$(searcher_at 1)" endless-large-body-slow
@@ -113,4 +124,5 @@
 say "peak memory: $usual_kb kB, with large bodies $(peak_kb) kB"
 [ "$(peak_kb)" -le "$PEAK_KB_MAX" ] || fail "the relay used $(peak_kb) kB"
 until_true 5 search_complete 1 || fail "a later search is not complete"
+say "longest time of a call: $(cat "$LOGS"/s[123].log | sed -n 's/^endless .* ms=\([0-9]*\) .*/\1/p' | sort -n | tail -n 1) ms"
 say "endless answers: ok"
