Peer link: bound the messages that a daemon takes on connections that it opened

A faulty daemon could send replies of any size to those that asked it, and any number of messages on their other connections to it, which are never read: up to 1,000 for each connection, the default of ZeroMQ.

Cause: the size was limited on the receiving socket only, and the queue for messages nowhere else.

All sockets now have the limit of a message, and those that send take one message at most. An incomplete message of several parts is still not bounded, as ZeroMQ has no limit for it.

--- a/src/peer_link.c
+++ b/src/peer_link.c
@@ -7,6 +7,7 @@
 {
   SEND_QUEUE_MAX = 2000,
   RECEIVE_QUEUE_MAX = 20000,
+  REPLY_QUEUE_MAX = 1, /* a request has one reply; nothing reads what other messages get */
   HEARTBEAT_MS = 2000,
   HEARTBEAT_TIMEOUT_MS = 4000,
   RECONNECT_MS = 100,
@@ -59,6 +60,8 @@
   S_set_int (socket, ZMQ_LINGER, 0);
   S_set_int (socket, ZMQ_HEARTBEAT_IVL, HEARTBEAT_MS);
   S_set_int (socket, ZMQ_HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS);
+  const int64_t max_bytes = MR_WIRE_MAX_BYTES;
+  zmq_setsockopt (socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof max_bytes);
 }
 
 MrPeerLink *
@@ -74,8 +77,6 @@
   link->receive_socket = zmq_socket (link->context, ZMQ_ROUTER);
   S_set_common (link->receive_socket);
   S_set_int (link->receive_socket, ZMQ_RCVHWM, RECEIVE_QUEUE_MAX);
-  int64_t max_bytes = MR_WIRE_MAX_BYTES;
-  zmq_setsockopt (link->receive_socket, ZMQ_MAXMSGSIZE, &max_bytes, sizeof max_bytes);
   g_autofree char *endpoint = g_strdup_printf ("tcp://%s:%d", ip, port);
   if (zmq_bind (link->receive_socket, endpoint) != 0)
     {
@@ -112,6 +113,7 @@
     return NULL;
   S_set_common (socket);
   S_set_int (socket, ZMQ_SNDHWM, SEND_QUEUE_MAX);
+  S_set_int (socket, ZMQ_RCVHWM, REPLY_QUEUE_MAX);
   S_set_int (socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
   S_set_int (socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
   S_set_int (socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
--- a/test/test_peer_link.c
+++ b/test/test_peer_link.c
@@ -2,11 +2,14 @@
 
 #include "peer_link.h"
 
+#include "wire.h"
+
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
 #include <sys/eventfd.h>
 #include <unistd.h>
+#include <zmq.h>
 
 #include <cmocka.h>
 
@@ -14,8 +17,13 @@
 {
   REQUESTERS = 60,
   FIRST_PORT = 27310,
+  MESSAGES_SENT_MAX = 100,
+  /* In the queues of both ends and the buffers of the kernel. */
+  MESSAGES_TAKEN_MAX = 10,
 };
 
+#define PEER_PORT 27400
+
 static const char ip[] = "127.0.0.1";
 static const MrTime TIMEOUT = 10 * MR_SECOND;
 
@@ -102,12 +110,90 @@
   mr_peer_link_free (requester);
 }
 
+/* A peer that is not a daemon of this build: sends messages as the test says. */
+static void *
+S_peer_new (void *context)
+{
+  const int wait_ms = 2000;
+  const int mandatory = 1;
+  const int queue = 1;
+  void *peer = zmq_socket (context, ZMQ_ROUTER);
+  zmq_setsockopt (peer, ZMQ_RCVTIMEO, &wait_ms, sizeof wait_ms);
+  zmq_setsockopt (peer, ZMQ_ROUTER_MANDATORY, &mandatory, sizeof mandatory);
+  zmq_setsockopt (peer, ZMQ_SNDHWM, &queue, sizeof queue);
+  assert_int_equal (zmq_bind (peer, "tcp://127.0.0.1:" G_STRINGIFY (PEER_PORT)), 0);
+  return peer;
+}
+
+/* FALSE if the peer's queue is full or the connection has ended. */
+static gboolean
+S_peer_send (void *peer, const char *identity, gsize identity_len, const char *bytes, gsize len)
+{
+  return zmq_send (peer, identity, identity_len, ZMQ_DONTWAIT | ZMQ_SNDMORE) >= 0 &&
+         zmq_send (peer, bytes, len, ZMQ_DONTWAIT) >= 0;
+}
+
+/* Guards against messages of a faulty peer that take the memory of the process: replies beyond the
+ * largest message, and messages on a connection that only sends. */
+static void
+test_large_messages (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    gboolean request; /* else the connection only sends */
+    gsize bytes;
+    gboolean received;
+  } cases[] = {
+    { "small reply", TRUE, 100, TRUE },
+    { "largest reply", TRUE, MR_WIRE_MAX_BYTES, TRUE },
+    { "reply beyond the limit", TRUE, MR_WIRE_MAX_BYTES + 1, FALSE },
+    { "messages that nobody reads", FALSE, MR_WIRE_MAX_BYTES, FALSE },
+  };
+  (void) state;
+  g_autofree char *bytes = g_malloc0 (MR_WIRE_MAX_BYTES + 1);
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char identity[256];
+      guint taken = 0;
+      gboolean received = FALSE;
+      void *context = zmq_ctx_new ();
+      void *peer = S_peer_new (context);
+      MrPeerLink *link = mr_peer_link_new (ip, FIRST_PORT);
+      g_autoptr (GString) message = g_string_new ("message");
+      int wake_fd = eventfd (0, EFD_NONBLOCK);
+      assert_true (cases[i].request ? mr_peer_link_request (link, mr_now (), ip, PEER_PORT, message)
+                                    : mr_peer_link_send (link, mr_now (), ip, PEER_PORT, message));
+      int identity_len = zmq_recv (peer, identity, sizeof identity, 0);
+      assert_true (identity_len > 0);
+      assert_int_equal (zmq_recv (peer, bytes, MR_WIRE_MAX_BYTES, 0), message->len);
+      for (MrTime end = mr_now () + 500 * MR_MS; mr_now () < end && taken < MESSAGES_SENT_MAX;)
+        {
+          if ((taken == 0 || !cases[i].request) &&
+              S_peer_send (peer, identity, (gsize) identity_len, bytes, cases[i].bytes))
+            taken++;
+          mr_peer_link_wait (link, wake_fd, MR_MS);
+          GString *reply = mr_peer_link_receive (link);
+          received |= reply != NULL;
+          if (reply)
+            g_string_free (reply, TRUE);
+        }
+      if (received != cases[i].received || taken > MESSAGES_TAKEN_MAX)
+        fail_msg ("%s: received %d, %u messages were taken", cases[i].name, received, taken);
+      mr_peer_link_free (link);
+      zmq_close (peer);
+      zmq_ctx_term (context);
+      close (wake_fd);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_requests),
     cmocka_unit_test (test_no_reply),
+    cmocka_unit_test (test_large_messages),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
