--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -11,6 +11,9 @@
   STATUS_HEADERS_TOO_LARGE = 431,
   /* Most pipelined bytes of a caller that are read, beside the largest body. */
   PIPELINED_BYTES_MAX = 64 * 1024,
+  /* Bytes read after a rejected request, so that its caller can send the rest and read the response
+   * before the connection is closed. */
+  IGNORED_BYTES_MAX = 16 * 1024 * 1024,
 };
 
 /* Used until the operators' limits are known. */
@@ -41,10 +44,12 @@
   MrHttpParser *parser;
   GString *pipelined; /* bytes after the request that is being served */
   MrTimer timer;
+  MrTime idle_until;          /* when it is closed if no request has begun */
   MrTime first_byte_at;       /* when the first byte of the request arrived */
   MrTime round_trip;          /* 0: not measured yet, or not known */
   guint64 written_bytes;      /* that the caller had, when they were last seen to increase */
   MrTime written_at;          /* when that was */
+  gsize ignored_bytes;        /* after a rejected request */
   gboolean busy;              /* the host is handling a request */
   gboolean close_after_write; /* close the connection once the response is written */
   gboolean paused;            /* too many bytes are pipelined to read more */
@@ -172,11 +177,15 @@
 {
   mr_http_parser_reset (c->parser);
   const MrCallerLimits *limits = &c->server->limits;
-  mr_http_parser_set_limits (c->parser, (MrHttpLimits){ .max_head_bytes = limits->max_head_bytes,
-                                                        .max_body_bytes = limits->max_body_bytes });
+  mr_http_parser_set_limits (
+      c->parser, (MrHttpLimits){
+                     .max_head_bytes = limits->max_head_bytes,
+                     .max_body_bytes = limits->max_body_bytes,
+                     .max_overhead_bytes = limits->max_head_bytes + limits->max_body_bytes,
+                 });
   c->continue_handled = FALSE;
-  mr_timers_set (c->server->timers, &c->timer,
-                 now + (c->server->closed ? CLOSE_TIMEOUT : limits->idle_timeout + IDLE_GRACE));
+  c->idle_until = now + (c->server->closed ? CLOSE_TIMEOUT : limits->idle_timeout + IDLE_GRACE);
+  mr_timers_set (c->server->timers, &c->timer, c->idle_until);
 }
 
 /* Acts on the parser's new state. */
@@ -195,6 +204,9 @@
   switch (state)
     {
     case MR_HTTP_IDLE:
+      /* Empty lines are no request, and do not prolong the time for one to begin. */
+      mr_timers_set (c->server->timers, &c->timer, c->idle_until);
+      return;
     case MR_HTTP_HEAD:
       return;
     case MR_HTTP_BODY:
@@ -203,6 +215,7 @@
       c->continue_handled = TRUE;
       return;
     case MR_HTTP_MALFORMED:
+    case MR_HTTP_OVERHEAD_TOO_LARGE:
       S_reject (c, STATUS_BAD_REQUEST);
       return;
     case MR_HTTP_HEAD_TOO_LARGE:
@@ -226,7 +239,13 @@
   MrCaller *c = (MrCaller *) handler;
   (void) stream;
   if (c->close_after_write && !c->busy)
-    return; /* rejected: ignore the remaining bytes */
+    {
+      /* Rejected, or the last response was written. */
+      c->ignored_bytes += bytes.len;
+      if (c->ignored_bytes > IGNORED_BYTES_MAX)
+        S_close (c);
+      return;
+    }
   /* The next request begins with the pipelined bytes, even if they have not been parsed yet. */
   if (!c->busy && c->pipelined->len == 0)
     {
--- a/src/http_message.c
+++ b/src/http_message.c
@@ -1,11 +1,15 @@
 #include "http_message.h"
 
+#include "buffer.h"
 #include <http_parser.h>
 
 enum
 {
   /* Applies if the caller sets no limit for heads. */
   DEFAULT_MAX_HEAD_BYTES = 80 * 1024,
+  /* A larger allocation of a body is not kept for the next message. */
+  KEPT_BODY_ALLOCATION = 64 * 1024,
+  MIN_FIELD_BYTES = 4, /* of a field in a head: a name, a colon and the end of the line */
 };
 
 /* Offsets into `head`. */
@@ -28,7 +32,8 @@
   GArray *fields; /* FieldRange */
   gsize target;
   gsize target_len;
-  GString *body;
+  MrBuffer body;
+  guint64 received; /* bytes consumed since the last reset */
 };
 
 gboolean
@@ -86,12 +91,12 @@
 S_on_body (http_parser *parser, const char *at, size_t len)
 {
   MrHttpParser *p = parser->data;
-  if (p->limits.max_body_bytes > 0 && p->body->len + len > p->limits.max_body_bytes)
+  if (p->limits.max_body_bytes > 0 && p->body.len + len > p->limits.max_body_bytes)
     {
       p->state = MR_HTTP_BODY_TOO_LARGE;
       return 1;
     }
-  g_string_append_len (p->body, at, (gssize) len);
+  mr_buffer_append (&p->body, (MrText){ .data = at, .len = len }, p->limits.max_body_bytes);
   return 0;
 }
 
@@ -119,7 +124,6 @@
   MrHttpParser *p = g_new0 (MrHttpParser, 1);
   p->kind = kind;
   p->head = g_string_new (NULL);
-  p->body = g_string_new (NULL);
   p->fields = g_array_new (FALSE, FALSE, sizeof (FieldRange));
   mr_http_parser_reset (p);
   return p;
@@ -131,7 +135,7 @@
   if (!p)
     return;
   g_string_free (p->head, TRUE);
-  g_string_free (p->body, TRUE);
+  mr_buffer_clear (&p->body);
   g_array_unref (p->fields);
   g_free (p);
 }
@@ -148,20 +152,45 @@
   p->bodiless = bodiless;
 }
 
-void
-mr_http_parser_reset (MrHttpParser *p)
+static void
+S_discard_message (MrHttpParser *p)
 {
   http_parser_init (&p->parser, p->kind == MR_HTTP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
   p->parser.data = p;
   p->state = MR_HTTP_IDLE;
-  p->bodiless = FALSE;
   p->target = 0;
   p->target_len = 0;
   g_string_truncate (p->head, 0);
-  g_string_truncate (p->body, 0);
+  p->body.len = 0;
+  if (p->body.allocated > KEPT_BODY_ALLOCATION)
+    mr_buffer_clear (&p->body);
   g_array_set_size (p->fields, 0);
 }
 
+void
+mr_http_parser_reset (MrHttpParser *p)
+{
+  S_discard_message (p);
+  p->bodiless = FALSE;
+  p->received = 0;
+}
+
+static void
+S_check_overhead (MrHttpParser *p)
+{
+  guint64 overhead = p->received - p->head->len - p->body.len;
+  if (p->limits.max_overhead_bytes > 0 && overhead > p->limits.max_overhead_bytes &&
+      p->state <= MR_HTTP_DONE)
+    p->state = MR_HTTP_OVERHEAD_TOO_LARGE;
+}
+
+void
+mr_http_parser_skip (MrHttpParser *p)
+{
+  S_discard_message (p);
+  S_check_overhead (p);
+}
+
 /* Appends bytes to the head up to its end; FALSE on a byte that is not allowed in a head.  Only
  * some implementations accept a line feed without a carriage return as the end of a line, so that
  * what one reads as a header field, another reads as the start of a request. */
@@ -292,11 +321,7 @@
   else if (p->head->len == 0)
     p->state = MR_HTTP_IDLE;
   if (S_is_interim (p))
-    {
-      gboolean bodiless = p->bodiless;
-      mr_http_parser_reset (p);
-      p->bodiless = bodiless;
-    }
+    S_discard_message (p);
   return consumed;
 }
 
@@ -317,7 +342,10 @@
   while (consumed < bytes.len && p->state < MR_HTTP_DONE)
     {
       MrText rest = { .data = bytes.data + consumed, .len = bytes.len - consumed };
-      consumed += p->state == MR_HTTP_BODY ? S_feed_body (p, rest) : S_feed_head (p, rest);
+      gsize used = p->state == MR_HTTP_BODY ? S_feed_body (p, rest) : S_feed_head (p, rest);
+      p->received += used;
+      consumed += used;
+      S_check_overhead (p);
     }
   return consumed;
 }
@@ -330,6 +358,28 @@
     http_parser_execute (&p->parser, &callbacks, NULL, 0);
 }
 
+static gsize
+S_head_memory (const MrHttpParser *p)
+{
+  /* A GArray grows by doubling. */
+  return p->head->allocated_len + 2 * sizeof (FieldRange) * p->fields->len;
+}
+
+gsize
+mr_http_parser_memory (const MrHttpParser *p)
+{
+  return S_head_memory (p) + p->body.allocated;
+}
+
+gsize
+mr_http_parser_memory_after (const MrHttpParser *p, gsize count)
+{
+  gsize head = p->state == MR_HTTP_BODY ? 0 : p->head->len + count;
+  gsize fields = head / MIN_FIELD_BYTES * sizeof (FieldRange);
+  gsize body = mr_buffer_allocation (&p->body, p->body.len + count, p->limits.max_body_bytes);
+  return MAX (S_head_memory (p), 2 * (head + fields)) + body;
+}
+
 MrHttpState
 mr_http_parser_state (const MrHttpParser *p)
 {
@@ -357,7 +407,7 @@
 MrText
 mr_http_parser_body (const MrHttpParser *p)
 {
-  return mr_text_of (p->body);
+  return mr_buffer_text (&p->body);
 }
 
 guint
