--- a/bench/slopes.sh
+++ b/bench/slopes.sh
@@ -5,7 +5,7 @@
 BUILD=$1
 . "$(dirname "$0")/../demo/lib.sh"
 trap stop_all EXIT
-WIDE_PORT=18000
+WIDE_PORT=$((FIRST_PORT + 1000))
 WIDE=300
 TICKS=$(getconf CLK_TCK)
 
--- a/demo/lib.sh
+++ b/demo/lib.sh
@@ -1,11 +1,12 @@
 # Helpers for the demo, soak, slopes and process test scripts: a small system on loopback.
 # Requires BUILD, the build directory.
 
-PLATFORM=127.0.0.1:17000
-HTTP_BASE=17100
-PEER_BASE=17200
-SHOP_PORT=17300
-FARM_PORT=17400
+FIRST_PORT=${MR_FIRST_PORT:-17000} # of 500; two runs at once need different ones
+PLATFORM=127.0.0.1:$FIRST_PORT
+HTTP_BASE=$((FIRST_PORT + 100))
+PEER_BASE=$((FIRST_PORT + 200))
+SHOP_PORT=$((FIRST_PORT + 300))
+FARM_PORT=$((FIRST_PORT + 400))
 RECORDS=5000
 SHARDS=12
 LOGS=$(mktemp -d)
--- a/test/process_silent.sh
+++ b/test/process_silent.sh
@@ -9,7 +9,7 @@
 . "$(dirname "$0")/../demo/lib.sh"
 trap stop_all EXIT
 start_system
-PROXY_PORT=17350
+PROXY_PORT=$((FIRST_PORT + 350))
 start proxy "$BUILD/test/tcp_proxy" $PROXY_PORT $SHOP_PORT
 version=$(http "http://$PLATFORM/v1/objects/shardmaps/shop-search" | sed 's/.*"version":\([0-9]*\).*/\1/')
 put shardmaps shop-search "$version" \
