HTTP server: a close that loses neither requests that have arrived nor replies

The server of merlinringd had no close: with the end of its loop, connections that the kernel had established and nobody had accepted were reset, requests in the sockets of idle connections were lost, and no reply announced the end of its connection.

mr_http_server_drain () announces it, mr_http_server_close () accepts what is established before the listener goes, keeps connections with unread bytes and closes the idle ones. The listener of libwebsockets cannot be closed by itself, so that the server has its own, as the relay's has.

--- a/src/http_server.h
+++ b/src/http_server.h
@@ -47,9 +47,35 @@
 
 /* Number of requests that were received and whose reply is not completely sent. */
 guint mr_http_server_pending_count (const MrHttpServer *server);
+typedef struct
+{
+  guint64 id;
+  MrTime received_at;
+  gboolean answered; /* its reply is being sent */
+} MrHttpPendingRequest;
+/* @visit may reply. */
+void mr_http_server_foreach_pending (MrHttpServer *server,
+                                     void (*visit) (const MrHttpPendingRequest *request,
+                                                    void *user),
+                                     void *user);
+
+/* Ends of a planned stop.  From mr_http_server_drain () on, replies announce the end of their
+ * connection.  mr_http_server_close () accepts the connections that are established and stops
+ * listening; from then on mr_http_server_tick () closes connections without a request, except
+ * those with bytes that were not read yet.  Requests are still received on the others. */
+void mr_http_server_drain (MrHttpServer *server);
+void mr_http_server_close (MrHttpServer *server);
+MrTime mr_http_server_tick (MrHttpServer *server, MrTime now);
+
+/* Number of open connections of all kinds. */
+guint mr_http_server_open_count (const MrHttpServer *server);
+/* Bytes of replies that the kernel has not accepted yet; those that the library holds count as one
+ * for each connection. */
+gsize mr_http_server_unwritten_bytes (const MrHttpServer *server);
 
 /* New connections beyond @max_connections are closed at once; 0 means no limit. */
 void mr_http_server_set_max_connections (MrHttpServer *server, guint max_connections);
+/* Number of connections that have sent a request. */
 guint mr_http_server_connection_count (const MrHttpServer *server);
 
 /* Closes the connection of request @id without a reply; for fault injection in test servers. */
--- a/src/stream.c
+++ b/src/stream.c
@@ -49,7 +49,8 @@
   MrLoop *loop;
   struct lws *wsi;
   int fd;
-  void (*on_accept) (void *user, MrStream *stream);
+  void (*on_accept) (void *user, MrStream *stream); /* NULL: on_socket is set */
+  void (*on_socket) (void *user, int fd);
   void *user;
 };
 
@@ -332,6 +333,11 @@
   int fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd < 0)
     return FALSE;
+  if (listener->on_socket)
+    {
+      listener->on_socket (listener->user, fd);
+      return TRUE;
+    }
   S_set_options (fd);
   MrStream *stream = S_stream_new (listener->loop, fd);
   if (stream)
@@ -347,12 +353,8 @@
   g_free (listener);
 }
 
-MrListener *
-mr_listener_new (MrLoop *loop,
-                 const char *ip,
-                 int port,
-                 void (*on_accept) (void *user, MrStream *stream),
-                 void *user)
+static MrListener *
+S_listener_new (const MrListener *info, const char *ip, int port)
 {
   struct sockaddr_in address;
   const int on = 1;
@@ -368,15 +370,11 @@
         close (fd);
       return NULL;
     }
-  MrListener *listener = g_new0 (MrListener, 1);
-  *listener = (MrListener){
-    .type = USER_DATA_LISTENER,
-    .loop = loop,
-    .fd = fd,
-    .on_accept = on_accept,
-    .user = user,
-  };
-  listener->wsi = S_adopt (loop, fd, listener);
+  MrListener *listener = g_new (MrListener, 1);
+  *listener = *info;
+  listener->type = USER_DATA_LISTENER;
+  listener->fd = fd;
+  listener->wsi = S_adopt (listener->loop, fd, listener);
   if (!listener->wsi)
     {
       mr_fail (MR_ERROR_LIMIT, "cannot listen on %s:%d: too many open connections", ip, port);
@@ -386,6 +384,25 @@
   return listener;
 }
 
+MrListener *
+mr_listener_new (MrLoop *loop,
+                 const char *ip,
+                 int port,
+                 void (*on_accept) (void *user, MrStream *stream),
+                 void *user)
+{
+  MrListener info = { .loop = loop, .on_accept = on_accept, .user = user };
+  return S_listener_new (&info, ip, port);
+}
+
+MrListener *
+mr_listener_new_for_sockets (
+    MrLoop *loop, const char *ip, int port, void (*on_socket) (void *user, int fd), void *user)
+{
+  MrListener info = { .loop = loop, .on_socket = on_socket, .user = user };
+  return S_listener_new (&info, ip, port);
+}
+
 void
 mr_listener_close (MrListener *listener)
 {
--- a/src/stream.h
+++ b/src/stream.h
@@ -69,5 +69,9 @@
                              int port,
                              void (*on_accept) (void *user, MrStream *stream),
                              void *user);
+/* As mr_listener_new (), for connections that are no streams: @on_socket takes ownership of each
+ * new socket, which is non-blocking. */
+MrListener *mr_listener_new_for_sockets (
+    MrLoop *loop, const char *ip, int port, void (*on_socket) (void *user, int fd), void *user);
 /* Accepts the connections that are established by then, so that none of them is reset. */
 void mr_listener_close (MrListener *listener);
