Planned stop of merlinringd: bound to a grace period, within which every request is answered

Callers saw connections end without an answer when a supervisor killed a daemon that was still stopping: nothing bounded a planned stop. It waited for orders (deadlines of up to 60 s), for a pause in the traffic for 36 s with the default settings, for page requests and slow readers without end, and for batches of other daemons. Replies did not announce the end of their connections, so that callers with kept connections sent on, and what came in the last 0.3 s could be lost with the loops.

After SIGSTOP until after the grace period the steps that are left are taken one after the other. E1006 and E1708 tell what was read, refused, failed and cut, as the relay's do; three counters of /metrics.

process_stop_requests, on the code before, with a supervisor that kills after 6 s: killed in 3 of 4 stops (an order that waits for an issuer that never answers: no reply; requests that keep coming), no reply of 19 on kept connections announced their end. Now: ends after 5.1 and 4.4 s, all answered; 6.5 s where it was stopped until 6.2 s. test_target_task: without the stop time a batch at a target that never answers is open after 10 s, now it ends within 1.2 s.

--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -234,8 +234,10 @@
 S_on_request_done (MrRelayHost *host, gpointer request, const MrRelayResult *result)
 {
   (void) host;
-  gboolean nothing_sent = result->cause == MR_CAUSE_TIME && result->sends->len == 0;
-  S_finish (request, nothing_sent ? MR_PARTIAL_DEADLINE : MR_PARTIAL_ANSWER, result);
+  MrPartialKind kind = MR_PARTIAL_ANSWER;
+  if (result->sends->len == 0 && result->cause == MR_CAUSE_TIME)
+    kind = MR_PARTIAL_DEADLINE;
+  S_finish (request, kind, result);
 }
 
 void
@@ -428,6 +430,12 @@
   mr_relay_set_target_leaving (d->relay, now, key, leaving);
 }
 
+void
+mr_dispatch_set_stop_time (MrDispatch *d, MrTime at)
+{
+  mr_relay_set_stop_time (d->relay, at);
+}
+
 MrTime
 mr_dispatch_tick (MrDispatch *d, MrTime now)
 {
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -114,6 +114,9 @@
 /* Sets the failure domains whose targets get no new calls, as a set of strings. */
 void mr_dispatch_set_evacuated (MrDispatch *dispatch, MrTime now, GHashTable *domains);
 
+/* The process stops: open and later batches end by @at. */
+void mr_dispatch_set_stop_time (MrDispatch *dispatch, MrTime at);
+
 /* Runs all timers that are due.  Returns the time of the next call, or MR_NEVER. */
 MrTime mr_dispatch_tick (MrDispatch *dispatch, MrTime now);
 
--- a/src/entry_context.c
+++ b/src/entry_context.c
@@ -48,6 +48,22 @@
     mr_metrics_add (MR_METRIC_REFUSED, 1);
 }
 
+gboolean
+mr_entry_is_cut_short (const MrEntryContext *context, MrTime now)
+{
+  /* Targets' calls and queries end some time before the requests that need them. */
+  const MrTime margin = 100 * MR_MS;
+  return now >= context->stop_at - margin;
+}
+
+void
+mr_entry_refuse_leaving (MrEntryContext *context, guint64 http_id)
+{
+  mr_metrics_add (MR_METRIC_STOP_REFUSED, 1);
+  mr_entry_refuse (context, http_id, MR_RESULT_LEAVING, 1,
+                   "this daemon is stopping; ask another address");
+}
+
 void
 mr_entry_submit_batch (MrEntryContext *context, MrBatch *batch)
 {
--- a/src/entry_context.h
+++ b/src/entry_context.h
@@ -27,6 +27,7 @@
   guint64 last_batch_id;
   guint window_refused; /* requests refused for overload since the last check of the load */
   guint window_served;  /* requests served since then */
+  MrTime stop_at;       /* all requests end by then; MR_NEVER without a planned stop */
 } MrEntryContext;
 
 /* A caller's request after it has passed the filter chain. */
@@ -49,6 +50,12 @@
                       gint64 retry_after_ms,
                       const char *message);
 
+/* TRUE if a request that ends at @now without a full result ends so because of the planned stop. */
+gboolean mr_entry_is_cut_short (const MrEntryContext *context, MrTime now);
+
+/* Refuses a request that has not run, as the daemon is stopping. */
+void mr_entry_refuse_leaving (MrEntryContext *context, guint64 http_id);
+
 /* Posts @batch to the target task with this daemon as its root.  Takes ownership of @batch. */
 void mr_entry_submit_batch (MrEntryContext *context, MrBatch *batch);
 
--- a/src/entry_task.c
+++ b/src/entry_task.c
@@ -1,12 +1,9 @@
 #include "entry_task.h"
 
-#include "entry_context.h"
+#include "entry_stop.h"
 #include "log.h"
 #include "metrics.h"
 #include "operator_pages.h"
-#include "order_handler.h"
-#include "safeguard.h"
-#include "searches.h"
 #include "task_message.h"
 
 enum
@@ -23,22 +20,6 @@
 };
 
 static const MrTime LOAD_CHECK_INTERVAL = 1 * MR_SECOND;
-/* Added to the keep time of a planned stop: callers may get this daemon's address until the other
- * daemons have been notified that it is leaving. */
-static const MrTime LEAVING_MARGIN = 1 * MR_SECOND;
-/* After the keep time, a period without requests that shows that callers have switched to other
- * daemons. */
-static const MrTime IDLE_BEFORE_STOP = 300 * MR_MS;
-/* A planned stop waits for such a period for at most this long after the keep time. */
-static const MrTime STOP_DELAY_MAX = 30 * MR_SECOND;
-
-typedef enum
-{
-  STAGE_SERVING,
-  STAGE_LEAVING,  /* addresses are no longer given out; still serves requests */
-  STAGE_FINISHED, /* all requests are complete */
-} Stage;
-
 struct _MrEntryTask
 {
   MrLoopHandler loop_handler;
@@ -48,9 +29,7 @@
   MrSearches *searches;
   MrOrderHandler *orders;
   GRand *random;
-  Stage stage;
-  MrTime stop_not_before; /* end of the keep time of a planned stop */
-  MrTime last_request_at; /* time of the last request of a caller */
+  MrEntryStop *stop;
   MrTime next_load_check;
   gboolean busy;
   void (*stopped) (void *user);
@@ -144,7 +123,8 @@
   gint64 deadline_ms = 0;
   if (!S_parse_int_arg (chain, "deadline_ms", default_value, max, &deadline_ms))
     return FALSE;
-  chain->request.deadline = chain->request.received_at + deadline_ms * MR_MS;
+  chain->request.deadline =
+      MIN (chain->request.received_at + deadline_ms * MR_MS, chain->task->context.stop_at);
   return TRUE;
 }
 
@@ -183,17 +163,17 @@
   return S_refuse (chain, MR_RESULT_OVERLOADED, 100, "this daemon already serves %u requests", max);
 }
 
-/* After the keep time of a planned stop, callers should use other daemons. */
 static gboolean
-S_filter_stage (Chain *chain)
+S_filter_stop (Chain *chain)
 {
-  if (chain->task->stage != STAGE_FINISHED)
+  if (!mr_entry_stop_refuses (chain->task->stop))
     return TRUE;
-  return S_refuse (chain, MR_RESULT_LEAVING, 1, "this daemon is stopping; ask another address");
+  mr_entry_refuse_leaving (&chain->task->context, chain->http->id);
+  return FALSE;
 }
 
 static const Filter filters[] = {
-  S_filter_stage,    S_filter_ready, S_filter_service,    S_filter_admission,
+  S_filter_stop,     S_filter_ready, S_filter_service,    S_filter_admission,
   S_filter_deadline, S_filter_class, S_filter_request_id,
 };
 
@@ -283,7 +263,7 @@
     .service_name = parts[3],
     .request = { .http_id = request->id, .received_at = mr_now () },
   };
-  task->last_request_at = chain.request.received_at;
+  mr_entry_stop_count_request (task->stop, chain.request.received_at);
   for (size_t i = 0; i < G_N_ELEMENTS (service_routes); i++)
     {
       if (!g_str_equal (service_routes[i].action, parts[4]))
@@ -317,7 +297,7 @@
   MrEntryActivity counts = {
     .searches = mr_searches_count (task->searches),
     .orders = mr_order_handler_pending_count (task->orders),
-    .leaving = task->stage != STAGE_SERVING,
+    .leaving = mr_entry_stop_has_begun (task->stop),
   };
   S_reply_text (task, request->id, NULL, mr_page_status (&task->context, &counts));
 }
@@ -350,7 +330,7 @@
 S_page_ready (MrEntryTask *task, const MrHttpRequest *request)
 {
   Chain chain = { .task = task, .http = request };
-  if (S_filter_stage (&chain) && S_filter_ready (&chain))
+  if (S_filter_stop (&chain) && S_filter_ready (&chain))
     S_reply_text (task, request->id, NULL, g_string_new ("{\"ready\":true}\n"));
 }
 
@@ -401,15 +381,9 @@
 static void
 S_begin_leaving (MrEntryTask *task)
 {
-  if (task->stage != STAGE_SERVING)
+  if (mr_entry_stop_has_begun (task->stop))
     return;
-  MrTime now = mr_now ();
-  task->stage = STAGE_LEAVING;
-  task->last_request_at = now;
-  task->stop_not_before = now + task->context.settings->keep_ms * MR_MS + LEAVING_MARGIN;
-  mr_log (MR_LOG_NOTICE, MR_EVENT_STOPPING,
-          "stopping: still serving requests for %d ms, then exiting",
-          task->context.settings->keep_ms);
+  mr_entry_stop_begin (task->stop, mr_now ());
   S_publish_local_state (task, MR_MEMBER_LEAVING);
 }
 
@@ -469,21 +443,6 @@
   mr_message_free (message);
 }
 
-/* Closing the connections of pending requests would leave their callers without knowing whether a
- * request has run, so the process stops only once nothing is pending. */
-static gboolean
-S_can_stop (MrEntryTask *task, MrTime now)
-{
-  if (!MR_SAFEGUARD (MR_GUARD_DRAIN))
-    return TRUE;
-  gboolean is_idle = now - task->last_request_at > IDLE_BEFORE_STOP ||
-                     now > task->stop_not_before + STOP_DELAY_MAX;
-  return now >= task->stop_not_before && is_idle && mr_searches_count (task->searches) == 0 &&
-         mr_order_handler_pending_count (task->orders) == 0 &&
-         mr_http_server_pending_count (task->context.server) == 0 &&
-         mr_metrics_open_batches () == 0;
-}
-
 /* Marks this daemon busy while it refuses many requests, so that callers are given other addresses.
  */
 static void
@@ -498,7 +457,7 @@
   task->context.window_served = 0;
   guint percent = total > 0 ? refused * 100 / total : 0;
   gboolean busy = task->busy ? percent > BUSY_END_PERCENT : percent > BUSY_START_PERCENT;
-  if (busy == task->busy || task->stage != STAGE_SERVING)
+  if (busy == task->busy || mr_entry_stop_has_begun (task->stop))
     return;
   task->busy = busy;
   S_publish_local_state (task, MR_MEMBER_ALIVE);
@@ -511,15 +470,10 @@
   MrTime next = mr_searches_tick (task->searches, now);
   next = MIN (next, mr_order_handler_tick (task->orders, now));
   S_update_busy (task, now);
-  if (task->stage == STAGE_LEAVING)
+  if (mr_entry_stop_continue (task->stop, now, &next))
     {
-      next = MIN (next, now + 20 * MR_MS);
-      if (S_can_stop (task, now))
-        {
-          task->stage = STAGE_FINISHED;
-          S_publish_local_state (task, MR_MEMBER_LEFT);
-          task->stopped (task->user);
-        }
+      S_publish_local_state (task, MR_MEMBER_LEFT);
+      task->stopped (task->user);
     }
   return next;
 }
@@ -541,6 +495,7 @@
   task->user = info->user;
   task->searches = mr_searches_new (&task->context);
   task->orders = mr_order_handler_new (&task->context, info->random);
+  task->stop = mr_entry_stop_new (&task->context, task->searches, task->orders);
   task->loop = mr_loop_new (&task->loop_handler, (guint) info->settings->max_requests * 2);
   if (task->loop)
     task->context.server = mr_http_server_new (task->loop, &task->http_handler, info->settings->ip,
@@ -569,6 +524,7 @@
   mr_http_server_free (task->context.server);
   mr_searches_free (task->searches);
   mr_order_handler_free (task->orders);
+  mr_entry_stop_free (task->stop);
   mr_view_unref (task->context.view);
   mr_burn_free (task->context.burn);
   mr_quarantine_free (task->context.quarantine);
--- a/src/order_handler.c
+++ b/src/order_handler.c
@@ -175,6 +175,9 @@
     MrOrderHandler *handler, guint64 http_id, MrResult result, gint64 retry_after_ms, MrText reply)
 {
   S_count_result (result);
+  if (mr_result_ran (result) == MR_RAN_UNKNOWN &&
+      mr_entry_is_cut_short (handler->context, mr_now ()))
+    mr_metrics_add (MR_METRIC_STOP_FAILED, 1);
   if (result == MR_RESULT_DONE)
     S_reply_done (handler, http_id, reply);
   else
@@ -324,7 +327,7 @@
       S_answer (handler, &requester, MR_RESULT_NO_SERVICE, 0, (MrText){ 0 });
       return;
     }
-  MrTime deadline = mr_now () + message->remaining_ms * MR_MS;
+  MrTime deadline = MIN (mr_now () + message->remaining_ms * MR_MS, handler->context->stop_at);
   MrOrderDecision decision = S_decide (handler, &requester, service, mr_text (message->ticket),
                                        mr_text_of (message->body), deadline);
   /* Issued by an earlier process with the name of this daemon, whose records no longer exist. */
@@ -406,6 +409,36 @@
   return next;
 }
 
+void
+mr_order_handler_end_by (MrOrderHandler *handler, MrTime at)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, handler->forwards);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    {
+      PendingForward *forward = item;
+      forward->timeout_at = MIN (forward->timeout_at, at);
+    }
+}
+
+void
+mr_order_handler_end_all (MrOrderHandler *handler)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  mr_order_handler_end_by (handler, 0);
+  mr_order_handler_tick (handler, mr_now ());
+  g_hash_table_iter_init (&iter, handler->dispatches);
+  while (g_hash_table_iter_next (&iter, NULL, &item))
+    {
+      const PendingDispatch *dispatch = item;
+      mr_order_records_end (handler->records, dispatch->sequence, MR_RESULT_UNKNOWN, (MrText){ 0 });
+      S_answer (handler, &dispatch->requester, MR_RESULT_UNKNOWN, 0, (MrText){ 0 });
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
 guint
 mr_order_handler_pending_count (const MrOrderHandler *handler)
 {
--- a/src/order_handler.h
+++ b/src/order_handler.h
@@ -30,5 +30,10 @@
 gboolean mr_order_handler_on_partial (MrOrderHandler *handler, MrPartial *partial);
 MrTime mr_order_handler_tick (MrOrderHandler *handler, MrTime now);
 
+/* Forwarded orders end by @at at the latest, as unknown. */
+void mr_order_handler_end_by (MrOrderHandler *handler, MrTime at);
+/* Answers all orders without a result: they may have run. */
+void mr_order_handler_end_all (MrOrderHandler *handler);
+
 /* Number of orders that were dispatched or forwarded and have no result yet. */
 guint mr_order_handler_pending_count (const MrOrderHandler *handler);
--- a/src/query.c
+++ b/src/query.c
@@ -311,6 +311,12 @@
   return next;
 }
 
+void
+mr_query_end_by (MrQuery *q, MrTime at)
+{
+  q->finish_by = MIN (q->finish_by, at);
+}
+
 gboolean
 mr_query_ended (const MrQuery *q)
 {
--- a/src/query.h
+++ b/src/query.h
@@ -63,6 +63,8 @@
 /* Checks all timeouts.  Returns the time of the next call, or MR_NEVER once the query has ended. */
 MrTime mr_query_tick (MrQuery *query, MrTime now);
 
+/* The query ends by @at at the latest, with what has been merged by then. */
+void mr_query_end_by (MrQuery *query, MrTime at);
 gboolean mr_query_ended (const MrQuery *query);
 
 /* The answer of a query that has ended. */
--- a/src/searches.c
+++ b/src/searches.c
@@ -259,6 +259,8 @@
   MrTime now = mr_now ();
   MrQueryAnswer answer = mr_query_answer (search->query);
   S_record_outcome (searches, search, &answer, now);
+  if (answer.result != MR_RESULT_COMPLETE && mr_entry_is_cut_short (searches->context, now))
+    mr_metrics_add (MR_METRIC_STOP_FAILED, 1);
   if (mr_result_ran (answer.result) == MR_RAN_NO)
     mr_entry_refuse (searches->context, search->http_id, answer.result, answer.retry_after_ms,
                      "the targets' queues are too long for this deadline");
@@ -389,6 +391,16 @@
   return next;
 }
 
+void
+mr_searches_end_by (MrSearches *searches, MrTime at)
+{
+  GHashTableIter iter;
+  gpointer item = NULL;
+  g_hash_table_iter_init (&iter, searches->searches);
+  while (g_hash_table_iter_next (&iter, &item, NULL))
+    mr_query_end_by (((Search *) item)->query, at);
+}
+
 guint
 mr_searches_count (const MrSearches *searches)
 {
--- a/src/searches.h
+++ b/src/searches.h
@@ -19,4 +19,6 @@
 /* Cancels the search whose caller has disconnected. */
 void mr_searches_cancel (MrSearches *searches, guint64 http_id);
 MrTime mr_searches_tick (MrSearches *searches, MrTime now);
+/* Open searches end by @at at the latest, with what has been merged by then. */
+void mr_searches_end_by (MrSearches *searches, MrTime at);
 guint mr_searches_count (const MrSearches *searches);
--- a/src/settings.c
+++ b/src/settings.c
@@ -71,6 +71,9 @@
     FIELD (max_requests), "Maximum number of concurrent requests from callers" },
   { KEY_LONG_ONLY + 7, "content-key", "MERLINRING_CONTENT_KEY", "merlinring", SETTING_NAME, 0, 0,
     FIELD (content_key), "Key for the fingerprints of requests; must be the same on all daemons" },
+  { KEY_LONG_ONLY + 8, "grace-ms", "MERLINRING_GRACE_MS", "30000", SETTING_NUMBER, 3000, 600000,
+    FIELD (grace_ms),
+    "Time after SIGTERM at which the supervisor kills the process; a planned stop ends before it" },
   { 'l', "log-level", "MERLINRING_LOG_LEVEL", "6", SETTING_NUMBER, 3, 7, FIELD (log_level),
     "Least severe level that is logged: 3 error, 4 warning, 5 notice, 6 info, 7 debug" },
 };
--- a/src/settings.h
+++ b/src/settings.h
@@ -18,6 +18,7 @@
   int platform_port;
   char **seeds; /* "ip:port" of peers to join when the list of VMs can't be read; NULL-terminated */
   int keep_ms;  /* how long callers may cache a list of daemon addresses */
+  int grace_ms; /* from SIGTERM until the process may be killed */
   int ticket_life_ms;  /* from the issue of a ticket to its first use at the latest */
   int record_life_ms;  /* how long the result of an order is kept after ticket_life_ms */
   int max_records;     /* order records; an order that would need one more is refused */
--- a/src/target_task.c
+++ b/src/target_task.c
@@ -458,6 +458,12 @@
                               message->forget ? NULL : &message->evidence);
 }
 
+static void
+S_on_stop_time (MrTargetTask *task, const MrStopTimeMessage *message)
+{
+  mr_dispatch_set_stop_time (task->dispatch, message->at);
+}
+
 static void
 S_on_message (MrLoopHandler *handler, MrMessage *message)
 {
@@ -476,6 +482,9 @@
     case MR_MESSAGE_REPORT:
       S_on_report (task, (MrReportMessage *) message);
       break;
+    case MR_MESSAGE_STOP_TIME:
+      S_on_stop_time (task, (const MrStopTimeMessage *) message);
+      break;
     case MR_MESSAGE_EVIDENCE:
       S_on_evidence (task, (const MrEvidenceMessage *) message);
       break;
--- a/src/task_message.c
+++ b/src/task_message.c
@@ -254,6 +254,14 @@
   return S_message_new (sizeof (MrMessage), MR_MESSAGE_STOP, S_free_struct);
 }
 
+MrStopTimeMessage *
+mr_stop_time_message_new (MrTime at)
+{
+  MrStopTimeMessage *message = S_message_new (sizeof *message, MR_MESSAGE_STOP_TIME, S_free_struct);
+  message->at = at;
+  return message;
+}
+
 MrVersionQueryMessage *
 mr_version_query_message_new (const char *to, guint64 number)
 {
--- a/src/task_message.h
+++ b/src/task_message.h
@@ -34,6 +34,7 @@
   MR_MESSAGE_EVIDENCE,
   MR_MESSAGE_LIMIT,
   MR_MESSAGE_STOP,
+  MR_MESSAGE_STOP_TIME,
   MR_MESSAGE_VERSION_QUERY,
   MR_MESSAGE_VERSION_REPLY,
 } MrMessageType;
@@ -53,6 +54,13 @@
   GArray *members;    /* MrMember */
 } MrChangesMessage;
 
+/* Entry task to target task: a planned stop has begun; batches end by @at. */
+typedef struct
+{
+  MrMessage base;
+  MrTime at;
+} MrStopTimeMessage;
+
 /* Where a batch came from: its root is the daemon that received the search and merges the partial
  * results.  An empty root is the entry task of this daemon. */
 typedef struct
@@ -248,5 +256,6 @@
 MrEvidenceMessage *mr_evidence_message_new (MrFingerprint fingerprint, const MrEvidence *evidence);
 MrLimitTaskMessage *mr_limit_task_message_new (const char *peer, const MrLimitMessage *limit);
 MrMessage *mr_stop_message_new (void);
+MrStopTimeMessage *mr_stop_time_message_new (MrTime at);
 MrVersionQueryMessage *mr_version_query_message_new (const char *to, guint64 number);
 MrVersionReplyMessage *mr_version_reply_message_new (guint64 number, guint64 version);
--- /dev/null
+++ b/test/process_stop_requests.sh
@@ -0,0 +1,181 @@
+#!/usr/bin/env bash
+# Guards against requests that a planned stop leaves without an answer, or answers falsely.  A
+# daemon that has not ended when its grace period is over is killed here, as by a supervisor.
+#
+# 1. An order that waits for an issuer that never answers, under constant traffic.
+# 2. Requests on connections opened before SIGTERM, new ones until the listener closes, and a
+#    repeated order that has run.
+# 3. SIGTERM twice, and a process that is stopped until after its grace period.
+# 4. SIGTERM during a start without a platform.
+set -u
+BUILD=$1
+. "$(dirname "$0")/../demo/lib.sh"
+trap stop_all EXIT
+
+GRACE_MS=6000
+export MERLINRING_GRACE_MS=$GRACE_MS
+start_system
+D1=127.0.0.1:$((HTTP_BASE + 1))
+SEARCH="/v1/services/shop-search/search?q=ripe&deadline_ms=500"
+failures=()
+
+now_ms() { printf '%d' $((${EPOCHREALTIME/[.,]/} / 1000)); }
+sleep_until() { # MS after the signal
+  local left=$((signalled + $1 - $(now_ms)))
+  [ "$left" -le 0 ] || sleep "$(printf '%d.%03d' $((left / 1000)) $((left % 1000)))"
+}
+begin_stop() { signalled=$(now_ms) && kill -TERM "${PIDS[d1]}"; }
+restart() {
+  start_daemon 1 1
+  until_true 10 daemon_ready 1 || fail "d1 is not ready after its restart"
+  until_true 10 search_complete 1 shop-search ripe || fail "d1 does not serve after its restart"
+}
+
+# Waits for d1 until MS after the signal, then kills it.
+await_end() { # MS
+  (
+    sleep_until "$1"
+    kill -KILL "${PIDS[d1]}"
+  ) 2>/dev/null &
+  local killer=$!
+  wait "${PIDS[d1]}" 2>/dev/null
+  local code=$?
+  took=$(($(now_ms) - signalled))
+  kill "$killer" 2>/dev/null
+  wait "$killer" 2>/dev/null
+  unset "PIDS[d1]"
+  [ "$code" = 0 ] || failures+=("$2: d1 ended with $code $took ms after SIGTERM")
+  grep -q '"event":"E1006".*"cut":0,.*"unwritten_bytes":0' "$LOGS/d1.log" ||
+    failures+=("$2: no E1006, or one that tells of lost answers")
+}
+
+# Sends requests on new connections until the listener is closed; writes one line for each that was
+# cut off.
+send_constantly() { # FILE
+  local code
+  while :; do
+    curl -sS --max-time 5 -o "$LOGS/body.$BASHPID" "http://$D1$SEARCH" 2>>"$LOGS/curl.txt"
+    code=$?
+    [ "$code" != 7 ] || return 0 # connection refused
+    [ "$code" = 0 ] || echo "curl $code, $(($(now_ms) - signalled)) ms after SIGTERM" >>"$1"
+    sleep 0.02
+  done
+}
+
+# Opens a connection before the signal and sends a request on it AT ms after it, unless the daemon
+# has closed it by then.  Writes the response to FILE, nothing if it was cut off.
+send_kept() { # FILE AT REQUEST
+  local fd
+  exec {fd}<>"/dev/tcp/127.0.0.1/$((HTTP_BASE + 1))" || return
+  until [ -e "$LOGS/signalled" ]; do sleep 0.01; done
+  signalled=$(cat "$LOGS/signalled")
+  sleep_until "$2"
+  if read -r -t 0 -u "$fd"; then
+    echo closed >"$1"
+    return
+  fi
+  printf '%b' "$3" >&"$fd"
+  timeout 3 cat <&"$fd" >"$1"
+}
+
+# 1
+t=$(ticket 2)
+until [ -n "$t" ]; do t=$(ticket 2); done
+kill -STOP "${PIDS[d2]}"
+curl -sS --max-time 30 -X POST --data-binary '{"record":"r17"}' -o "$LOGS/order" \
+  "http://$D1/v1/services/shop-search/orders?ticket=$t&deadline_ms=60000" 2>"$LOGS/order.txt" &
+callers=($!)
+sleep 0.3
+begin_stop
+for i in 1 2 3; do
+  send_constantly "$LOGS/constant" &
+  callers+=($!)
+done
+await_end $GRACE_MS "constant traffic"
+wait "${callers[@]}"
+kill -CONT "${PIDS[d2]}"
+say "constant traffic: d1 ended $took ms after SIGTERM, $(cat "$LOGS/constant" 2>/dev/null | wc -l) requests cut off, order: $(cat "$LOGS/order" "$LOGS/order.txt" 2>/dev/null)"
+[ ! -s "$LOGS/constant" ] || failures+=("constant traffic: $(wc -l <"$LOGS/constant") requests cut off: $(head -n 1 "$LOGS/constant")")
+has "$(cat "$LOGS/order" 2>/dev/null)" '"ran":"unknown"' ||
+  failures+=("an order that may have run got '$(cat "$LOGS/order" "$LOGS/order.txt" 2>/dev/null)'")
+
+# 2
+restart
+get="GET $SEARCH HTTP/1.1\r\nHost: h\r\n\r\n"
+t=$(ticket 1)
+other=$(ticket 3)
+expect "$(order 1 "$t" 1000)" '"result":102' "an order before the stop"
+expect "$(order 3 "$other" 1000)" '"result":102' "an order at another daemon before the stop"
+post='POST /v1/services/shop-search/orders?ticket=%s HTTP/1.1\r\nHost: h\r\nContent-Length: 16\r\n\r\n{"record":"r17"}'
+rm -f "$LOGS/signalled"
+callers=()
+for at in 300 1000 1900 1950 2000 2050 2075 2100 2125 2150 2175 2200 2225 2250 2275 2300 2325 2350 2400; do
+  send_kept "$LOGS/kept.$at" $at "$get" &
+  callers+=($!)
+done
+# shellcheck disable=SC2059
+send_kept "$LOGS/repeated" 2120 "$(printf "$post" "$t")" &
+callers+=($!)
+# shellcheck disable=SC2059
+send_kept "$LOGS/forwarded" 2130 "$(printf "$post" "$other")" &
+callers+=($!)
+sleep 0.5
+begin_stop
+echo "$signalled" >"$LOGS/signalled.new" && mv "$LOGS/signalled.new" "$LOGS/signalled"
+(
+  sleep_until 1900
+  send_constantly "$LOGS/late"
+) &
+callers+=($!)
+await_end $GRACE_MS "kept connections"
+wait "${callers[@]}"
+cut=0
+for file in "$LOGS"/kept.*; do
+  [ -s "$file" ] || cut=$((cut + 1))
+  has "$(cat "$file")" 'HTTP/1.1 200' && ! grep -qi '^connection: close' "$file" &&
+    failures+=("kept connections: ${file##*.} ms after SIGTERM: the end of the connection is not announced")
+done
+say "kept connections: d1 ended $took ms after SIGTERM, $cut cut off, $(grep -l '^closed' "$LOGS"/kept.* | wc -l) closed before, new ones cut off: $(cat "$LOGS/late" 2>/dev/null | wc -l)"
+[ "$cut" = 0 ] || failures+=("kept connections: $cut requests cut off")
+[ ! -s "$LOGS/late" ] || failures+=("new connections: $(head -n 1 "$LOGS/late")")
+for file in repeated forwarded; do
+  say "$file order: $(tail -n 1 "$LOGS/$file")"
+  has "$(cat "$LOGS/$file")" '"ran":"not run"' && failures+=("a $file order that has run was answered 'not run'")
+done
+
+# 3
+restart
+t=$(ticket 2)
+kill -STOP "${PIDS[d2]}"
+curl -sS --max-time 30 -X POST --data-binary '{"record":"r17"}' -o "$LOGS/order" \
+  "http://$D1/v1/services/shop-search/orders?ticket=$t&deadline_ms=60000" 2>"$LOGS/order.txt" &
+callers=($!)
+sleep 0.3
+begin_stop
+sleep_until 200
+kill -TERM "${PIDS[d1]}"
+kill -STOP "${PIDS[d1]}"
+http "http://$D1$SEARCH" >"$LOGS/stopped" 2>&1 & # arrives while the process is stopped
+callers+=($!)
+sleep_until $((GRACE_MS - 2000))
+http "http://$D1$SEARCH" >"$LOGS/stopped.late" 2>&1 &
+callers+=($!)
+sleep_until $((GRACE_MS + 200))
+kill -CONT "${PIDS[d1]}"
+await_end $((GRACE_MS + 3000)) "a stopped process"
+wait "${callers[@]}"
+kill -CONT "${PIDS[d2]}"
+say "a stopped process: d1 ended $took ms after SIGTERM; $(cat "$LOGS/order") $(cat "$LOGS/stopped.late")"
+has "$(cat "$LOGS/order")" '"ran":"unknown"' || failures+=("a stopped process: the order got '$(cat "$LOGS/order" "$LOGS/order.txt")'")
+has "$(cat "$LOGS/stopped.late")" '"result":' || failures+=("a stopped process: a search got '$(cat "$LOGS/stopped.late")'")
+
+# 4
+PLATFORM=127.0.0.1:$((FIRST_PORT + 499)) start_daemon 1 1
+until_true 5 http "http://$D1/v1/status" || fail "d1 does not answer without a platform"
+begin_stop
+await_end $GRACE_MS "a start without a platform"
+say "a start without a platform: d1 ended $took ms after SIGTERM"
+
+for failure in "${failures[@]}"; do printf 'FAILED: %s\n' "$failure" >&2; done
+[ ${#failures[@]} = 0 ] || fail "${#failures[@]} checks"
+say "stop requests: ok"
