Orders at the end of a planned stop: "not run" only if the order has not run

Callers that repeated an order at its issuer, since they had lost the answer, were told "not run" (203, leaving) in the last 0.3 s of a planned stop although the order had run; a caller that takes a new ticket then orders twice. Cause: the daemon refused all requests by its stage, before it looked at the order's record.

Orders now pass that filter. The issuer answers from the record and refuses only an order that it has not dispatched, and never will; an order of another daemon's ticket, which may have run there, is unknown. The same holds for orders that other daemons forward.

Case 3: after SIGSTOP until after the grace period, 102 for the one that has run here, unknown for another daemon's, 203 for an unused ticket.

--- a/src/entry_stop.c
+++ b/src/entry_stop.c
@@ -136,6 +136,7 @@
 S_begin_refusing (MrEntryStop *stop)
 {
   stop->stage = STAGE_REFUSING;
+  mr_order_handler_refuse (stop->orders);
   mr_http_server_close (stop->context->server);
 }
 
--- a/src/entry_task.c
+++ b/src/entry_task.c
@@ -163,10 +163,12 @@
   return S_refuse (chain, MR_RESULT_OVERLOADED, 100, "this daemon already serves %u requests", max);
 }
 
+/* Orders pass, as an order of the same ticket may have run: "not run" would be false. */
 static gboolean
 S_filter_stop (Chain *chain)
 {
-  if (!mr_entry_stop_refuses (chain->task->stop))
+  if (!mr_entry_stop_refuses (chain->task->stop) ||
+      g_str_has_suffix (chain->http->path.data, "/orders"))
     return TRUE;
   mr_entry_refuse_leaving (&chain->task->context, chain->http->id);
   return FALSE;
--- a/src/order_handler.c
+++ b/src/order_handler.c
@@ -43,6 +43,7 @@
   GHashTable *dispatches; /* batch id -> PendingDispatch */
   GHashTable *forwards;   /* request id -> PendingForward */
   guint64 last_request_id;
+  gboolean refuses; /* the process ends before another order could */
 };
 
 MrOrderHandler *
@@ -120,6 +121,8 @@
       return "overloaded; nothing was sent";
     case MR_RESULT_DEADLINE:
       return "no target was free in time; nothing was sent";
+    case MR_RESULT_LEAVING:
+      return "this daemon is stopping; nothing was sent; ask another address";
     case MR_RESULT_NO_TARGET:
       return "no target accepted the order; each refused it or could not be reached";
     case MR_RESULT_UNKNOWN:
@@ -152,6 +155,8 @@
 {
   if (result == MR_RESULT_IN_FLIGHT)
     return IN_FLIGHT_RETRY_MS;
+  if (result == MR_RESULT_LEAVING)
+    return 1;
   return result == MR_RESULT_ORDERS_FULL ? RECORDS_FULL_RETRY_MS : 0;
 }
 
@@ -175,8 +180,10 @@
     MrOrderHandler *handler, guint64 http_id, MrResult result, gint64 retry_after_ms, MrText reply)
 {
   S_count_result (result);
-  if (mr_result_ran (result) == MR_RAN_UNKNOWN &&
-      mr_entry_is_cut_short (handler->context, mr_now ()))
+  if (result == MR_RESULT_LEAVING)
+    mr_metrics_add (MR_METRIC_STOP_REFUSED, 1);
+  else if (mr_result_ran (result) == MR_RAN_UNKNOWN &&
+           mr_entry_is_cut_short (handler->context, mr_now ()))
     mr_metrics_add (MR_METRIC_STOP_FAILED, 1);
   if (result == MR_RESULT_DONE)
     S_reply_done (handler, http_id, reply);
@@ -255,7 +262,15 @@
 {
   MrOrderDecision decision = mr_order_records_begin (handler->records, mr_now (), ticket,
                                                      mr_text (service->document.service), body);
-  if (decision.action == MR_ORDER_ACTION_RUN)
+  if (decision.action == MR_ORDER_ACTION_RUN && handler->refuses)
+    {
+      /* Its ticket is not dispatched any more, here or elsewhere. */
+      mr_order_records_end (handler->records, decision.ticket.sequence, MR_RESULT_LEAVING,
+                            (MrText){ 0 });
+      S_answer (handler, requester, MR_RESULT_LEAVING, S_retry_after_ms (MR_RESULT_LEAVING),
+                (MrText){ 0 });
+    }
+  else if (decision.action == MR_ORDER_ACTION_RUN)
     S_dispatch (handler, requester, service, &decision, ticket, body, deadline);
   else if (decision.action == MR_ORDER_ACTION_ANSWER)
     S_answer (handler, requester, decision.result, S_retry_after_ms (decision.result),
@@ -271,6 +286,12 @@
            MrText body)
 {
   MrEntryContext *context = handler->context;
+  /* The issuer may have run it, and cannot be asked any more. */
+  if (handler->refuses)
+    {
+      S_answer_caller (handler, request->http_id, MR_RESULT_UNKNOWN, 0, (MrText){ 0 });
+      return;
+    }
   const MrMember *issuer = mr_member_list_find (context->view->members, ticket->daemon);
   gboolean is_self = g_str_equal (ticket->daemon, context->settings->name);
   if (!issuer || is_self || issuer->state >= MR_MEMBER_LEFT)
@@ -422,6 +443,12 @@
     }
 }
 
+void
+mr_order_handler_refuse (MrOrderHandler *handler)
+{
+  handler->refuses = TRUE;
+}
+
 void
 mr_order_handler_end_all (MrOrderHandler *handler)
 {
--- a/src/order_handler.h
+++ b/src/order_handler.h
@@ -32,6 +32,8 @@
 
 /* Forwarded orders end by @at at the latest, as unknown. */
 void mr_order_handler_end_by (MrOrderHandler *handler, MrTime at);
+/* From now on no order is dispatched or forwarded; those that were not run are refused. */
+void mr_order_handler_refuse (MrOrderHandler *handler);
 /* Answers all orders without a result: they may have run. */
 void mr_order_handler_end_all (MrOrderHandler *handler);
 
--- a/test/process_stop_requests.sh
+++ b/test/process_stop_requests.sh
@@ -5,8 +5,10 @@
 # 1. An order that waits for an issuer that never answers, under constant traffic.
 # 2. Requests on connections opened before SIGTERM, new ones until the listener closes, and a
 #    repeated order that has run.
-# 3. SIGTERM twice, and a process that is stopped until after its grace period.
+# 3. SIGTERM twice, and a process that is stopped until after its grace period, when it gets a
+#    search and repeated orders that have run, its own and another daemon's.
 # 4. SIGTERM during a start without a platform.
+# 5. A repeated order that has run, at a daemon without other traffic, as it ends.
 set -u
 BUILD=$1
 . "$(dirname "$0")/../demo/lib.sh"
@@ -145,6 +147,11 @@
 
 # 3
 restart
+unused=$(ticket 1)
+own=$(ticket 1)
+other=$(ticket 3)
+expect "$(order 1 "$own" 1000)" '"result":102' "an order before the stop"
+expect "$(order 3 "$other" 1000)" '"result":102' "an order at another daemon before the stop"
 t=$(ticket 2)
 kill -STOP "${PIDS[d2]}"
 curl -sS --max-time 30 -X POST --data-binary '{"record":"r17"}' -o "$LOGS/order" \
@@ -160,6 +167,12 @@
 sleep_until $((GRACE_MS - 2000))
 http "http://$D1$SEARCH" >"$LOGS/stopped.late" 2>&1 &
 callers+=($!)
+order 1 "$own" 1000 >"$LOGS/stopped.own" 2>&1 &
+callers+=($!)
+order 1 "$other" 1000 >"$LOGS/stopped.other" 2>&1 &
+callers+=($!)
+order 1 "$unused" 1000 >"$LOGS/stopped.unused" 2>&1 &
+callers+=($!)
 sleep_until $((GRACE_MS + 200))
 kill -CONT "${PIDS[d1]}"
 await_end $((GRACE_MS + 3000)) "a stopped process"
@@ -168,6 +181,9 @@
 say "a stopped process: d1 ended $took ms after SIGTERM; $(cat "$LOGS/order") $(cat "$LOGS/stopped.late")"
 has "$(cat "$LOGS/order")" '"ran":"unknown"' || failures+=("a stopped process: the order got '$(cat "$LOGS/order" "$LOGS/order.txt")'")
 has "$(cat "$LOGS/stopped.late")" '"result":' || failures+=("a stopped process: a search got '$(cat "$LOGS/stopped.late")'")
+has "$(cat "$LOGS/stopped.own")" '"result":102' || failures+=("a stopped process: its own order that has run got '$(cat "$LOGS/stopped.own")'")
+has "$(cat "$LOGS/stopped.other")" '"ran":"unknown"' || failures+=("a stopped process: another daemon's order that has run got '$(cat "$LOGS/stopped.other")'")
+has "$(cat "$LOGS/stopped.unused")" '"result":203' || failures+=("a stopped process: an order that has not run got '$(cat "$LOGS/stopped.unused")'")
 
 # 4
 PLATFORM=127.0.0.1:$((FIRST_PORT + 499)) start_daemon 1 1
@@ -176,6 +192,25 @@
 await_end $GRACE_MS "a start without a platform"
 say "a start without a platform: d1 ended $took ms after SIGTERM"
 
+# 5
+restart
+t=$(ticket 1)
+expect "$(order 1 "$t" 1000)" '"result":102' "an order before the stop"
+rm -f "$LOGS/signalled"
+callers=()
+for at in 2020 2080 2140 2200 2260; do
+  # shellcheck disable=SC2059
+  send_kept "$LOGS/end.$at" $at "$(printf "$post" "$t")" &
+  callers+=($!)
+done
+sleep 0.5
+begin_stop
+echo "$signalled" >"$LOGS/signalled.new" && mv "$LOGS/signalled.new" "$LOGS/signalled"
+await_end $GRACE_MS "an idle daemon"
+wait "${callers[@]}"
+say "an idle daemon: d1 ended $took ms after SIGTERM; repeated orders: $(grep -h -o '^closed\|"ran":"[a-z ]*"' "$LOGS"/end.* | sort | uniq -c | tr '\n' ' ')"
+grep -q '"ran":"not run"' "$LOGS"/end.* && failures+=("a repeated order that has run was answered 'not run'")
+
 for failure in "${failures[@]}"; do printf 'FAILED: %s\n' "$failure" >&2; done
 [ ${#failures[@]} = 0 ] || fail "${#failures[@]} checks"
 say "stop requests: ok"
