Batches that reach a stopping daemon go to the next owner

A root that sent a batch to a daemon in the last moments of its planned stop heard nothing more of it, and lost up to a fifth of the search's time before it asked another owner; a batch that could not end before the stop was answered empty, and its shards were missing. Members that leave get no batches, so that only roots with an older view were hit.

Once it refuses requests, the daemon answers batches of others with "no map", upon which their roots ask the next owner; the same for batches that have not been sent to a target when the stop ends them. An own order in this state has not run and is refused as leaving.

test_target_task: such a batch is refused at once, one that had begun before it ends in time.

--- a/src/batch.h
+++ b/src/batch.h
@@ -63,7 +63,7 @@
   MR_PARTIAL_ANSWER,      /* covers the listed shards, perhaps none */
   MR_PARTIAL_REFUSED,     /* overload; no call was sent to any target */
   MR_PARTIAL_DEADLINE,    /* passed before any call was sent to a target */
-  MR_PARTIAL_NO_MAP,      /* the owner does not know the snapshot */
+  MR_PARTIAL_NO_MAP,      /* the owner can't run it: it does not know the snapshot, or it stops */
   MR_PARTIAL_IN_PROGRESS, /* not a result: the owner is alive and still working on the batch */
 } MrPartialKind;
 
--- a/src/dispatch.c
+++ b/src/dispatch.c
@@ -237,6 +237,8 @@
   MrPartialKind kind = MR_PARTIAL_ANSWER;
   if (result->sends->len == 0 && result->cause == MR_CAUSE_TIME)
     kind = MR_PARTIAL_DEADLINE;
+  else if (result->sends->len == 0 && result->cause == MR_CAUSE_STOPPING)
+    kind = MR_PARTIAL_NO_MAP;
   S_finish (request, kind, result);
 }
 
--- a/src/entry_stop.c
+++ b/src/entry_stop.c
@@ -93,7 +93,9 @@
 S_notify_targets (const MrEntryStop *stop)
 {
   mr_mailbox_post (stop->context->target_mailbox,
-                   &mr_stop_time_message_new (stop->context->stop_at - RESULTS_MARGIN)->base);
+                   &mr_stop_time_message_new (stop->context->stop_at - RESULTS_MARGIN,
+                                              stop->stage >= STAGE_REFUSING)
+                        ->base);
 }
 
 void
@@ -138,6 +140,7 @@
   stop->stage = STAGE_REFUSING;
   mr_order_handler_refuse (stop->orders);
   mr_http_server_close (stop->context->server);
+  S_notify_targets (stop);
 }
 
 /* Pages whose content another task has not sent. */
--- a/src/order_handler.c
+++ b/src/order_handler.c
@@ -374,6 +374,8 @@
     return MR_RESULT_OVERLOADED;
   if (partial->kind == MR_PARTIAL_DEADLINE)
     return MR_RESULT_DEADLINE;
+  if (partial->kind == MR_PARTIAL_NO_MAP)
+    return MR_RESULT_LEAVING;
   /* Only a partial that ends its batch can tell that the order did not run. */
   if (partial->kind != MR_PARTIAL_ANSWER)
     return MR_RESULT_UNKNOWN;
--- a/src/target_task.c
+++ b/src/target_task.c
@@ -72,6 +72,7 @@
   GQueue send_queue;       /* Exchange, to be sent by the next tick */
   GPtrArray *aux_requests; /* AuxRequest */
   guint64 last_batch_id;
+  gboolean refuses_batches;    /* of other daemons */
   GHashTable *leaving_targets; /* set of target keys, as reported to the dispatcher */
 };
 
@@ -374,6 +375,16 @@
 static void
 S_on_submit (MrTargetTask *task, MrSubmitMessage *message)
 {
+  /* The root sends it to another owner. */
+  if (task->refuses_batches && message->origin.root[0] != '\0')
+    {
+      MrPartial *partial = mr_partial_new (message->batch->id, MR_PARTIAL_NO_MAP);
+      GString *bytes = mr_wire_partial (task->name, message->origin.incarnation, partial);
+      mr_mailbox_post (task->control,
+                       &mr_peer_send_message_new (message->origin.root, bytes)->base);
+      mr_partial_free (partial);
+      return;
+    }
   MrBatch *batch = message->batch;
   message->batch = NULL;
   MrOrigin *origin = g_new (MrOrigin, 1);
@@ -462,6 +473,7 @@
 S_on_stop_time (MrTargetTask *task, const MrStopTimeMessage *message)
 {
   mr_dispatch_set_stop_time (task->dispatch, message->at);
+  task->refuses_batches = message->refuse_batches;
 }
 
 static void
--- a/src/task_message.c
+++ b/src/task_message.c
@@ -255,10 +255,11 @@
 }
 
 MrStopTimeMessage *
-mr_stop_time_message_new (MrTime at)
+mr_stop_time_message_new (MrTime at, gboolean refuse_batches)
 {
   MrStopTimeMessage *message = S_message_new (sizeof *message, MR_MESSAGE_STOP_TIME, S_free_struct);
   message->at = at;
+  message->refuse_batches = refuse_batches;
   return message;
 }
 
--- a/src/task_message.h
+++ b/src/task_message.h
@@ -54,11 +54,13 @@
   GArray *members;    /* MrMember */
 } MrChangesMessage;
 
-/* Entry task to target task: a planned stop has begun; batches end by @at. */
+/* Entry task to target task: a planned stop has begun.  Batches end by @at; with @refuse_batches,
+ * those of other daemons are refused. */
 typedef struct
 {
   MrMessage base;
   MrTime at;
+  gboolean refuse_batches;
 } MrStopTimeMessage;
 
 /* Where a batch came from: its root is the daemon that received the search and merges the partial
@@ -256,6 +258,6 @@
 MrEvidenceMessage *mr_evidence_message_new (MrFingerprint fingerprint, const MrEvidence *evidence);
 MrLimitTaskMessage *mr_limit_task_message_new (const char *peer, const MrLimitMessage *limit);
 MrMessage *mr_stop_message_new (void);
-MrStopTimeMessage *mr_stop_time_message_new (MrTime at);
+MrStopTimeMessage *mr_stop_time_message_new (MrTime at, gboolean refuse_batches);
 MrVersionQueryMessage *mr_version_query_message_new (const char *to, guint64 number);
 MrVersionReplyMessage *mr_version_reply_message_new (guint64 number, guint64 version);
--- a/test/test_target_task.c
+++ b/test/test_target_task.c
@@ -1,4 +1,4 @@
-/* Guards against batches of other daemons that are open too long while this one stops. */
+/* Guards against batches of other daemons that are lost, or open too long, while this one stops. */
 
 #include "target_task.h"
 
@@ -28,15 +28,17 @@
 {
   const char *name;
   const char *root;
+  gboolean refuses;     /* the stop refuses batches of other daemons */
   gboolean before_stop; /* the batch comes before the stop begins */
   MrPartialKind expected;
 } Case;
 
 /* Their target never answers. */
 static const Case cases[] = {
-  { "of another daemon, begun before", "d2", TRUE, MR_PARTIAL_ANSWER },
-  { "of another daemon, served", "d2", FALSE, MR_PARTIAL_ANSWER },
-  { "of this daemon", "", FALSE, MR_PARTIAL_ANSWER },
+  { "of another daemon, refused", "d2", TRUE, FALSE, MR_PARTIAL_NO_MAP },
+  { "of another daemon, begun before", "d2", TRUE, TRUE, MR_PARTIAL_ANSWER },
+  { "of another daemon, served", "d2", FALSE, FALSE, MR_PARTIAL_ANSWER },
+  { "of this daemon", "", TRUE, FALSE, MR_PARTIAL_ANSWER },
 };
 
 static void
@@ -113,7 +115,7 @@
   mr_target_task_connect (task, out, out);
   if (c->before_stop)
     mr_mailbox_post (inbox, S_make_batch (c, port));
-  mr_mailbox_post (inbox, &mr_stop_time_message_new (begun + STOP_DELAY)->base);
+  mr_mailbox_post (inbox, &mr_stop_time_message_new (begun + STOP_DELAY, c->refuses)->base);
   if (!c->before_stop)
     mr_mailbox_post (inbox, S_make_batch (c, port));
   while (kind == MR_PARTIAL_IN_PROGRESS && mr_now () < begun + TEST_TIMEOUT)
