--- a/test/process_stop_requests.sh
+++ b/test/process_stop_requests.sh
@@ -53,10 +53,10 @@
 
 # Sends requests on new connections until the listener is closed; writes one line for each that was
 # cut off.
-send_constantly() { # FILE
+send_constantly() { # FILE [CURL ARGUMENTS]
   local code
   while :; do
-    curl -sS --max-time 5 -o "$LOGS/body.$BASHPID" "http://$D1$SEARCH" 2>>"$LOGS/curl.txt"
+    curl -sS --max-time 5 "${@:2}" -o "$LOGS/body.$BASHPID" "http://$D1$SEARCH" 2>>"$LOGS/curl.txt"
     code=$?
     [ "$code" != 7 ] || return 0 # connection refused
     [ "$code" = 0 ] || echo "curl $code, $(($(now_ms) - signalled)) ms after SIGTERM" >>"$1"
@@ -64,6 +64,12 @@
   done
 }
 
+# Sends ten requests a second on one HTTP/2 connection; writes the exit code of each.
+send_on_http2() { # FILE
+  curl -s --http2 --max-time 5 --rate 10/s -w '%{exitcode}\n' -o /dev/null \
+    "http://$D1$SEARCH&request_id=[1-70]" >"$1" 2>/dev/null
+}
+
 # Opens a connection before the signal and sends a request on it AT ms after it, unless the daemon
 # has closed it by then.  Writes the response to FILE, nothing if it was cut off.
 send_kept() { # FILE AT REQUEST
@@ -87,16 +93,20 @@
 curl -sS --max-time 30 -X POST --data-binary '{"record":"r17"}' -o "$LOGS/order" \
   "http://$D1/v1/services/shop-search/orders?ticket=$t&deadline_ms=60000" 2>"$LOGS/order.txt" &
 callers=($!)
+send_on_http2 "$LOGS/http2" &
+callers+=($!)
 sleep 0.3
 begin_stop
-for i in 1 2 3; do
-  send_constantly "$LOGS/constant" &
+for option in --http1.1 --http1.1 --http2; do
+  send_constantly "$LOGS/constant" $option &
   callers+=($!)
 done
 await_end $GRACE_MS "constant traffic"
 wait "${callers[@]}"
 kill -CONT "${PIDS[d2]}"
 say "constant traffic: d1 ended $took ms after SIGTERM, $(cat "$LOGS/constant" 2>/dev/null | wc -l) requests cut off, order: $(cat "$LOGS/order" "$LOGS/order.txt" 2>/dev/null)"
+say "HTTP/2, exit codes of curl: $(sort "$LOGS/http2" | uniq -c | tr '\n' ' ')"
+grep -qvx '0\|7' "$LOGS/http2" && failures+=("HTTP/2: curl ended with $(grep -vx '0\|7' "$LOGS/http2" | tr '\n' ' ')")
 [ ! -s "$LOGS/constant" ] || failures+=("constant traffic: $(wc -l <"$LOGS/constant") requests cut off: $(head -n 1 "$LOGS/constant")")
 has "$(cat "$LOGS/order" 2>/dev/null)" '"ran":"unknown"' ||
   failures+=("an order that may have run got '$(cat "$LOGS/order" "$LOGS/order.txt" 2>/dev/null)'")
