Planned stop: evidence against contents reaches the other relays

A relay whose last request at a planned stop had crashed searchers took what it knew of that with it: the same request crashed as many searchers again at the next relay.

Cause: the process ended as soon as no connection was open, or at its last moment, while the evidence was queued for the peers, which is announced 3 ms later and fetched by them, or for the store. The process now ends 150 ms after the relay has stopped, half of the time that was left of the grace period.

--- a/src/process.h
+++ b/src/process.h
@@ -29,8 +29,8 @@
   void (*stop) (void *user);           /* on each SIGTERM or SIGINT; must be idempotent */
   void (*reload) (void *user);         /* on each SIGHUP; may be NULL */
   void *user;
-  /* Delay before the threads are stopped, in which the last heartbeat announces to the peers that
-   * this daemon has left. */
+  /* Delay before the threads are stopped, in which peers learn what is new here, such as that this
+   * daemon has left. */
   MrTime shutdown_delay;
 } MrProcessTasks;
 
--- a/src/relay_daemon.c
+++ b/src/relay_daemon.c
@@ -7,6 +7,10 @@
 #include "relay_task.h"
 #include "task_message.h"
 
+/* After the last request: time for the other relays and the store to learn what was found out about
+ * contents.  Half of the time that relay_stop.c leaves of the grace period. */
+static const MrTime SHUTDOWN_DELAY = 150 * MR_MS;
+
 typedef struct
 {
   MrProcess process;
@@ -94,6 +98,7 @@
         .stop = S_on_stop,
         .reload = S_on_reload,
         .user = &d,
+        .shutdown_delay = SHUTDOWN_DELAY,
       };
       mr_process_run (&d.process, &tasks, base);
     }
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -10,8 +10,8 @@
  * A searcher responds to every request with its signature and the caller's request id.  It
  * prints the organisation that each request names and how many fields of organisations and keys it
  * has, but not the keys themselves: tests search all output for those.  It
- * exits CRASH_DELAY after it has started a request whose path contains "crash", unless the
- * connection closes first.  With "crash-late" the connection closes
+ * exits CRASH_DELAY, or N ms with "work-N", after it has started a request whose path contains
+ * "crash", unless the connection closes first.  With "crash-late" the connection closes
  * LISTENER_CLOSE_DELAY before the listener, as can happen on a busy machine.
  *
  * A searcher takes N ms over a request whose path contains "work-N".
@@ -524,11 +524,14 @@
       return;
     }
   S_count_run (server, id);
+  const char *work = strstr (target, "work-");
+  MrTime work_time = work ? atoi (work + strlen ("work-")) * MR_MS : 0;
   if (strstr (target, "crash"))
     {
       connection->crashing = TRUE;
       connection->closes_listener_late = strstr (target, "crash-late") != NULL;
-      mr_timers_set (server->timers, &connection->timer, mr_now () + CRASH_DELAY);
+      mr_timers_set (server->timers, &connection->timer,
+                     mr_now () + (work ? work_time : CRASH_DELAY));
       return;
     }
   if (server->mode == MODE_RESET)
@@ -536,13 +539,12 @@
       mr_stream_close (connection->stream);
       return;
     }
-  const char *work = strstr (target, "work-");
   if (server->mode == MODE_SLOW || work)
     {
-      MrTime delay = work ? atoi (work + strlen ("work-")) * MR_MS : SLOW_DELAY;
       g_free (connection->last_id);
       connection->last_id = g_steal_pointer (&id);
-      mr_timers_set (server->timers, &connection->timer, mr_now () + delay);
+      mr_timers_set (server->timers, &connection->timer,
+                     mr_now () + (work ? work_time : SLOW_DELAY));
       return;
     }
   S_send_response (connection, id);
