--- a/src/relay_stop.c
+++ b/src/relay_stop.c
@@ -8,7 +8,7 @@
  * It ends when no connection is open, at EXIT at the latest. */
 static const double LAST_REQUESTS = 0.7;
 static const double LAST_ANSWERS = 5.0 / 6;
-static const double EXIT = 0.95;
+static const double EXIT = 0.9;
 static const MrTime POLL_INTERVAL = 50 * MR_MS;
 
 static MrTime
