Fault soak: planned stops cut off no request that was read

The soak missed requests that a relay loses around a planned stop: SIGTERM excused every unanswered request of the relay, requests were short against the grace period, and a stop was one signal.

A new guarantee, "stopped", has SIGTERM as no excuse. Callers in a thread of their own send requests of 0.2 to 3 s on kept and new connections until the relay refuses them, in one or two parts, and read large answers slowly; stops come in series, overlapping, twice, with SIGHUP and SIGCONT, and during starts, with searchers that are silent, cut connections or end.

--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -12,7 +12,8 @@
  * has, but not the keys themselves: tests search all output for those.  It
  * exits CRASH_DELAY after it has started a request whose path contains "crash", unless the
  * connection closes first.  With "crash-late" the connection closes
- * LISTENER_CLOSE_DELAY before the listener, as can happen on a busy machine.
+ * LISTENER_CLOSE_DELAY before the listener, as can happen on a busy machine.  It responds to
+ * /long/NAME/DELAY/BYTES after DELAY ms, with a body of BYTES made of the request id.
  *
  * PUT /mode/NAME sets a fault of either.  For the store, "slow" and "error" affect only
  * listings of quarantines, and "shed" leaves all reads but those of configurations
@@ -81,6 +82,7 @@
   gboolean dripping;
   gboolean crashing;             /* the process exits when the timer is due */
   gboolean closes_listener_late; /* closes this connection before the listener */
+  guint body_bytes;              /* of a response to /long/; 0: the usual records */
   char *kind;                    /* of a pending watch or listing */
   gboolean listing;
   gint64 since;
@@ -423,6 +425,23 @@
   return body;
 }
 
+/* Reads the delay and the size of the response from /long/NAME/DELAY/BYTES.  FALSE: another path.
+ */
+static gboolean
+S_parse_long_target (const char *target, guint *delay_ms, guint *body_bytes)
+{
+  return sscanf (target, "/long/%*[^/]/%u/%u", delay_ms, body_bytes) == 2 && *body_bytes > 0;
+}
+
+static GString *
+S_long_body (const char *id, guint bytes)
+{
+  GString *body = g_string_sized_new (bytes);
+  while (body->len < bytes)
+    g_string_append_printf (body, "%s\n", id);
+  return g_string_truncate (body, bytes);
+}
+
 /* Sends a response to the previous request again. */
 static void
 S_repeat_last_response (Connection *connection)
@@ -473,7 +492,9 @@
   Server *server = connection->server;
   g_autofree char *fields = g_strdup_printf (
       "X-Request-Id: %s\r\nX-Server-Stamp: %s.%s\r\nKeep-Alive: timeout=5\r\n", id, server->id, id);
-  g_autoptr (GString) body = S_records (server);
+  g_autoptr (GString) body =
+      connection->body_bytes > 0 ? S_long_body (id, connection->body_bytes) : S_records (server);
+  connection->body_bytes = 0;
   if (server->mode == MODE_CUT)
     {
       g_autofree char *half =
@@ -534,11 +555,12 @@
       mr_stream_close (connection->stream);
       return;
     }
-  if (server->mode == MODE_SLOW)
+  guint delay_ms = (guint) (SLOW_DELAY / MR_MS);
+  if (S_parse_long_target (target, &delay_ms, &connection->body_bytes) || server->mode == MODE_SLOW)
     {
       g_free (connection->last_id);
       connection->last_id = g_steal_pointer (&id);
-      mr_timers_set (server->timers, &connection->timer, mr_now () + SLOW_DELAY);
+      mr_timers_set (server->timers, &connection->timer, mr_now () + delay_ms * MR_MS);
       return;
     }
   S_send_response (connection, id);
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -27,9 +27,12 @@
  *   limited    searchers run no more requests of an organisation in any window than its rate
  *              limit allows
  *   answered   an undisturbed relay responds within the route's time limit
- *   heals      after the last fault every relay serves complete responses from the newest
- *              configuration version
- *   named      after the last fault each relay lists all relays to callers */
+ *   stopped    a relay that gets SIGTERM ends by itself, with 0, before the end of its grace
+ * period, and every request that it has read gets a complete answer, unless it was killed or
+ *              frozen; faults of other processes, of their paths and of the store, and other
+ * signals are no excuse (soak_stops.c: which requests count as read) heals      after the last
+ * fault every relay serves complete responses from the newest configuration version named after the
+ * last fault each relay lists all relays to callers */
 
 #include "soak.h"
 
@@ -58,23 +61,27 @@
 soak_violation (Soak *s, const char *format, ...)
 {
   va_list args;
-  s->violations++;
+  g_atomic_int_inc (&s->violations);
+  flockfile (stdout); /* the callers of long requests have a thread of their own */
   printf ("%8.3f VIOLATION ", (double) (mr_now () - s->start) / (double) MR_SECOND);
   va_start (args, format);
   vprintf (format, args);
   va_end (args);
   putchar ('\n');
+  funlockfile (stdout);
 }
 
 void
 soak_log (const Soak *s, const char *format, ...)
 {
   va_list args;
+  flockfile (stdout);
   printf ("%8.3f ", (double) (mr_now () - s->start) / (double) MR_SECOND);
   va_start (args, format);
   vprintf (format, args);
   va_end (args);
   putchar ('\n');
+  funlockfile (stdout);
 }
 
 guint
@@ -95,6 +102,7 @@
 S_begin_recovery (Soak *s)
 {
   s->recovery_started = TRUE;
+  soak_end_stops (s);
   soak_end_faults (s, TRUE);
   soak_run_restore (s, TRUE);
   if (s->evacuation.since != 0)
@@ -140,6 +148,7 @@
       soak_send_request (s);
     }
   soak_reap_searchers (s);
+  soak_run_stops (s);
   soak_end_faults (s, FALSE);
   soak_track_store_faults (s);
   if (now < s->faults_end && !s->only_mode)
@@ -281,6 +290,9 @@
 static void
 S_stop_all (Soak *s)
 {
+  soak_long_callers_stop (s->stops.callers);
+  for (guint i = 0; i < RELAYS; i++)
+    soak_signal_process (s, i, SIGKILL);
   Child *children[RELAYS + SEARCHERS + 1] = { &s->store };
   for (guint i = 0; i < RELAYS; i++)
     children[1 + i] = &s->relays[i];
@@ -331,6 +343,7 @@
   s.loop = mr_loop_new (&s.handler, 2000);
   s.start = mr_now ();
   soak_keys_init (&s, (guint32) atoi (argv[2]));
+  soak_stops_init (&s, (guint32) atoi (argv[2]));
   S_start_all (&s);
   s.now = mr_now ();
   s.next_request = s.now + 2 * MR_SECOND;
@@ -339,6 +352,9 @@
   s.evacuation.next = s.now + S_random_seconds (s.evacuation.random, 3, 6);
   s.loss.next = s.now + S_random_seconds (s.loss.random, 10, 20);
   s.next_fault = s.now + 4 * MR_SECOND;
+  s.stops.next = s.now + 4 * MR_SECOND + S_random_seconds (s.stops.random, 0, 2);
+  s.stops.next_target = s.now + 4 * MR_SECOND;
+  s.stops.callers = soak_long_callers_new (&s, (guint32) atoi (argv[2]), soak_permanent_key (&s));
   s.faults_end = s.now + 4 * MR_SECOND + atoi (argv[3]) * MR_SECOND;
   s.end = MR_NEVER;
   while (mr_now () < s.end)
@@ -346,6 +362,7 @@
   S_check_discovery (&s);
   S_stop_all (&s);
   S_check_runs (&s);
+  soak_check_stops (&s);
   for (guint i = 0; i < RELAYS; i++)
     if (s.complete_responses[i] == 0)
       soak_violation (&s, "heals: relay %u served no complete response of the newest version", i);
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -3,7 +3,9 @@
  *   soak_processes.c  starts the processes and sends them operator requests
  *   soak_callers.c    callers and the checks of each response
  *   soak_keys.c       organisations, their keys and limits, and the checks of these
- *   soak_faults.c     faults of the processes, their network paths and clocks */
+ *   soak_faults.c     faults of the processes, their network paths and clocks
+ *   soak_stops.c      planned stops of relays as faults, and the checks of these
+ *   soak_long.c       callers of long requests, which planned stops meet */
 #pragma once
 
 #include "http_message.h"
@@ -12,6 +14,10 @@
 
 #include <sys/types.h>
 
+#ifndef SOAK_RELAYS
+#define SOAK_RELAYS 3
+#endif
+
 enum
 {
   /* Offsets from the first port, which is an argument. */
@@ -21,8 +27,11 @@
   SEARCHER_PROXY = 200, /* one for each searcher; the address that is registered */
   RELAY_PORT = 300,     /* ten for each relay: front, ready, directory, control */
   SERVICES = 3,
-  SEARCHERS = 6, /* two for each service, in different failure domains */
-  RELAYS = 3,
+  SHARD_SEARCHERS = 6, /* two for each service, in different failure domains */
+  SEARCHERS = 8,       /* the last two are of the service of long requests, which merges nothing */
+  RELAYS = SOAK_RELAYS,
+  GRACE_SECONDS = 3,      /* grace period of a planned stop */
+  LONG_TIMEOUT_MS = 5000, /* time limit of the route of long requests */
   REQUESTS_PER_SECOND = 80,
   RECORDS = 8,
   TOP_K = 4,
@@ -123,6 +132,44 @@
   guint checked_valid;
 } Keys;
 
+/* A process of a relay from its start to its end.  Times are 0 until the event. */
+typedef struct
+{
+  guint relay;
+  guint number; /* of its first line in the relay's log */
+  pid_t pid;
+  MrTime started;
+  MrTime stopped_at;   /* first SIGTERM */
+  MrTime killed_at;    /* by the soak */
+  MrTime frozen_at;    /* last SIGSTOP */
+  MrTime resumed_at;   /* after it; MR_NEVER: not yet */
+  MrTime ended_at;     /* by itself */
+  int wait_status;     /* then */
+  MrTime stall;        /* longest during its stop, of the thread that watches its end */
+  gboolean slow_reads; /* a caller could not read its answer by the end of the stop */
+} RelayLife;
+
+typedef struct _LongCallers LongCallers;
+
+/* Planned stops, in series and overlapping, and the long requests that they meet.  The mutex
+ * protects the lives, which the thread of the long callers reads. */
+typedef struct
+{
+  GRand *random; /* separate, as for crashing requests */
+  GMutex mutex;
+  GPtrArray *lives; /* RelayLife, all that there ever were */
+  RelayLife *current[RELAYS];
+  gboolean enabled;
+  MrTime next;               /* when the next series begins */
+  MrTime next_target;        /* when a searcher of long requests gets its next fault */
+  MrTime due[RELAYS];        /* when the relay gets SIGTERM; 0: not planned */
+  gboolean stopping[RELAYS]; /* by a series: restarts when its process has ended */
+  gboolean restarting[RELAYS];
+  MrTime second_due[RELAYS]; /* of a signal after SIGTERM; 0: none */
+  int second_signal[RELAYS];
+  LongCallers *callers;
+} Stops;
+
 /* Outcome of an order as reported to the caller. */
 typedef enum
 {
@@ -162,6 +209,7 @@
   Evacuation evacuation;
   StoreRestore restore;
   Keys keys;
+  Stops stops;
   MrTime next_tick;
   MrTime longest_stall; /* of this process, when it was not scheduled */
   MrTime next_request;
@@ -244,6 +292,46 @@
 /* Called when a caller has waited too long for a response. */
 void soak_on_caller_timeout (MrTimer *timer);
 
+void soak_stops_init (Soak *s, guint32 seed);
+/* Begins the faults that are due and restarts relays whose stop has ended. */
+void soak_run_stops (Soak *s);
+/* No further ones begin. */
+void soak_end_stops (Soak *s);
+/* To be called before and after a relay's process is started. */
+void soak_relay_starts (Soak *s, guint index);
+void soak_relay_started (Soak *s, guint index);
+/* Sends a signal to a relay's process, and records it. */
+void soak_signal_process (Soak *s, guint index, int number);
+/* TRUE if a series of stops waits for the end of its process. */
+gboolean soak_relay_is_stopping (const Soak *s, guint index);
+/* Records the end of processes; with the mutex locked. */
+void soak_watch_lives (Soak *s, MrTime now, MrTime stall);
+/* Checks the stops, when all processes have ended. */
+void soak_check_stops (Soak *s);
+void soak_signal_searcher (Soak *s, guint index, int number, MrTime duration);
+void soak_set_searcher_mode (Soak *s, guint index, const char *mode);
+
+/* A long request without a complete response. */
+typedef struct
+{
+  char id[ID_BYTES];
+  const RelayLife *life;
+  MrTime sent;
+  MrTime ended;
+  gsize answer_bytes; /* that arrived */
+  gboolean timed_out; /* the connection did not end */
+} CutRequest;
+
+/* Starts the thread of the callers; they send @key. */
+LongCallers *soak_long_callers_new (Soak *s, guint32 seed, const SoakKey *key);
+/* Ends the thread.  Adds the requests to those that were sent. */
+void soak_long_callers_stop (LongCallers *callers);
+/* CutRequest, without those that a fault of the relay excuses. */
+const GArray *soak_long_callers_cut (const LongCallers *callers);
+void soak_long_callers_log (const LongCallers *callers);
+/* TRUE if the process was frozen at any time from @from to @until, or shortly before. */
+gboolean soak_life_was_frozen (const RelayLife *life, MrTime from, MrTime until);
+
 /* Begins an evacuation or ends the current one. */
 void soak_set_evacuation (Soak *s, gboolean begins);
 /* Schedules the next copy of the store and the restore after it. */
--- a/test/soak/soak_faults.c
+++ b/test/soak/soak_faults.c
@@ -17,7 +17,7 @@
   if (relay->recovers_at != 0)
     return;
   soak_log (s, "relay %u gets signal %d for %.1f s", index, number, (double) duration / 1e6);
-  kill (relay->pid, number);
+  soak_signal_process (s, index, number);
   relay->last_disturbed = mr_now ();
   relay->recovers_at = mr_now () + duration;
   relay->stopped = number == SIGSTOP;
@@ -25,8 +25,8 @@
     soak_forget_shown_version (s, index);
 }
 
-static void
-S_signal_searcher (Soak *s, guint index, int number, MrTime duration)
+void
+soak_signal_searcher (Soak *s, guint index, int number, MrTime duration)
 {
   Child *searcher = &s->searchers[index];
   if (searcher->recovers_at != 0)
@@ -77,7 +77,7 @@
       Child *relay = &s->relays[i];
       MrTime duration =
           (MrTime) (g_rand_double_range (s->loss.random, 0.05, 1) * (double) MR_SECOND);
-      kill (relay->pid, SIGKILL);
+      soak_signal_process (s, i, SIGKILL);
       relay->last_disturbed = s->now;
       relay->recovers_at = s->now + duration;
       relay->stopped = FALSE;
@@ -223,8 +223,8 @@
   s->store_recovers_at = mr_now () + soak_random_time (s, 500, 4000);
 }
 
-static void
-S_set_searcher_mode (Soak *s, guint index, const char *mode)
+void
+soak_set_searcher_mode (Soak *s, guint index, const char *mode)
 {
   g_autofree char *path = g_strdup_printf ("/mode/%s", mode);
   if (s->searchers[index].recovers_at != 0)
@@ -250,7 +250,7 @@
   if (s->only_mode)
     {
       for (guint i = 0; i < SEARCHERS; i++)
-        S_set_searcher_mode (s, i, s->only_mode);
+        soak_set_searcher_mode (s, i, s->only_mode);
       return;
     }
   switch (soak_random_below (s, 11))
@@ -265,12 +265,12 @@
       S_signal_relay (s, soak_random_below (s, RELAYS), SIGSTOP, soak_random_time (s, 200, 3000));
       break;
     case 3:
-      S_signal_searcher (s, soak_random_below (s, SEARCHERS), SIGKILL,
-                         soak_random_time (s, 100, 3000));
+      soak_signal_searcher (s, soak_random_below (s, SHARD_SEARCHERS), SIGKILL,
+                            soak_random_time (s, 100, 3000));
       break;
     case 4:
-      S_signal_searcher (s, soak_random_below (s, SEARCHERS), SIGSTOP,
-                         soak_random_time (s, 200, 3000));
+      soak_signal_searcher (s, soak_random_below (s, SHARD_SEARCHERS), SIGSTOP,
+                            soak_random_time (s, 200, 3000));
       break;
     case 5:
       S_set_store_mode (s);
@@ -281,14 +281,14 @@
                 s->three_services ? "three services" : "two services");
       break;
     case 7:
-      S_set_searcher_mode (s, soak_random_below (s, SEARCHERS),
-                           searcher_modes[soak_random_below (s, G_N_ELEMENTS (searcher_modes))]);
+      soak_set_searcher_mode (s, soak_random_below (s, SHARD_SEARCHERS),
+                              searcher_modes[soak_random_below (s, G_N_ELEMENTS (searcher_modes))]);
       break;
     case 8:
       S_step_clock (s, soak_random_below (s, RELAYS));
       break;
     default:
-      S_inject_proxy_fault (s, soak_random_below (s, RELAYS + SEARCHERS));
+      S_inject_proxy_fault (s, soak_random_below (s, RELAYS + SHARD_SEARCHERS));
       break;
     }
 }
@@ -314,15 +314,23 @@
       Child *child = i < RELAYS ? &s->relays[i] : &s->searchers[i - RELAYS];
       if (child->recovers_at == 0 || (!all && s->now < child->recovers_at))
         continue;
+      if (i < RELAYS && s->now < child->recovers_at && soak_relay_is_stopping (s, i))
+        continue; /* ends by itself */
       child->recovers_at = 0;
       child->last_disturbed = s->now;
       if (child->stopped)
         {
-          kill (child->pid, SIGCONT);
+          if (i < RELAYS)
+            soak_signal_process (s, i, SIGCONT);
+          else
+            kill (child->pid, SIGCONT);
           child->stopped = FALSE;
           continue;
         }
-      kill (child->pid, SIGKILL);
+      if (i < RELAYS)
+        soak_signal_process (s, i, SIGKILL);
+      else
+        kill (child->pid, SIGKILL);
       waitpid (child->pid, NULL, 0);
       if (i < RELAYS)
         soak_start_relay (s, i);
--- a/test/soak/soak_processes.c
+++ b/test/soak/soak_processes.c
@@ -87,6 +87,8 @@
 enum
 {
   EARLIER_PROCESSES_MAX = 8, /* of a searcher that a copy of the store may list */
+  SHARD_SLOTS = 5,
+  LONG_SLOTS = 40,
 };
 
 static void
@@ -96,11 +98,11 @@
   S_searcher_id (s, index, id);
   g_autofree char *path = g_strdup_printf ("/objects/servers/%s", id);
   g_autofree char *body = g_strdup_printf (
-      "{\"service\":\"%c\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%u\",\"slots\":5,"
+      "{\"service\":\"%c\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%u\",\"slots\":%d,"
       "\"state\":\"%s\",\"version\":\"v1\",\"warmup_left_ms\":0,\"seq\":1,"
       "\"born\":%" G_GINT64_FORMAT "}",
       'a' + (int) (index / 2), soak_first_port + SEARCHER_PROXY + (int) index, index % RELAYS,
-      state, s->searchers[index].started_ms);
+      index < SHARD_SEARCHERS ? SHARD_SLOTS : LONG_SLOTS, state, s->searchers[index].started_ms);
   soak_http_send (soak_first_port + STORE_PORT, state ? "PUT" : "DELETE", path, body);
 }
 
@@ -190,18 +192,20 @@
       "\"seeds\":[\"127.0.0.1:%d\",\"127.0.0.1:%d\"],\"listen\":{\"front\":\"127.0.0.1:%d\","
       "\"ready\":\"127.0.0.1:%d\",\"directory\":\"127.0.0.1:%d\",\"control\":\"127.0.0.1:%d\"},"
       "\"limits\":{\"cpu_share\":0.25,\"cores\":1,\"max_fds\":1000,\"link_mbps\":1000},"
-      "\"bounds\":{\"grace_s\":3,\"budget_window_s\":10,\"retry_budget_ratio\":0.2,"
+      "\"bounds\":{\"grace_s\":%d,\"budget_window_s\":10,\"retry_budget_ratio\":0.2,"
       "\"retry_budget_slack\":100,\"quota_window_s\":5,\"quota_overage\":0.1,\"quota_slack\":20},"
       "\"platform\":{\"address\":\"127.0.0.1:%d\"}}",
       index, index, soak_first_port + RELAY_PORT + 3, soak_first_port + RELAY_PORT + 13, base,
-      base + 1, base + 2, base + 3, soak_first_port + STORE_PROXY + (int) index);
+      base + 1, base + 2, base + 3, GRACE_SECONDS, soak_first_port + STORE_PROXY + (int) index);
   g_file_set_contents (settings, text, -1, NULL);
   S_preload_clock (s, index);
   setenv ("MERLINRING_CONFIG", settings, 1);
+  soak_relay_starts (s, index);
   char *argv[] = { program, NULL };
   s->relays[index].pid = S_spawn (s, log, argv);
   unsetenv ("LD_PRELOAD");
   s->relays[index].last_disturbed = mr_now ();
+  soak_relay_started (s, index);
 }
 
 void
@@ -226,10 +230,15 @@
       "\"timeout_ms\":1500,\"latency_target_ms\":300,\"priority\":0,\"service\":\"a\","
       "\"max_attempts\":2},{\"name\":\"order\",\"host\":\"h\",\"path_prefix\":\"/order/\","
       "\"kind\":\"unsafe\",\"timeout_ms\":1500,\"latency_target_ms\":300,\"priority\":0,"
-      "\"service\":\"b\",\"max_attempts\":2}],\"services\":[{\"name\":\"a\",\"max_conns\":40},"
-      "{\"name\":\"b\",\"max_conns\":40},{\"name\":\"c\",\"max_conns\":40}],\"limits\":{"
+      "\"service\":\"b\",\"max_attempts\":2},"
+      "{\"name\":\"long\",\"host\":\"h\",\"path_prefix\":\"/long/\",\"kind\":\"safe\","
+      "\"timeout_ms\":%d,\"latency_target_ms\":3500,\"priority\":0,\"service\":\"d\","
+      "\"max_attempts\":2}],\"services\":[{\"name\":\"a\",\"max_conns\":40},"
+      "{\"name\":\"b\",\"max_conns\":40},{\"name\":\"c\",\"max_conns\":40},"
+      "{\"name\":\"d\",\"max_conns\":80}],\"limits\":{"
       "\"max_header_bytes\":4096,\"max_body_bytes\":4096,\"header_timeout_ms\":1000,"
       "\"idle_timeout_ms\":15000}}",
-      s->version, organisations, s->three_services ? "\"a\",\"b\",\"c\"" : "\"a\",\"b\"", TOP_K);
+      s->version, organisations, s->three_services ? "\"a\",\"b\",\"c\"" : "\"a\",\"b\"", TOP_K,
+      LONG_TIMEOUT_MS);
   soak_http_send (soak_first_port + STORE_PORT, "PUT", "/objects/config/main", body);
 }
