Fault soak: a request whose first part was read counts as well

A connection that ended between the two parts of a request was counted, not checked; with a relay that closes such connections at the end of its listener callers would see them end without an answer.

--- a/test/soak/soak_long.c
+++ b/test/soak/soak_long.c
@@ -51,7 +51,7 @@
   GString *request;
   gsize written; /* bytes of it */
   guint body_bytes;
-  MrTime sent;       /* when it was written as a whole; 0: not yet */
+  MrTime sent;       /* its last part so far */
   MrTime first_byte; /* when the answer began; 0: not yet */
   MrTime duration;   /* for which the answer is read */
   gsize answer_bytes;
@@ -72,7 +72,6 @@
   guint stop_served;
   guint excused;
   guint refused; /* connections */
-  guint unsent;  /* requests whose connection ended before they were written as a whole */
 };
 
 static double
@@ -148,6 +147,39 @@
   setsockopt (c->fd, SOL_SOCKET, SO_SNDTIMEO, &none, sizeof none);
 }
 
+/* A fault of the relay, or a reader that is slower than the rest of the stop, excuses a request
+ * without a complete answer. */
+static gboolean
+S_is_excused (const LongCaller *c, MrTime now)
+{
+  RelayLife *life = (RelayLife *) c->life;
+  if (life->killed_at != 0 || soak_life_was_frozen (life, c->sent, now))
+    return TRUE;
+  if (life->stopped_at == 0 || c->first_byte == 0 || !c->slow ||
+      c->first_byte + c->duration + READ_MARGIN <= life->stopped_at + GRACE)
+    return FALSE;
+  life->slow_reads = TRUE;
+  return TRUE;
+}
+
+static void
+S_on_cut (LongCallers *l, LongCaller *c, MrTime now, gboolean timed_out)
+{
+  CutRequest cut = {
+    .life = c->life,
+    .sent = c->sent,
+    .ended = now,
+    .answer_bytes = c->answer_bytes,
+    .timed_out = timed_out,
+  };
+  g_strlcpy (cut.id, c->id, sizeof cut.id);
+  if (S_is_excused (c, now))
+    l->excused++;
+  else
+    g_array_append_vals (l->cut, &cut, 1);
+  S_disconnect (l, c, now);
+}
+
 /* Writes the request up to @end. */
 static void
 S_write (LongCallers *l, LongCaller *c, gsize end, MrTime now)
@@ -156,12 +188,11 @@
       send (c->fd, c->request->str + c->written, end - c->written, MSG_NOSIGNAL | MSG_DONTWAIT);
   if (count < (gssize) (end - c->written))
     {
-      l->unsent++;
-      S_disconnect (l, c, now);
+      S_on_cut (l, c, now, FALSE);
       return;
     }
   c->written = end;
-  c->sent = end == c->request->len ? mr_now () : 0;
+  c->sent = mr_now ();
 }
 
 static void
@@ -181,7 +212,7 @@
                    "X-Deadline-Ms: %d\r\n%s\r\n",
                    c->id, c->delay_ms, c->body_bytes, c->id, LONG_TIMEOUT_MS, key);
   c->written = 0;
-  c->sent = 0;
+  c->sent = now;
   c->first_byte = 0;
   c->answer_bytes = 0;
   gsize end =
@@ -190,41 +221,6 @@
   S_write (l, c, end, now);
 }
 
-/* A fault of the relay, or a reader that is slower than the rest of the stop, excuses a request
- * without a complete answer. */
-static gboolean
-S_is_excused (const LongCaller *c, MrTime now)
-{
-  RelayLife *life = (RelayLife *) c->life;
-  if (life->killed_at != 0 || soak_life_was_frozen (life, c->sent, now))
-    return TRUE;
-  if (life->stopped_at == 0 || c->first_byte == 0 || !c->slow ||
-      c->first_byte + c->duration + READ_MARGIN <= life->stopped_at + GRACE)
-    return FALSE;
-  life->slow_reads = TRUE;
-  return TRUE;
-}
-
-static void
-S_on_cut (LongCallers *l, LongCaller *c, MrTime now, gboolean timed_out)
-{
-  CutRequest cut = {
-    .life = c->life,
-    .sent = c->sent,
-    .ended = now,
-    .answer_bytes = c->answer_bytes,
-    .timed_out = timed_out,
-  };
-  g_strlcpy (cut.id, c->id, sizeof cut.id);
-  if (c->sent == 0)
-    l->unsent++;
-  else if (S_is_excused (c, now))
-    l->excused++;
-  else
-    g_array_append_vals (l->cut, &cut, 1);
-  S_disconnect (l, c, now);
-}
-
 /* The body is made of the request id, and the signature is that of the request. */
 static void
 S_check_response (LongCallers *l, const LongCaller *c)
@@ -262,7 +258,7 @@
       l->stop_answered++;
       l->stop_served += mr_http_parser_status (c->parser) == 200 ? 1 : 0;
     }
-  if (!mr_http_parser_keep_alive (c->parser) || S_one_in (l, 10))
+  if (!mr_http_parser_keep_alive (c->parser) || c->written < c->request->len || S_one_in (l, 10))
     {
       S_disconnect (l, c, now);
       return;
@@ -433,8 +429,6 @@
     answered += l->answered[i];
   soak_log (l->soak,
             "%" G_GUINT64_FORMAT " long requests, %u answered, %u of them after SIGTERM (%u "
-            "successful); %u excused by faults of their relay, %u not sent as a whole, %u "
-            "connections refused",
-            l->last_id, answered, l->stop_answered, l->stop_served, l->excused, l->unsent,
-            l->refused);
+            "successful); %u excused by faults of their relay, %u connections refused",
+            l->last_id, answered, l->stop_answered, l->stop_served, l->excused, l->refused);
 }
--- a/test/soak/soak_stops.c
+++ b/test/soak/soak_stops.c
@@ -385,11 +385,12 @@
 }
 
 /* A request was read if a searcher was sent it, if the relay's log names it, if a part of its
- * answer arrived, or if its connection outlived it by READ_TIME.  Others crossed the relay's close:
- * their bytes came when it was about to close a connection that had been idle, as is allowed in
- * HTTP, and callers send them again, since the connection was reset or ended without a byte.  From
- * outside they cannot be told from requests that were read and dropped within READ_TIME, without
- * being passed on; E1006 and E1708 tell of these. */
+ * answer arrived, or if its connection outlived its bytes, or the first part of them, by READ_TIME.
+ * Others crossed the relay's close: their bytes came when it was about to close an idle connection,
+ * as HTTP allows, and callers send them again, as the connection ended without a byte.  From
+ * outside they cannot be told from requests that were read and dropped within READ_TIME without
+ * being passed on; E1006 and E1708 tell of these.  Connections that the relay refused carry no
+ * request. */
 static gboolean
 S_was_read (const CutRequest *cut, GHashTable *read_ids)
 {
