--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -430,7 +430,8 @@
 static gboolean
 S_parse_long_target (const char *target, guint *delay_ms, guint *body_bytes)
 {
-  return sscanf (target, "/long/%*[^/]/%u/%u", delay_ms, body_bytes) == 2 && *body_bytes > 0;
+  return g_str_has_prefix (target, "/long") &&
+         sscanf (target, "/%*[^/]/%*[^/]/%u/%u", delay_ms, body_bytes) == 2 && *body_bytes > 0;
 }
 
 static GString *
--- a/test/soak/soak_long.c
+++ b/test/soak/soak_long.c
@@ -51,6 +51,7 @@
   GString *request;
   gsize written;  /* bytes of it */
   gboolean parts; /* it is sent in two */
+  gboolean order; /* it must run at most once */
   guint body_bytes;
   MrTime sent;              /* its last part so far */
   gboolean open_after_send; /* the connection was open when the last part had been sent */
@@ -68,7 +69,8 @@
   const SoakKey *key;
   LongCaller callers[CALLERS];
   guint64 last_id;
-  GArray *cut; /* CutRequest */
+  GHashTable *orders; /* id -> OrderOutcome */
+  GArray *cut;        /* CutRequest */
   guint answered[RELAYS];
   guint stop_answered; /* of them, answered after SIGTERM */
   guint stop_served;
@@ -105,6 +107,13 @@
   return now + S_time (l, 0, 1);
 }
 
+static void
+S_set_outcome (LongCallers *l, const LongCaller *c, OrderOutcome outcome)
+{
+  if (c->order)
+    g_hash_table_replace (l->orders, g_strdup (c->id), GINT_TO_POINTER (outcome));
+}
+
 static void
 S_disconnect (LongCallers *l, LongCaller *c, MrTime now)
 {
@@ -175,6 +184,7 @@
     .end = end == CUT_CLOSED && !c->open_after_send ? CUT_RESET : end,
   };
   g_strlcpy (cut.id, c->id, sizeof cut.id);
+  S_set_outcome (l, c, ORDER_UNKNOWN);
   if (S_is_excused (c, now))
     l->excused++;
   else
@@ -210,10 +220,14 @@
   c->parts = S_one_in (l, 4);
   MrTime pause = S_time (l, 0.05, 0.9);
   g_snprintf (c->id, sizeof c->id, "p%" G_GUINT64_FORMAT, ++l->last_id);
+  c->order = S_one_in (l, 5);
+  S_set_outcome (l, c, ORDER_OPEN);
   g_string_printf (c->request,
-                   "GET /long/%s/%u/%u HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
-                   "X-Deadline-Ms: %d\r\n%s\r\n",
-                   c->id, c->delay_ms, c->body_bytes, c->id, LONG_TIMEOUT_MS, key);
+                   "%s/%s/%u/%u HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n"
+                   "X-Deadline-Ms: %d\r\n%s%s",
+                   c->order ? "POST /long-order" : "GET /long", c->id, c->delay_ms, c->body_bytes,
+                   c->id, LONG_TIMEOUT_MS, key,
+                   c->order ? "Content-Length: 10\r\n\r\n0123456789" : "\r\n");
   c->written = 0;
   c->sent = now;
   c->first_byte = 0;
@@ -256,12 +270,17 @@
 static void
 S_on_answered (LongCallers *l, LongCaller *c, MrTime now)
 {
+  int status = mr_http_parser_status (c->parser);
   S_check_response (l, c);
+  S_set_outcome (l, c,
+                 status == 200                    ? ORDER_DONE
+                 : status == 503 || status == 401 ? ORDER_REFUSED
+                                                  : ORDER_UNKNOWN);
   l->answered[c->relay]++;
   if (c->life->stopped_at != 0)
     {
       l->stop_answered++;
-      l->stop_served += mr_http_parser_status (c->parser) == 200 ? 1 : 0;
+      l->stop_served += status == 200 ? 1 : 0;
     }
   if (!mr_http_parser_keep_alive (c->parser) || c->written < c->request->len || S_one_in (l, 10))
     {
@@ -391,6 +410,7 @@
   l->soak = s;
   l->random = g_rand_new_with_seed (seed + 7);
   l->key = key;
+  l->orders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   l->cut = g_array_new (FALSE, FALSE, sizeof (CutRequest));
   for (guint i = 0; i < CALLERS; i++)
     l->callers[i] = (LongCaller){
@@ -413,6 +433,12 @@
   l->ends = TRUE;
   g_mutex_unlock (&s->stops.mutex);
   g_thread_join (l->thread);
+  GHashTableIter iter;
+  gpointer order = NULL;
+  gpointer outcome = NULL;
+  g_hash_table_iter_init (&iter, l->orders);
+  while (g_hash_table_iter_next (&iter, &order, &outcome))
+    g_hash_table_replace (s->orders, g_strdup (order), outcome);
   for (guint64 i = 1; i <= l->last_id; i++)
     {
       char *id = g_strdup_printf ("p%" G_GUINT64_FORMAT, i);
--- a/test/soak/soak_processes.c
+++ b/test/soak/soak_processes.c
@@ -233,12 +233,15 @@
       "\"service\":\"b\",\"max_attempts\":2},"
       "{\"name\":\"long\",\"host\":\"h\",\"path_prefix\":\"/long/\",\"kind\":\"safe\","
       "\"timeout_ms\":%d,\"latency_target_ms\":3500,\"priority\":0,\"service\":\"d\","
-      "\"max_attempts\":2}],\"services\":[{\"name\":\"a\",\"max_conns\":40},"
+      "\"max_attempts\":2},"
+      "{\"name\":\"long-order\",\"host\":\"h\",\"path_prefix\":\"/long-order/\","
+      "\"kind\":\"unsafe\",\"timeout_ms\":%d,\"latency_target_ms\":3500,\"priority\":0,"
+      "\"service\":\"d\",\"max_attempts\":2}],\"services\":[{\"name\":\"a\",\"max_conns\":40},"
       "{\"name\":\"b\",\"max_conns\":40},{\"name\":\"c\",\"max_conns\":40},"
       "{\"name\":\"d\",\"max_conns\":80}],\"limits\":{"
       "\"max_header_bytes\":4096,\"max_body_bytes\":4096,\"header_timeout_ms\":1000,"
       "\"idle_timeout_ms\":15000}}",
       s->version, organisations, s->three_services ? "\"a\",\"b\",\"c\"" : "\"a\",\"b\"", TOP_K,
-      LONG_TIMEOUT_MS);
+      LONG_TIMEOUT_MS, LONG_TIMEOUT_MS);
   soak_http_send (soak_first_port + STORE_PORT, "PUT", "/objects/config/main", body);
 }
