--- a/test/soak/soak_stops.c
+++ b/test/soak/soak_stops.c
@@ -122,7 +122,7 @@
     {
       if (number == SIGTERM && life->stopped_at == 0)
         life->stopped_at = now;
-      if (number == SIGKILL)
+      if (number == SIGKILL && life->killed_at == 0)
         life->killed_at = now;
       if (number == SIGSTOP)
         {
