Streams: a caller whose receive buffer is full now and then keeps its connection

Callers that read slowly lost their connection in the middle of an answer, also without any stop: about 107 kB of a larger answer came, then a reset.

Cause: accepted connections had a TCP user timeout of 3 s. It is meant for bytes that are not acknowledged, but the kernel also counts it from the first of its probes of a full receive buffer, and forgets that moment only if the buffer once has room for all that is queued as one segment. A probe 3 s later, in another answer of the connection, then ends it, although the peer has read everything in between. Class: a timeout for a peer that is gone hits one that reads slowly.

Accepted connections have no user timeout. A caller that is gone is found by keepalive, and if it leaves bytes unacknowledged by the server's limit for writing (the idle timeout). Connections to targets keep theirs.

--- a/src/stream.c
+++ b/src/stream.c
@@ -17,7 +17,7 @@
   KEEPALIVE_IDLE_S = 1,
   KEEPALIVE_INTERVAL_S = 1,
   KEEPALIVE_COUNT = 2,
-  /* The connection is lost if sent bytes are not acknowledged for this long. */
+  /* The connection to a target is lost if sent bytes are not acknowledged for this long. */
   USER_TIMEOUT_MS = 3000,
 };
 
@@ -53,14 +53,16 @@
   void *user;
 };
 
+/* Connections that are accepted have no user timeout: the kernel ends a connection whose peer has a
+ * full receive buffer at two moments that far apart, even if it has read everything in between. */
 static void
-S_set_options (int fd)
+S_set_options (int fd, gboolean accepted)
 {
   const int on = 1;
   const int idle = KEEPALIVE_IDLE_S;
   const int interval = KEEPALIVE_INTERVAL_S;
   const int count = KEEPALIVE_COUNT;
-  const unsigned user_timeout = USER_TIMEOUT_MS;
+  const unsigned user_timeout = accepted ? 0 : USER_TIMEOUT_MS;
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
   setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
@@ -120,7 +122,7 @@
       mr_fail (MR_ERROR_SYSTEM, "socket: %s", g_strerror (errno));
       return NULL;
     }
-  S_set_options (fd);
+  S_set_options (fd, FALSE);
   if (connect (fd, (struct sockaddr *) &address, sizeof address) != 0 && errno != EINPROGRESS)
     {
       mr_fail (MR_ERROR_SYSTEM, "connect to %s:%d: %s", ip, port, g_strerror (errno));
@@ -332,7 +334,7 @@
   int fd = accept4 (listener->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
   if (fd < 0)
     return FALSE;
-  S_set_options (fd);
+  S_set_options (fd, TRUE);
   MrStream *stream = S_stream_new (listener->loop, fd);
   if (stream)
     listener->on_accept (listener->user, stream);
--- a/test/test_stream.c
+++ b/test/test_stream.c
@@ -1,5 +1,5 @@
 /* Guards against streams that stop writing: a peer that reads slowly gets all bytes, however
- * often the kernel takes only part of them. */
+ * often the kernel takes only part of them, and however often its receive buffer is full. */
 
 #include "stream.h"
 
@@ -17,23 +17,30 @@
   DESCRIPTORS = 64,
   PORT = 28118,
   RECEIVE_BUFFER_BYTES = 128 * 1024,
+  SMALL_BUFFER_BYTES = 16 * 1024,
   READ_BYTES = 64 * 1024,
 };
 
 static const MrTime TEST_TIMEOUT = 20 * MR_SECOND;
+/* The peer's receive buffer is full for long enough that the kernel probes it, and empty for longer
+ * than any timeout of the stream. */
+static const MrTime FULL_TIME = 600 * MR_MS;
+static const MrTime EMPTY_TIME = 3200 * MR_MS;
 
 typedef struct
 {
   const char *name;
   gboolean connects; /* the stream is the one that opens the connection */
   gsize bytes;
+  guint pauses; /* before which the peer's receive buffer, which is small, is filled */
 } Case;
 
 static const Case cases[] = {
-  { "accepted, one write", FALSE, 1000 },
-  { "accepted, many writes", FALSE, 12 * 1024 * 1024 },
-  { "connecting, one write", TRUE, 1000 },
-  { "connecting, many writes", TRUE, 12 * 1024 * 1024 },
+  { "accepted, one write", FALSE, 1000, 0 },
+  { "accepted, many writes", FALSE, 12 * 1024 * 1024, 0 },
+  { "accepted, read with pauses", FALSE, 300000, 2 },
+  { "connecting, one write", TRUE, 1000, 0 },
+  { "connecting, many writes", TRUE, 12 * 1024 * 1024, 0 },
 };
 
 typedef struct
@@ -92,9 +99,9 @@
 }
 
 static int
-S_socket (void)
+S_socket (const Case *c)
 {
-  const int size = RECEIVE_BUFFER_BYTES;
+  const int size = c->pauses > 0 ? SMALL_BUFFER_BYTES : RECEIVE_BUFFER_BYTES;
   const int on = 1;
   int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
@@ -109,7 +116,7 @@
   struct sockaddr_in address = { .sin_family = AF_INET,
                                  .sin_port = htons (PORT),
                                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  int fd = S_socket ();
+  int fd = S_socket (c);
   if (!c->connects)
     {
       assert_non_null (mr_listener_new (loop, "127.0.0.1", PORT, S_on_accept, f));
@@ -129,6 +136,28 @@
   return peer;
 }
 
+static void
+S_step_for (MrLoop *loop, MrTime time)
+{
+  for (MrTime end = mr_now () + time; mr_now () < end;)
+    mr_loop_step (loop);
+}
+
+/* Returns how many bytes the peer got of those that were written. */
+static gsize
+S_receive (MrLoop *loop, int peer, const Case *c)
+{
+  g_autofree char *buffer = g_malloc (READ_BYTES);
+  gsize received = 0;
+  for (MrTime end = mr_now () + TEST_TIMEOUT; received < c->bytes && mr_now () < end;)
+    {
+      mr_loop_step (loop);
+      gssize n = recv (peer, buffer, READ_BYTES, 0);
+      received += n > 0 ? (gsize) n : 0;
+    }
+  return received;
+}
+
 static void
 S_run_case (const Case *c)
 {
@@ -137,15 +166,17 @@
     .stream_handler = { .on_open = S_on_open, .on_data = S_on_data, .on_end = S_on_end },
     .bytes = c->bytes,
   };
-  g_autofree char *buffer = g_malloc (READ_BYTES);
   MrLoop *loop = mr_loop_new (&f.loop_handler, DESCRIPTORS);
   int peer = S_connect_peer (&f, loop, c);
-  gsize received = 0;
-  for (MrTime end = mr_now () + TEST_TIMEOUT; received < c->bytes && mr_now () < end;)
+  if (c->pauses > 0)
+    S_step_for (loop, FULL_TIME);
+  gsize received = S_receive (loop, peer, c);
+  for (guint i = 1; i < c->pauses && f.stream; i++)
     {
-      mr_loop_step (loop);
-      gssize n = recv (peer, buffer, READ_BYTES, 0);
-      received += n > 0 ? (gsize) n : 0;
+      S_step_for (loop, EMPTY_TIME);
+      S_write (&f);
+      S_step_for (loop, FULL_TIME);
+      received = S_receive (loop, peer, c);
     }
   if (received != c->bytes)
     fail_msg ("%s: the peer got %zu of %zu bytes", c->name, received, c->bytes);
