--- a/src/stream.h
+++ b/src/stream.h
@@ -56,10 +56,6 @@
 /* Bytes that the kernel has accepted and that the peer has not acknowledged. */
 gsize mr_stream_unacknowledged_bytes (const MrStream *stream);
 
-/* Time after which the connection is lost if the peer neither acknowledges sent bytes nor has room
- * for more; 3 s without a call. */
-void mr_stream_set_send_timeout (MrStream *stream, MrTime timeout);
-
 /* FALSE: on_data () waits, and so does the peer once the kernel's buffers are full. */
 void mr_stream_set_reading (MrStream *stream, gboolean reading);
 
