Tests of servers choose a free port

Two of them used the same port, so that they failed each other when they ran at once; and two runs on one machine did (test_caller_server, all cases: cannot listen).

--- a/test/platform/test_relay_stop.c
+++ b/test/platform/test_relay_stop.c
@@ -14,14 +14,16 @@
 
 #include <cmocka.h>
 
+#include "../free_port.h"
+
 enum
 {
-  FIRST_PORT = 28121, /* of 3 */
   GRACE_MS = 3000,
   /* After the listener closes, and well before the end of the grace period. */
   LATE_MS = 2200,
 };
 
+static int port;
 static const char request_text[] = "GET /one/q HTTP/1.1\r\nHost: h.test\r\nX-Request-Id: q\r\n\r\n";
 
 static void
@@ -50,7 +52,7 @@
 S_connect (void)
 {
   struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (FIRST_PORT),
+                                 .sin_port = htons (port),
                                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   assert_int_equal (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
@@ -64,13 +66,9 @@
   (void) state;
   Fixture f = { .fd = -1 };
   MrRelaySettings settings = {
-    .base = { .name = "r",
-              .ip = "127.0.0.1",
-              .domain = "z",
-              .region = "",
-              .http_port = FIRST_PORT },
-    .ready_port = FIRST_PORT + 1,
-    .directory_port = FIRST_PORT + 2,
+    .base = { .name = "r", .ip = "127.0.0.1", .domain = "z", .region = "", .http_port = port },
+    .ready_port = free_port (),
+    .directory_port = free_port (),
     .grace_ms = GRACE_MS,
     .budget_window_ms = 10000,
     .max_descriptors = 100,
@@ -103,6 +101,7 @@
 int
 main (void)
 {
+  port = free_port ();
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_not_accepted_yet),
   };
--- a/test/test_caller_pipelined.c
+++ b/test/test_caller_pipelined.c
@@ -12,10 +12,11 @@
 
 #include <cmocka.h>
 
+#include "free_port.h"
+
 enum
 {
   DESCRIPTORS = 64,
-  PORT = 28119,
   RECEIVE_BUFFER_BYTES = 128 * 1024,
   SMALL_BODY_BYTES = 1000,
   /* More than the kernel buffers of both ends take. */
@@ -23,6 +24,7 @@
   READ_BYTES = 1024 * 1024,
 };
 
+static int port;
 static const MrTime TEST_TIMEOUT = 10 * MR_SECOND;
 /* Many rounds of the loop, and less than any timeout of the server. */
 static const MrTime PAUSE = 100 * MR_MS;
@@ -92,7 +94,7 @@
 {
   const int size = RECEIVE_BUFFER_BYTES;
   struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (PORT),
+                                 .sin_port = htons (port),
                                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
@@ -137,7 +139,7 @@
   g_autoptr (GString) body = g_string_new (NULL);
   g_string_set_size (body, c->body_bytes);
   MrLoop *loop = mr_loop_new (&f.loop_handler, DESCRIPTORS);
-  f.server = mr_caller_server_new (&f.host, loop, "127.0.0.1", PORT);
+  f.server = mr_caller_server_new (&f.host, loop, "127.0.0.1", port);
   assert_non_null (f.server);
   int fd = S_connect ();
   S_send (fd, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
@@ -170,6 +172,7 @@
 int
 main (void)
 {
+  port = free_port ();
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_order),
   };
--- a/test/test_http_server.c
+++ b/test/test_http_server.c
@@ -14,10 +14,11 @@
 
 #include <cmocka.h>
 
+#include "free_port.h"
+
 enum
 {
   DESCRIPTORS = 64,
-  PORT = 28119,
   RECEIVE_BUFFER_BYTES = 128 * 1024,
   SLOW_READ_BYTES = 64 * 1024,
   READ_BUFFER_BYTES = 1024 * 1024,
@@ -26,6 +27,7 @@
   LARGE_BODY_BYTES = 12 * 1024 * 1024,
 };
 
+static int port;
 static const MrTime TEST_TIMEOUT = 20 * MR_SECOND;
 /* Longer than the server waits for connections without a request. */
 static const MrTime HOLD_TIME = 1500 * MR_MS;
@@ -104,7 +106,7 @@
 {
   const int size = RECEIVE_BUFFER_BYTES;
   struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (PORT),
+                                 .sin_port = htons (port),
                                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
@@ -191,7 +193,7 @@
   gboolean was_reset = FALSE;
   g_string_set_size (f.body, c->body_bytes);
   MrLoop *loop = mr_loop_new (&f.loop_handler, DESCRIPTORS);
-  f.server = mr_http_server_new (loop, &f.handler, "127.0.0.1", PORT, 1024);
+  f.server = mr_http_server_new (loop, &f.handler, "127.0.0.1", port, 1024);
   assert_non_null (f.server);
   int fd = S_connect ();
   if (c->sends != BEFORE_ACCEPT)
@@ -233,6 +235,7 @@
 int
 main (void)
 {
+  port = free_port ();
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_close),
   };
--- a/test/test_stream.c
+++ b/test/test_stream.c
@@ -12,15 +12,17 @@
 
 #include <cmocka.h>
 
+#include "free_port.h"
+
 enum
 {
   DESCRIPTORS = 64,
-  PORT = 28118,
   RECEIVE_BUFFER_BYTES = 128 * 1024,
   SMALL_BUFFER_BYTES = 16 * 1024,
   READ_BYTES = 64 * 1024,
 };
 
+static int port;
 static const MrTime TEST_TIMEOUT = 20 * MR_SECOND;
 /* The peer's receive buffer is full for long enough that the kernel probes it, and empty for longer
  * than any timeout of the stream. */
@@ -114,18 +116,18 @@
 S_connect_peer (Fixture *f, MrLoop *loop, const Case *c)
 {
   struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (PORT),
+                                 .sin_port = htons (port),
                                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   int fd = S_socket (c);
   if (!c->connects)
     {
-      assert_non_null (mr_listener_new (loop, "127.0.0.1", PORT, S_on_accept, f));
+      assert_non_null (mr_listener_new (loop, "127.0.0.1", port, S_on_accept, f));
       connect (fd, (struct sockaddr *) &address, sizeof address);
       return fd;
     }
   assert_int_equal (bind (fd, (struct sockaddr *) &address, sizeof address), 0);
   assert_int_equal (listen (fd, 1), 0);
-  f->stream = mr_stream_connect (loop, &f->stream_handler, "127.0.0.1", PORT);
+  f->stream = mr_stream_connect (loop, &f->stream_handler, "127.0.0.1", port);
   int peer = -1;
   for (MrTime end = mr_now () + TEST_TIMEOUT; peer < 0 && mr_now () < end;)
     {
@@ -195,6 +197,7 @@
 int
 main (void)
 {
+  port = free_port ();
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_writes),
   };
