Caller server: the idle time of a connection begins when its caller has the answer

A kept connection whose caller read an answer for longer than the idle timeout was closed, without an announcement, within a second after the last byte was written; a pipelined request behind such an answer waited up to a second.

The idle time now counts from the last progress of the caller, which is also noted when the answer turns out to be written, and a pipelined request is looked at every 20 ms until then. test_idle_after_slow_answer fails without it (the second request is not seen).

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -29,6 +29,8 @@
 /* Time for the caller to close a connection whose end was announced, once the response is written;
  * after that the server closes it. */
 static const MrTime CLOSE_TIMEOUT = 1 * MR_SECOND;
+/* Interval of checks whether the response before a pipelined request is written. */
+static const MrTime PIPELINED_POLL = 20 * MR_MS;
 /* Idle connections are kept this much longer than the configured idle timeout, so that a
  * request sent at the last moment does not arrive after the server has closed the connection. */
 static const MrTime IDLE_GRACE = 500 * MR_MS;
@@ -451,12 +453,20 @@
 {
   gsize unacknowledged = mr_stream_unacknowledged_bytes (c->stream);
   guint64 written = mr_stream_sent_bytes (c->stream) - unacknowledged;
-  if (mr_stream_buffered_bytes (c->stream) + unacknowledged == 0)
-    return FALSE;
   if (written > c->written_bytes)
     c->written_at = now;
   c->written_bytes = written;
-  return now - c->written_at < c->server->limits.idle_timeout;
+  return mr_stream_buffered_bytes (c->stream) + unacknowledged > 0 &&
+         now - c->written_at < c->server->limits.idle_timeout;
+}
+
+/* A caller that has read a response slowly gets the idle time from its last byte on. */
+static gboolean
+S_has_idle_time (const MrCaller *c, MrTime now)
+{
+  return !c->close_after_write && !c->server->closed &&
+         mr_http_parser_state (c->parser) == MR_HTTP_IDLE &&
+         now < c->written_at + c->server->limits.idle_timeout;
 }
 
 /* Bytes that are unread when a timeout has passed arrived in time, and the process is late. */
@@ -467,6 +477,9 @@
       mr_http_parser_state (c->parser) == MR_HTTP_IDLE && mr_stream_buffered_bytes (c->stream) == 0)
     S_read_pipelined (c, now);
   else if (S_is_writing (c, now))
+    mr_timers_set (c->server->timers, &c->timer,
+                   now + (c->pipelined->len > 0 ? PIPELINED_POLL : CLOSE_TIMEOUT));
+  else if (S_has_idle_time (c, now))
     mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
   else if (!c->close_after_write && mr_stream_has_unread_bytes (c->stream))
     mr_timers_set (c->server->timers, &c->timer, now + MR_MS);
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -13,16 +13,18 @@
 
 #include <cmocka.h>
 
+#include "free_port.h"
+
 enum
 {
   DESCRIPTORS = 64,
-  PORT = 28117,
   RECEIVE_BUFFER_BYTES = 128 * 1024,
   SMALL_BODY_BYTES = 1000,
   /* More than the kernel buffers of both ends take. */
   LARGE_BODY_BYTES = 12 * 1024 * 1024,
 };
 
+static int port;
 static const MrTime TEST_TIMEOUT = 20 * MR_SECOND;
 static const char request_text[] = "GET /q HTTP/1.1\r\nHost: h\r\n\r\n";
 
@@ -119,7 +121,7 @@
 {
   const int size = RECEIVE_BUFFER_BYTES;
   struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (PORT),
+                                 .sin_port = htons (port),
                                  .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
@@ -182,7 +184,7 @@
   gboolean was_reset = FALSE;
   g_string_set_size (f.body, c->body_bytes);
   MrLoop *loop = mr_loop_new (&f.loop_handler, DESCRIPTORS);
-  f.server = mr_caller_server_new (&f.host, loop, "127.0.0.1", PORT);
+  f.server = mr_caller_server_new (&f.host, loop, "127.0.0.1", port);
   assert_non_null (f.server);
   int fd = S_connect ();
   if (c->sends != BEFORE_ACCEPT)
@@ -244,7 +246,7 @@
   g_string_set_size (c->f.body, body_bytes);
   memset (c->f.body->str, '.', body_bytes);
   c->loop = mr_loop_new (&c->f.loop_handler, DESCRIPTORS);
-  c->f.server = mr_caller_server_new (&c->f.host, c->loop, "127.0.0.1", PORT);
+  c->f.server = mr_caller_server_new (&c->f.host, c->loop, "127.0.0.1", port);
   assert_non_null (c->f.server);
   mr_caller_server_set_limits (c->f.server, caller_limits);
   c->fd = S_connect ();
@@ -437,9 +439,33 @@
   assert_true (mr_now () - began < 500 * MR_MS);
 }
 
+/* Guards against a kept connection that is closed, without a word, right after a response that its
+ * caller took longer to read than the idle timeout. */
+static void
+test_idle_after_slow_answer (void **state)
+{
+  static const MrCallerLimits short_limits = { .max_head_bytes = 4096,
+                                               .head_timeout = MR_SECOND,
+                                               .idle_timeout = 2 * MR_SECOND };
+  Connection *c = S_open (state, &short_limits, LARGE_BODY_BYTES);
+  S_send_request (c->fd);
+  for (gsize received = 0; received < LARGE_BODY_BYTES;)
+    {
+      g_autoptr (GString) part =
+          S_receive (c, MIN (LARGE_BODY_BYTES / 6, LARGE_BODY_BYTES - received));
+      received += part->len;
+      S_run_for (c, 500 * MR_MS);
+    }
+  S_run_for (c, 1000 * MR_MS);
+  S_send_request (c->fd);
+  S_run_for (c, 100 * MR_MS);
+  assert_int_equal (c->f.requests, 2);
+}
+
 int
 main (void)
 {
+  port = free_port ();
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_close),
     cmocka_unit_test_teardown (test_late_idle_timeout, S_close),
@@ -449,6 +475,7 @@
     cmocka_unit_test_teardown (test_paused_caller, S_close),
     cmocka_unit_test_teardown (test_bytes_after_close, S_close),
     cmocka_unit_test_teardown (test_end_of_answers, S_close),
+    cmocka_unit_test_teardown (test_idle_after_slow_answer, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
