--- a/test/platform/process_endless_answers.sh
+++ b/test/platform/process_endless_answers.sh
@@ -123,6 +123,10 @@
 mode "$(searcher_at 2)" ok
 say "peak memory: $usual_kb kB, with large bodies $(peak_kb) kB"
 [ "$(peak_kb)" -le "$PEAK_KB_MAX" ] || fail "the relay used $(peak_kb) kB"
+counter() { http "http://127.0.0.1:$(relay_port 1 4)/metrics" | sed -n "s/^merlinring_$1 //p"; } # NAME
+[ "$(counter relay_evicted_answers_total)" -gt 0 ] || fail "no large body was given up for its memory"
+[ "$(counter relay_oversized_answers_total)" -gt 0 ] || fail "no answer was given up for its size"
+grep -q '"event":"E1414"' "$LOGS/r1.log" || fail "no log line about an answer that was given up"
 until_true 5 search_complete 1 || fail "a later search is not complete"
 say "longest time of a call: $(cat "$LOGS"/s[123].log | sed -n 's/^endless .* ms=\([0-9]*\) .*/\1/p' | sort -n | tail -n 1) ms"
 say "endless answers: ok"
