Target client: count complete answers that the relay still holds

The bound on the memory of answers ended with their last byte: complete answers, which wait for the other shards of their request, took any amount of memory, 8 MiB each.

The parser now counts its memory in an account of the client until it is freed, and the bound is on all answers. The calls that are ended for it are incomplete ones, as before.

test_endless_answers (test_memory, "complete, not freed"): of 20 calls with 1 MB each, whose answers the host keeps, all were taken with a limit of 4 MiB; now 16 or 17 end as broken, what is allocated stays below the limit, and a larger answer is taken once they are freed.

--- a/src/http_message.c
+++ b/src/http_message.c
@@ -33,6 +33,8 @@
   gsize target;
   gsize target_len;
   MrBuffer body;
+  gsize *account;   /* NULL: none */
+  gsize counted;    /* memory of this parser that the account includes */
   guint64 received; /* bytes consumed since the last reset */
 };
 
@@ -129,11 +131,30 @@
   return p;
 }
 
+static void
+S_count_memory (MrHttpParser *p, gsize memory)
+{
+  if (!p->account)
+    return;
+  *p->account += memory - p->counted;
+  p->counted = memory;
+}
+
+void
+mr_http_parser_set_account (MrHttpParser *p, gsize *account)
+{
+  p->account = g_rc_box_acquire (account);
+  S_count_memory (p, mr_http_parser_memory (p));
+}
+
 void
 mr_http_parser_free (MrHttpParser *p)
 {
   if (!p)
     return;
+  S_count_memory (p, 0);
+  if (p->account)
+    g_rc_box_release (p->account);
   g_string_free (p->head, TRUE);
   mr_buffer_clear (&p->body);
   g_array_unref (p->fields);
@@ -165,6 +186,7 @@
   if (p->body.allocated > KEPT_BODY_ALLOCATION)
     mr_buffer_clear (&p->body);
   g_array_set_size (p->fields, 0);
+  S_count_memory (p, mr_http_parser_memory (p));
 }
 
 void
@@ -347,6 +369,7 @@
       consumed += used;
       S_check_overhead (p);
     }
+  S_count_memory (p, mr_http_parser_memory (p));
   return consumed;
 }
 
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -74,6 +74,9 @@
 gsize mr_http_parser_memory (const MrHttpParser *parser);
 gsize mr_http_parser_memory_after (const MrHttpParser *parser, gsize count);
 
+/* Counts the memory of the parser in @account, allocated by g_rc_box_new (), until it is freed. */
+void mr_http_parser_set_account (MrHttpParser *parser, gsize *account);
+
 /* Valid once the head is complete; texts are borrowed until the next reset. */
 MrText mr_http_parser_method (const MrHttpParser *parser);
 MrText mr_http_parser_target (const MrHttpParser *parser);
--- a/src/relay_task.c
+++ b/src/relay_task.c
@@ -8,8 +8,8 @@
 static const guint32 MIN_LOAD_STEP = 16;
 static const double LOAD_DECREASE_RATIO = 0.35;
 static const MrTime LOAD_INTERVAL = 2 * MR_SECOND;
-/* Part of the process' memory that incomplete answers of targets may take.  The rest is for the
- * state of the fleet, requests of callers, and answers that are merged and written. */
+/* Part of the process' memory that answers of targets may take until they are merged or passed on.
+ * The rest is for the state of the fleet, requests of callers, and answers that are written. */
 static const double ANSWER_MEMORY_SHARE = 0.25;
 /* Applies if the settings do not limit the memory of the process. */
 static const int DEFAULT_MEMORY_LIMIT_MB = 256;
--- a/src/target_client.c
+++ b/src/target_client.c
@@ -53,7 +53,6 @@
   gboolean is_part;
   GString *pending_request; /* the request, until the connection is established */
   MrHttpParser *parser;
-  gsize memory; /* of the incomplete response */
   MrTime idle_timeout;
 } Connection;
 
@@ -75,7 +74,7 @@
   /* EndedCall: calls that could not be started, or lost their memory to others; reported by the
    * next tick, never from within mr_target_client_call () or while another response is read. */
   GArray *failed_calls;
-  gsize memory;       /* of all incomplete responses */
+  gsize *memory;      /* of all responses that were not freed; g_rc_box */
   gsize memory_limit; /* 0: none */
   MrTimers *timers;
   MrProberHost prober_host;
@@ -86,6 +85,15 @@
 #define CLIENT_OF_PROBER_HOST(host)                                                                \
   ((MrTargetClient *) (void *) ((char *) (host) -offsetof (MrTargetClient, prober_host)))
 
+static MrHttpParser *
+S_parser_new (const MrTargetClient *client)
+{
+  MrHttpParser *parser = mr_http_parser_new (MR_HTTP_RESPONSE);
+  mr_http_parser_set_limits (parser, response_limits);
+  mr_http_parser_set_account (parser, client->memory);
+  return parser;
+}
+
 static void
 S_pool_free (gpointer data)
 {
@@ -111,6 +119,7 @@
   client->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, S_pool_free);
   client->calls = g_hash_table_new (g_int64_hash, g_int64_equal);
   client->timers = mr_timers_new ();
+  client->memory = g_rc_box_new0 (gsize);
   client->failed_calls = g_array_new (FALSE, FALSE, sizeof (EndedCall));
   client->prober_host = (MrProberHost){ .probed = S_probed };
   client->prober = mr_prober_new (&client->prober_host, loop);
@@ -140,17 +149,9 @@
   g_queue_unlink (&c->pool->idle, &c->idle_link);
 }
 
-static void
-S_set_memory (Connection *c, gsize bytes)
-{
-  c->client->memory += bytes - c->memory;
-  c->memory = bytes;
-}
-
 static void
 S_connection_free (Connection *c)
 {
-  S_set_memory (c, 0);
   S_remove_from_idle (c);
   mr_timers_set (c->client->timers, &c->timer, MR_NEVER);
   g_queue_unlink (&c->client->connections, &c->link);
@@ -179,6 +180,7 @@
     S_connection_free (client->connections.head->data);
   g_array_unref (client->failed_calls);
   mr_prober_free (client->prober);
+  g_rc_box_release (client->memory);
   g_hash_table_unref (client->calls);
   g_hash_table_unref (client->pools);
   mr_timers_free (client->timers);
@@ -288,9 +290,7 @@
 S_on_response (Connection *c, gsize trailing)
 {
   MrHttpParser *response = c->parser;
-  S_set_memory (c, 0);
-  c->parser = mr_http_parser_new (MR_HTTP_RESPONSE);
-  mr_http_parser_set_limits (c->parser, response_limits);
+  c->parser = S_parser_new (c->client);
   MrCallOutcome outcome = S_classify_response (c, response);
   /* A target may respond before it has read the whole request; it would take the remaining bytes
    * for the next request. */
@@ -346,15 +346,20 @@
   S_fail_call (c, MR_CALL_BROKEN);
 }
 
+/* Returns the connection with the largest incomplete response, where that of @c will have @memory.
+ */
 static Connection *
-S_largest_response (const MrTargetClient *client)
+S_largest_response (Connection *c, gsize memory)
 {
-  Connection *largest = NULL;
-  for (const GList *link = client->connections.head; link; link = link->next)
+  Connection *largest = c;
+  for (const GList *link = c->client->connections.head; link; link = link->next)
     {
-      Connection *c = link->data;
-      if (c->call_id && (!largest || c->memory > largest->memory))
-        largest = c;
+      Connection *other = link->data;
+      if (other != c && other->call_id && mr_http_parser_memory (other->parser) > memory)
+        {
+          largest = other;
+          memory = mr_http_parser_memory (other->parser);
+        }
     }
   return largest;
 }
@@ -365,25 +370,23 @@
 S_make_room (Connection *c, gsize count)
 {
   MrTargetClient *client = c->client;
-  if (client->memory_limit == 0)
-    return TRUE;
-  gsize before = c->memory;
-  S_set_memory (c, mr_http_parser_memory_after (c->parser, count));
-  while (client->memory > client->memory_limit)
+  gsize growth = mr_http_parser_memory_after (c->parser, count) - mr_http_parser_memory (c->parser);
+  while (client->memory_limit > 0 && *client->memory + growth > client->memory_limit)
     {
-      Connection *largest = S_largest_response (client);
+      Connection *largest = S_largest_response (c, mr_http_parser_memory (c->parser) + growth);
       EndedCall ended = { .id = largest->call_id, .outcome = MR_CALL_BROKEN };
       client->counts.evicted_responses++;
-      mr_log (MR_LOG_WARNING, MR_EVENT_RESPONSE_TOO_LARGE,
-              "response of target %s to call %s was given up at %zu bytes: incomplete responses "
-              "take %zu bytes together",
-              largest->pool->target, largest->request_id, largest->memory, client->memory);
+      mr_log (
+          MR_LOG_WARNING, MR_EVENT_RESPONSE_TOO_LARGE,
+          "response of target %s to call %s was given up at %zu bytes: responses take %zu bytes "
+          "together",
+          largest->pool->target, largest->request_id, mr_http_parser_memory (largest->parser),
+          *client->memory);
       g_array_append_val (client->failed_calls, ended);
       S_close (largest);
       if (largest == c)
         return FALSE;
     }
-  S_set_memory (c, before);
   return TRUE;
 }
 
@@ -406,7 +409,6 @@
       bytes.data += used;
       bytes.len -= used;
       MrHttpState state = mr_http_parser_state (c->parser);
-      S_set_memory (c, mr_http_parser_memory (c->parser));
       if (state > MR_HTTP_DONE)
         {
           S_fail_response (c);
@@ -427,7 +429,6 @@
         }
       c->client->counts.unmatched_responses++;
       mr_http_parser_skip (c->parser);
-      S_set_memory (c, mr_http_parser_memory (c->parser));
       if (mr_http_parser_state (c->parser) > MR_HTTP_DONE)
         {
           S_fail_response (c);
@@ -493,8 +494,7 @@
       return NULL;
     }
   c->connecting = TRUE;
-  c->parser = mr_http_parser_new (MR_HTTP_RESPONSE);
-  mr_http_parser_set_limits (c->parser, response_limits);
+  c->parser = S_parser_new (c->client);
   c->link.data = c;
   g_queue_push_tail_link (&client->connections, &c->link);
   mr_timers_set (client->timers, &c->timer, now + MR_CONNECT_TIMEOUT);
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -3,8 +3,8 @@
  * Each connection carries one call at a time and is kept for reuse only while both ends agree
  * where the last response ended.
  *
- * A response is limited in its head, its body and the bytes around it, and all incomplete ones
- * together in their memory, so that targets that send without end take neither the memory nor the
+ * A response is limited in its head, its body and the bytes around it, and all of them together in
+ * their memory, so that targets that send without end take neither the memory nor the
  * time of the process.
  *
  * Only the complete response to the outstanding call is passed to the host.  A response with
@@ -60,8 +60,8 @@
 /* To be called after the loop was freed. */
 void mr_target_client_free (MrTargetClient *client);
 
-/* Limits the memory of all incomplete responses together; 0 means no limit.  When it is reached,
- * the call with the largest one ends as broken. */
+/* Limits the memory of all responses together, from their first byte until the host frees them; 0
+ * means no limit.  When it is reached, the call with the largest incomplete one ends as broken. */
 void mr_target_client_set_memory_limit (MrTargetClient *client, gsize bytes);
 
 void mr_target_client_call (MrTargetClient *client, MrTime now, const MrTargetCall *call);
--- a/test/test_endless_answers.c
+++ b/test/test_endless_answers.c
@@ -102,6 +102,7 @@
   MrTargetClient *client;
   gboolean ended[CALLS_MAX]; /* by call id */
   MrCallOutcome outcomes[CALLS_MAX];
+  GPtrArray *kept; /* responses that are freed later; NULL: at once */
 } Fixture;
 
 static void
@@ -114,7 +115,10 @@
   assert_false (f->ended[id]);
   f->ended[id] = TRUE;
   f->outcomes[id] = outcome;
-  mr_http_parser_free (response);
+  if (f->kept && response)
+    g_ptr_array_add (f->kept, response);
+  else
+    mr_http_parser_free (response);
 }
 
 static void
@@ -259,6 +263,8 @@
 typedef struct
 {
   const char *name;
+  gboolean complete; /* the first group completes its bodies, and the host keeps the responses until
+                      * the second one begins */
   struct
   {
     guint count;
@@ -269,10 +275,11 @@
 } MemoryCase;
 
 static const MemoryCase memory_cases[] = {
-  { "within the limit", { { 3, 1000000, 0, 0 }, { 4, 1000, 0, 0 } } },
-  { "many", { { 20, 1000000, 16, 17 }, { 4, 1000, 0, 0 } } },
-  { "the largest one ends", { { 1, 3000000, 1, 1 }, { 8, 200000, 0, 0 } } },
-  { "one over the limit", { { 1, 6000000, 1, 1 }, { 4, 1000, 0, 0 } } },
+  { "within the limit", FALSE, { { 3, 1000000, 0, 0 }, { 4, 1000, 0, 0 } } },
+  { "many", FALSE, { { 20, 1000000, 16, 17 }, { 4, 1000, 0, 0 } } },
+  { "the largest one ends", FALSE, { { 1, 3000000, 1, 1 }, { 8, 200000, 0, 0 } } },
+  { "complete, not freed", TRUE, { { 20, 1000000, 16, 17 }, { 1, 3000000, 0, 0 } } },
+  { "one over the limit", FALSE, { { 1, 6000000, 1, 1 }, { 4, 1000, 0, 0 } } },
 };
 
 enum
@@ -312,6 +319,12 @@
     }
 }
 
+static void
+S_response_free (gpointer response)
+{
+  mr_http_parser_free (response);
+}
+
 static void
 S_run_memory_case (const MemoryCase *c)
 {
@@ -327,6 +340,7 @@
   mr_target_client_set_memory_limit (f.client, MEMORY_LIMIT);
   MrTargetState *state = mr_target_state_new (&target, "127.0.0.1");
   g_autofree char *body = g_malloc0 (BODY_MAX);
+  f.kept = c->complete ? g_ptr_array_new_with_free_func (S_response_free) : NULL;
   gsize before = S_allocated_bytes ();
   gsize peak = before;
   for (guint g = 0; g < G_N_ELEMENTS (c->groups); g++)
@@ -346,10 +360,15 @@
   for (guint id = 0; id < calls; id++)
     {
       gsize bytes = c->groups[group_of[id]].bytes;
+      gboolean complete = c->complete && group_of[id] == 0;
+      if (f.kept && !complete)
+        g_ptr_array_set_size (f.kept, 0);
       g_autofree char *head =
           g_strdup_printf (OK OWN "Content-Length: %zu\r\n\r\n", bytes + MORE_BYTES);
       S_send_all (loop, fds[id], head, strlen (head), &peak);
-      S_send_all (loop, fds[id], body, bytes, &peak);
+      S_send_all (loop, fds[id], body, bytes + (complete ? MORE_BYTES : 0), &peak);
+      if (complete)
+        S_settle (loop, &peak);
     }
   S_settle (loop, &peak);
   guint broken[2] = { 0 };
@@ -376,6 +395,8 @@
   mr_loop_free (loop);
   mr_target_client_free (f.client);
   mr_target_state_free (state);
+  if (f.kept)
+    g_ptr_array_unref (f.kept);
 }
 
 static void
