Planned stop: process test of a long search and of a caller that never reads

A search with a deadline of 60 s whose targets never answer, and a connection whose caller sends requests and never reads.

--- a/src/http_server.h
+++ b/src/http_server.h
@@ -45,7 +45,8 @@
 /* Sends the reply to request @id; may be called from within on_request (). */
 void mr_http_server_reply (MrHttpServer *server, guint64 id, const MrHttpReply *reply);
 
-/* Number of requests that were received and whose reply is not completely sent. */
+/* Number of requests that were received and whose reply is not completely sent.  The library may
+ * still hold the last bytes of others; mr_http_server_unwritten_bytes () counts these. */
 guint mr_http_server_pending_count (const MrHttpServer *server);
 typedef struct
 {
--- a/test/process_stop_requests.sh
+++ b/test/process_stop_requests.sh
@@ -2,13 +2,15 @@
 # Guards against requests that a planned stop leaves without an answer, or answers falsely.  A
 # daemon that has not ended when its grace period is over is killed here, as by a supervisor.
 #
-# 1. An order that waits for an issuer that never answers, under constant traffic.
+# 1. An order that waits for an issuer that never answers, and a search for targets that never
+#    answer, with deadlines of 60 s, under constant traffic.
 # 2. Requests on connections opened before SIGTERM, new ones until the listener closes, and a
 #    repeated order that has run.
 # 3. SIGTERM twice, and a process that is stopped until after its grace period, when it gets a
 #    search and repeated orders that have run, its own and another daemon's.
 # 4. SIGTERM during a start without a platform.
 # 5. A repeated order that has run, at a daemon without other traffic, as it ends.
+# 6. A caller that sends requests and never reads.
 set -u
 BUILD=$1
 . "$(dirname "$0")/../demo/lib.sh"
@@ -34,7 +36,7 @@
 }
 
 # Waits for d1 until MS after the signal, then kills it.
-await_end() { # MS
+await_end() { # MS NAME [PATTERN OF E1006]
   (
     sleep_until "$1"
     kill -KILL "${PIDS[d1]}"
@@ -47,8 +49,9 @@
   wait "$killer" 2>/dev/null
   unset "PIDS[d1]"
   [ "$code" = 0 ] || failures+=("$2: d1 ended with $code $took ms after SIGTERM")
-  grep -q '"event":"E1006".*"cut":0,.*"unwritten_bytes":0' "$LOGS/d1.log" ||
-    failures+=("$2: no E1006, or one that tells of lost answers")
+  local summary=${3:-'"cut":0,.*"unwritten_bytes":0'}
+  grep -q "\"event\":\"E1006\".*$summary" "$LOGS/d1.log" ||
+    failures+=("$2: no E1006 with $summary: $(grep '"event":"E1006"' "$LOGS/d1.log")")
 }
 
 # Sends requests on new connections until the listener is closed; writes one line for each that was
@@ -87,9 +90,15 @@
 }
 
 # 1
+version=$(http "http://$PLATFORM/v1/objects/documents/farmer-portal" | sed 's/.*"version":\([0-9]*\).*/\1/')
+put documents farmer-portal "$version" '{"service":"farmer-portal","deadline_ms":500,"max_deadline_ms":60000}'
+takes_long_deadline() { has "$(http "http://$D1/v1/services/farmer-portal/search?q=honey&deadline_ms=60000")" '"result":10'; }
+until_true 10 takes_long_deadline || fail "d1 does not take a deadline of 60 s"
 t=$(ticket 2)
-until [ -n "$t" ]; do t=$(ticket 2); done
-kill -STOP "${PIDS[d2]}"
+kill -STOP "${PIDS[d2]}" "${PIDS[farm]}"
+curl -sS --max-time 30 -o "$LOGS/search" \
+  "http://$D1/v1/services/farmer-portal/search?q=honey&deadline_ms=60000" 2>"$LOGS/search.txt" &
+search_pid=$!
 curl -sS --max-time 30 -X POST --data-binary '{"record":"r17"}' -o "$LOGS/order" \
   "http://$D1/v1/services/shop-search/orders?ticket=$t&deadline_ms=60000" 2>"$LOGS/order.txt" &
 callers=($!)
@@ -101,9 +110,13 @@
   send_constantly "$LOGS/constant" $option &
   callers+=($!)
 done
-await_end $GRACE_MS "constant traffic"
+await_end $GRACE_MS "constant traffic" '"failed":2,"cut":0,.*"unwritten_bytes":0'
 wait "${callers[@]}"
-kill -CONT "${PIDS[d2]}"
+wait "$search_pid"
+kill -CONT "${PIDS[d2]}" "${PIDS[farm]}"
+say "search: $(cat "$LOGS/search" "$LOGS/search.txt" 2>/dev/null)"
+has "$(cat "$LOGS/search" 2>/dev/null)" '"coverage":{"covered":0,"total":5000,' ||
+  failures+=("a search without any shard got '$(cat "$LOGS/search" "$LOGS/search.txt" 2>/dev/null)'")
 say "constant traffic: d1 ended $took ms after SIGTERM, $(cat "$LOGS/constant" 2>/dev/null | wc -l) requests cut off, order: $(cat "$LOGS/order" "$LOGS/order.txt" 2>/dev/null)"
 say "HTTP/2, exit codes of curl: $(sort "$LOGS/http2" | uniq -c | tr '\n' ' ')"
 grep -qvx '0\|7' "$LOGS/http2" && failures+=("HTTP/2: curl ended with $(grep -vx '0\|7' "$LOGS/http2" | tr '\n' ' ')")
@@ -221,6 +234,22 @@
 say "an idle daemon: d1 ended $took ms after SIGTERM; repeated orders: $(grep -h -o '^closed\|"ran":"[a-z ]*"' "$LOGS"/end.* | sort | uniq -c | tr '\n' ' ')"
 grep -q '"ran":"not run"' "$LOGS"/end.* && failures+=("a repeated order that has run was answered 'not run'")
 
+# 6
+restart
+exec {reader}<>"/dev/tcp/127.0.0.1/$((HTTP_BASE + 1))"
+(
+  trap '' PIPE
+  while printf 'GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n%.0s' {1..100}; do :; done >&"$reader" 2>/dev/null
+) &
+sender=$!
+sleep 2 # until the buffers of the connection are full
+begin_stop
+await_end $GRACE_MS "a caller that does not read" '"unwritten_bytes":[1-9]'
+say "a caller that does not read: d1 ended $took ms after SIGTERM; $(grep -E 'E1006|E1708' "$LOGS/d1.log")"
+kill "$sender" 2>/dev/null
+exec {reader}>&-
+wait "$sender" 2>/dev/null
+
 for failure in "${failures[@]}"; do printf 'FAILED: %s\n' "$failure" >&2; done
 [ ${#failures[@]} = 0 ] || fail "${#failures[@]} checks"
 say "stop requests: ok"
