--- a/test/soak/soak_long.c
+++ b/test/soak/soak_long.c
@@ -57,6 +57,7 @@
   gboolean open_after_send; /* the connection was open when the last part had been sent */
   MrTime first_byte;        /* when the answer began; 0: not yet */
   MrTime duration;          /* for which the answer is read */
+  gboolean pauses;          /* reads the begin of the answer, and the rest after that time */
   gsize answer_bytes;
 } LongCaller;
 
@@ -217,6 +218,7 @@
   c->body_bytes =
       c->slow ? (guint) g_rand_int_range (l->random, LARGE_BODY_MIN, LARGE_BODY_MAX) : BODY_BYTES;
   c->duration = c->slow ? S_time (l, 0.3, 1.2) : 0;
+  c->pauses = c->slow && S_one_in (l, 3);
   c->parts = S_one_in (l, 4);
   MrTime pause = S_time (l, 0.05, 0.9);
   g_snprintf (c->id, sizeof c->id, "p%" G_GUINT64_FORMAT, ++l->last_id);
@@ -300,6 +302,8 @@
     return 1;
   if (!c->slow || now >= c->first_byte + c->duration)
     return READ_BYTES;
+  if (c->pauses)
+    return 0;
   double due = (double) c->body_bytes * (double) (now - c->first_byte) / (double) c->duration;
   gsize count = (gsize) due;
   return count > c->answer_bytes ? MIN (count - c->answer_bytes, READ_BYTES) : 0;
