Document what a caller's half-closed connection means

Callers that send a request and close their side of the connection get no answer. That is kept, as a caller that has given up cannot be told from one that waits until something is sent to it.

--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -21,7 +21,9 @@
                    MrCaller *caller,
                    const MrHttpParser *request,
                    MrTime first_byte_at);
-  /* The caller of an unanswered request has disconnected; it must not be answered. */
+  /* The caller of an unanswered request has disconnected; it must not be answered.  A caller that
+   * only closes its side of the connection has, too: the two cannot be told apart until something
+   * is sent, and the work of callers that have given up has to end. */
   void (*disconnected) (MrCallerServerHost *host, MrCaller *caller);
 };
 
