--- a/test/platform/caller.c
+++ b/test/platform/caller.c
@@ -306,6 +306,17 @@
   return MIN (next, now < test->end ? test->next_request : now + 10 * MR_MS);
 }
 
+static void
+S_clear (Test *test)
+{
+  while (!g_queue_is_empty (&test->idle))
+    S_free (g_queue_peek_head (&test->idle));
+  g_queue_clear_full (&test->answers, S_addresses_free);
+  mr_loop_free (test->loop);
+  mr_timers_free (test->timers);
+  g_rand_free (test->random);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -339,5 +350,6 @@
     if (test.statuses[i] > 0)
       printf (" %u: %u", i, test.statuses[i]);
   printf ("\n");
+  S_clear (&test);
   return EXIT_SUCCESS;
 }
