Caller server: the idle time starts anew only after an answer that was read slowly

Connections were kept for up to twice the idle timeout after any answer, as the first check saw progress since the answer was begun: test_endless_requests found a connection open 2.0 s after its answer, with an idle timeout of 0.5 s. Progress now counts only if a check has seen the caller behind.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -49,6 +49,7 @@
   MrTime round_trip;          /* 0: not measured yet, or not known */
   guint64 written_bytes;      /* that the caller had, when they were last seen to increase */
   MrTime written_at;          /* when that was */
+  gboolean is_behind;         /* it did not have all bytes at the last check */
   gsize ignored_bytes;        /* after a rejected request */
   gboolean busy;              /* the host is handling a request */
   gboolean close_after_write; /* close the connection once the response is written */
@@ -453,11 +454,12 @@
 {
   gsize unacknowledged = mr_stream_unacknowledged_bytes (c->stream);
   guint64 written = mr_stream_sent_bytes (c->stream) - unacknowledged;
-  if (written > c->written_bytes)
+  gboolean was_behind = c->is_behind;
+  c->is_behind = mr_stream_buffered_bytes (c->stream) + unacknowledged > 0;
+  if ((c->is_behind || was_behind) && written > c->written_bytes)
     c->written_at = now;
   c->written_bytes = written;
-  return mr_stream_buffered_bytes (c->stream) + unacknowledged > 0 &&
-         now - c->written_at < c->server->limits.idle_timeout;
+  return c->is_behind && now - c->written_at < c->server->limits.idle_timeout;
 }
 
 /* A caller that has read a response slowly gets the idle time from its last byte on. */
--- a/test/test_http_server.c
+++ b/test/test_http_server.c
@@ -249,7 +249,7 @@
   guint answered = 0;
   g_string_set_size (f.body, LARGE_BODY_BYTES);
   MrLoop *loop = mr_loop_new (&f.loop_handler, DESCRIPTORS);
-  f.server = mr_http_server_new (loop, &f.handler, "127.0.0.1", PORT, 1024);
+  f.server = mr_http_server_new (loop, &f.handler, "127.0.0.1", port, 1024);
   assert_non_null (f.server);
   int fd = S_connect ();
   S_send_request (fd);
