--- a/test/process_stop_requests.sh
+++ b/test/process_stop_requests.sh
@@ -10,7 +10,8 @@
 #    search and repeated orders that have run, its own and another daemon's.
 # 4. SIGTERM during a start without a platform.
 # 5. A repeated order that has run, at a daemon without other traffic, as it ends.
-# 6. A caller that sends requests and never reads.
+# 6. A caller that sends requests and never reads.  Whether all replies that were begun fit into the
+#    kernel's buffers is chance; test_http_server has the bytes that do not.
 set -u
 BUILD=$1
 . "$(dirname "$0")/../demo/lib.sh"
@@ -244,7 +245,7 @@
 sender=$!
 sleep 2 # until the buffers of the connection are full
 begin_stop
-await_end $GRACE_MS "a caller that does not read" '"unwritten_bytes":[1-9]'
+await_end $GRACE_MS "a caller that does not read" '"connections":1,'
 say "a caller that does not read: d1 ended $took ms after SIGTERM; $(grep -E 'E1006|E1708' "$LOGS/d1.log")"
 kill "$sender" 2>/dev/null
 exec {reader}>&-
--- a/test/test_http_server.c
+++ b/test/test_http_server.c
@@ -230,11 +230,49 @@
     S_run_case (&cases[i]);
 }
 
+static void
+S_count_answered (const MrHttpPendingRequest *request, void *user)
+{
+  *(guint *) user += request->answered ? 1 : 0;
+}
+
+/* Guards against a stop that does not report the reply that its caller does not read. */
+static void
+test_unwritten_reply (void **state)
+{
+  (void) state;
+  Fixture f = { .loop_handler = { .on_tick = S_on_tick },
+                .handler = { .on_request = S_on_request },
+                .body = g_string_new (NULL) };
+  guint answered = 0;
+  g_string_set_size (f.body, LARGE_BODY_BYTES);
+  MrLoop *loop = mr_loop_new (&f.loop_handler, DESCRIPTORS);
+  f.server = mr_http_server_new (loop, &f.handler, "127.0.0.1", PORT, 1024);
+  assert_non_null (f.server);
+  int fd = S_connect ();
+  S_send_request (fd);
+  S_await_connections (&f, loop, 1);
+  mr_http_server_close (f.server);
+  S_step_for (loop, HOLD_TIME);
+  mr_http_server_foreach_pending (f.server, S_count_answered, &answered);
+  assert_int_equal (answered, 1);
+  assert_int_equal (mr_http_server_pending_count (f.server), 1);
+  assert_int_equal (mr_http_server_open_count (f.server), 1);
+  assert_true (mr_http_server_unwritten_bytes (f.server) > 0);
+  close (fd);
+  S_await_connections (&f, loop, 0);
+  assert_int_equal (mr_http_server_unwritten_bytes (f.server), 0);
+  mr_loop_free (loop);
+  mr_http_server_free (f.server);
+  g_string_free (f.body, TRUE);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_close),
+    cmocka_unit_test (test_unwritten_reply),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
