Fault soak: requests that searchers refuse do not count against a rate limit

The check counted what searchers were sent. Searchers now print what they refuse. Requests that are never answered count as before.

--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -535,11 +535,13 @@
     return;
   if (expected.len > 0 && !mr_text_equal (expected, mr_text (server->id)))
     {
+      printf ("refused %s\n", id);
       S_send (connection, 421, "", (MrText){ 0 });
       return;
     }
   if (server->mode == MODE_SHED)
     {
+      printf ("refused %s\n", id);
       S_send (connection, 503, "X-Not-Executed: 1\r\n", (MrText){ 0 });
       return;
     }
--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -25,7 +25,7 @@
  *              that undisturbed relays must have, is refused and reaches no searcher
  *   valid      a request whose key is in that version and in later ones is not refused for it
  *   limited    searchers run no more requests of an organisation in any window than its rate
- *              limit allows
+ *              limit allows; those that they refuse do not count
  *   answered   an undisturbed relay responds within the route's time limit
  *   stopped    a relay that gets SIGTERM ends by itself, with 0, before the end of its grace
  * period, and every request that it has read gets a complete answer, unless it was killed or
@@ -218,7 +218,7 @@
       g_auto (GStrv) lines = g_strsplit (text ? text : "", "\n", -1);
       for (char **line = lines; *line; line++)
         if (g_str_has_prefix (*line, "fields "))
-          soak_check_fields (s, *line);
+          soak_check_fields (s, *line, line[1] && g_str_has_prefix (line[1], "refused "));
         else if (g_str_has_prefix (*line, "run "))
           {
             const char *id = *line + 4;
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -127,7 +127,8 @@
   MrTime published_at;          /* when the store acknowledged the newest version */
   guint shown_versions[RELAYS]; /* that a relay has, as shown by a served request */
   GHashTable *expected;         /* id -> organisation + 1; 0: the request must reach no searcher */
-  GHashTable *limited; /* id -> time of the first send of requests of the limited one, ms */
+  GHashTable
+      *limited; /* id -> time of the first send that was not refused, of the limited one, ms */
   guint checked_removed;
   guint checked_valid;
 } Keys;
@@ -284,8 +285,9 @@
 gboolean soak_key_must_be_refused (const Soak *s, const SoakKey *key);
 /* TRUE if an undisturbed relay must not refuse a request with @key that was sent at @sent. */
 gboolean soak_key_must_be_accepted (const SoakKey *key, MrTime sent);
-/* Checks a line "fields ..." of a searcher's log. */
-void soak_check_fields (Soak *s, const char *line);
+/* Checks a line "fields ..." of a searcher's log.  @refused: the searcher did not run the request.
+ */
+void soak_check_fields (Soak *s, const char *line, gboolean refused);
 /* Checks the rate limit from all such lines. */
 void soak_check_limit (Soak *s);
 
--- a/test/soak/soak_keys.c
+++ b/test/soak/soak_keys.c
@@ -233,7 +233,7 @@
 }
 
 void
-soak_check_fields (Soak *s, const char *line)
+soak_check_fields (Soak *s, const char *line, gboolean refused)
 {
   char id[ID_BYTES];
   char organisation[ID_BYTES];
@@ -262,7 +262,7 @@
   if (key_count != 0 || organisation_count != 1 || !g_str_equal (organisation, expected_name))
     soak_violation (s, "hidden: request %s of %s: a searcher saw '%s'", id, expected_name, line);
   const gint64 *first = g_hash_table_lookup (s->keys.limited, id);
-  if (number == LIMITED_ORGANISATION && (!first || *first > at))
+  if (number == LIMITED_ORGANISATION && !refused && (!first || *first > at))
     g_hash_table_replace (s->keys.limited, g_strdup (id), g_memdup2 (&at, sizeof at));
 }
 
