--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -147,7 +147,7 @@
   MrTime ended_at;     /* by itself */
   int wait_status;     /* then */
   MrTime stall;        /* longest during its stop, of the thread that watches its end */
-  gboolean slow_reads; /* a caller could not read its answer by the end of the stop */
+  gboolean slow_reads; /* a caller may have been reading at the end of the stop */
 } RelayLife;
 
 typedef struct _LongCallers LongCallers;
--- a/test/soak/soak_long.c
+++ b/test/soak/soak_long.c
@@ -159,14 +159,11 @@
   setsockopt (c->fd, SOL_SOCKET, SO_SNDTIMEO, &none, sizeof none);
 }
 
-/* A fault of the relay, or a reader that is slower than the rest of the stop, excuses a request
- * without a complete answer. */
+/* TRUE if the reader is slower than the rest of the stop; recorded for the process. */
 static gboolean
-S_is_excused (const LongCaller *c, MrTime now)
+S_reads_late (const LongCaller *c)
 {
   RelayLife *life = (RelayLife *) c->life;
-  if (life->killed_at != 0 || soak_life_was_frozen (life, c->sent, now))
-    return TRUE;
   if (life->stopped_at == 0 || c->first_byte == 0 || !c->slow ||
       c->first_byte + c->duration + READ_MARGIN <= life->stopped_at + GRACE)
     return FALSE;
@@ -174,6 +171,15 @@
   return TRUE;
 }
 
+/* A fault of the relay, or a reader that is slower than the rest of the stop, excuses a request
+ * without a complete answer. */
+static gboolean
+S_is_excused (const LongCaller *c, MrTime now)
+{
+  return S_reads_late (c) || c->life->killed_at != 0 ||
+         soak_life_was_frozen (c->life, c->sent, now);
+}
+
 static void
 S_on_cut (LongCallers *l, LongCaller *c, MrTime now, CutEnd end)
 {
@@ -274,6 +280,7 @@
 {
   int status = mr_http_parser_status (c->parser);
   S_check_response (l, c);
+  S_reads_late (c);
   S_set_outcome (l, c,
                  status == 200                    ? ORDER_DONE
                  : status == 503 || status == 401 ? ORDER_REFUSED
