--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -152,8 +152,8 @@
   soak_run_stops (s);
   soak_end_faults (s, FALSE);
   soak_track_store_faults (s);
-  if (now < s->faults_end && !s->only_mode)
-    soak_run_restore (s, FALSE);
+  if (!s->only_mode && (now < s->faults_end || s->restore.rewrite_at != 0))
+    soak_run_restore (s, now >= s->faults_end);
   if (now >= s->loss.next && now < s->faults_end)
     {
       s->loss.next = now + S_random_seconds (s->loss.random, 8, 20);
