--- a/src/relay_daemon.c
+++ b/src/relay_daemon.c
@@ -8,7 +8,7 @@
 #include "task_message.h"
 
 /* After the last request: time for the other relays and the store to learn what was found out about
- * contents.  Half of the time that relay_stop.c leaves of the grace period. */
+ * contents.  relay_stop.c leaves a tenth of the grace period for it. */
 static const MrTime SHUTDOWN_DELAY = 150 * MR_MS;
 
 typedef struct
--- a/src/relay_stop.c
+++ b/src/relay_stop.c
@@ -85,15 +85,12 @@
 void
 mr_relay_stop_continue (MrRelayTask *task, MrTime now, MrTime *next)
 {
-  if (task->stop.began == 0 || task->stop.ended)
+  if (task->stop.began == 0)
     return;
   if (now >= S_time_of (task, LAST_ANSWERS))
     mr_relay_request_refuse_waiting (task);
-  if (now >= S_time_of (task, LAST_REQUESTS) && S_close_listener (task, now) &&
+  if (!task->stop.ended && now >= S_time_of (task, LAST_REQUESTS) && S_close_listener (task, now) &&
       (mr_caller_server_connections (task->caller_server) == 0 || now >= S_time_of (task, EXIT)))
-    {
-      S_stop_process (task, now);
-      return;
-    }
+    S_stop_process (task, now);
   *next = MIN (*next, MAX (now + POLL_INTERVAL, S_time_of (task, LAST_REQUESTS)));
 }
