--- a/test/platform/test_relay_stop.c
+++ b/test/platform/test_relay_stop.c
@@ -14,7 +14,7 @@
 
 #include <cmocka.h>
 
-#include "../free_port.h"
+#include "../loopback.h"
 
 enum
 {
--- a/test/test_caller_pipelined.c
+++ b/test/test_caller_pipelined.c
@@ -12,7 +12,7 @@
 
 #include <cmocka.h>
 
-#include "free_port.h"
+#include "loopback.h"
 
 enum
 {
@@ -92,13 +92,8 @@
 static int
 S_connect (void)
 {
-  const int size = RECEIVE_BUFFER_BYTES;
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons (port),
-                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
-  assert_int_equal (connect (fd, (struct sockaddr *) &address, sizeof address), 0);
+  int fd = connect_loopback (port, RECEIVE_BUFFER_BYTES);
+  assert_true (fd >= 0);
   return fd;
 }
 
