--- a/test/soak/soak.c
+++ b/test/soak/soak.c
@@ -27,12 +27,13 @@
  *   limited    searchers run no more requests of an organisation in any window than its rate
  *              limit allows; those that they refuse do not count
  *   answered   an undisturbed relay responds within the route's time limit
- *   stopped    a relay that gets SIGTERM ends by itself, with 0, before the end of its grace
- * period, and every request that it has read gets a complete answer, unless it was killed or
- *              frozen; faults of other processes, of their paths and of the store, and other
- * signals are no excuse (soak_stops.c: which requests count as read) heals      after the last
- * fault every relay serves complete responses from the newest configuration version named after the
- * last fault each relay lists all relays to callers */
+ *   stopped    a relay that gets SIGTERM ends by itself, with 0, within its grace period,
+ *              and every request that it has read gets a complete answer, unless it was
+ *              killed or frozen; faults of other processes and paths, and other signals,
+ *              are no excuse (soak_stops.c: which requests count as read)
+ *   heals      after the last fault every relay serves complete responses from the newest
+ *              configuration version
+ *   named      after the last fault each relay lists all relays to callers */
 
 #include "soak.h"
 
--- a/test/soak/soak.h
+++ b/test/soak/soak.h
@@ -127,8 +127,7 @@
   MrTime published_at;          /* when the store acknowledged the newest version */
   guint shown_versions[RELAYS]; /* that a relay has, as shown by a served request */
   GHashTable *expected;         /* id -> organisation + 1; 0: the request must reach no searcher */
-  GHashTable
-      *limited; /* id -> time of the first send that was not refused, of the limited one, ms */
+  GHashTable *limited;          /* id -> first send of the limited one that was not refused, ms */
   guint checked_removed;
   guint checked_valid;
 } Keys;
