--- a/test/test_peer_link.c
+++ b/test/test_peer_link.c
@@ -117,7 +117,9 @@
   const int wait_ms = 2000;
   const int mandatory = 1;
   const int queue = 1;
+  const int linger_ms = 0;
   void *peer = zmq_socket (context, ZMQ_ROUTER);
+  zmq_setsockopt (peer, ZMQ_LINGER, &linger_ms, sizeof linger_ms);
   zmq_setsockopt (peer, ZMQ_RCVTIMEO, &wait_ms, sizeof wait_ms);
   zmq_setsockopt (peer, ZMQ_ROUTER_MANDATORY, &mandatory, sizeof mandatory);
   zmq_setsockopt (peer, ZMQ_SNDHWM, &queue, sizeof queue);
