Caller server: a caller that pipelines and never reads is closed at the idle timeout

A caller that sent more pipelined requests than are read, and took no answer, kept its connection for ever, and its timer ran a thousand times a second.

Cause: unread bytes were taken for a sign that the process is late, also while reading is paused because too many bytes are pipelined; then they never become fewer. They count only while the server reads.

test_caller_that_never_reads, on the code before: the connection is open after 20 s with an idle timeout of 0.3 s; now it is closed. test_caller_pipelined and test_endless_requests pass.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -471,7 +471,8 @@
          now < c->written_at + c->server->limits.idle_timeout;
 }
 
-/* Bytes that are unread when a timeout has passed arrived in time, and the process is late. */
+/* Bytes that are unread when a timeout has passed arrived in time, and the process is late, unless
+ * reading is paused. */
 static void
 S_on_timer (MrCaller *c, MrTime now)
 {
@@ -483,7 +484,7 @@
                    now + (c->pipelined->len > 0 ? PIPELINED_POLL : CLOSE_TIMEOUT));
   else if (S_has_idle_time (c, now))
     mr_timers_set (c->server->timers, &c->timer, now + CLOSE_TIMEOUT);
-  else if (!c->close_after_write && mr_stream_has_unread_bytes (c->stream))
+  else if (!c->close_after_write && !c->paused && mr_stream_has_unread_bytes (c->stream))
     mr_timers_set (c->server->timers, &c->timer, now + MR_MS);
   else if (!c->close_after_write && mr_http_parser_state (c->parser) != MR_HTTP_IDLE)
     S_reject (c, STATUS_TIMEOUT);
--- a/test/test_caller_server.c
+++ b/test/test_caller_server.c
@@ -457,6 +457,24 @@
   assert_int_equal (c->f.requests, 2);
 }
 
+/* Guards against a connection that is kept for ever, as its caller pipelines more than is read and
+ * takes no answer. */
+static void
+test_caller_that_never_reads (void **state)
+{
+  static const MrCallerLimits short_limits = { .max_head_bytes = 4096,
+                                               .head_timeout = MR_SECOND,
+                                               .idle_timeout = 300 * MR_MS };
+  Connection *c = S_open (state, &short_limits, LARGE_BODY_BYTES);
+  for (MrTime end = mr_now () + 200 * MR_MS; mr_now () < end; mr_loop_step (c->loop))
+    send (c->fd, request_text, strlen (request_text), MSG_DONTWAIT | MSG_NOSIGNAL);
+  g_autoptr (GString) sent = g_string_new (NULL);
+  for (guint i = 0; i < 100000; i++)
+    g_string_append (sent, request_text);
+  send (c->fd, sent->str, sent->len, MSG_DONTWAIT | MSG_NOSIGNAL);
+  S_await_connections (&c->f, c->loop, 0);
+}
+
 int
 main (void)
 {
@@ -471,6 +489,7 @@
     cmocka_unit_test_teardown (test_bytes_after_close, S_close),
     cmocka_unit_test_teardown (test_end_of_answers, S_close),
     cmocka_unit_test_teardown (test_idle_after_slow_answer, S_close),
+    cmocka_unit_test_teardown (test_caller_that_never_reads, S_close),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
