Target client: no late copy of a response is taken for that of a later call

Cause: a refused order was sent to the same searcher again on the connection of the refusal. The late second copy of the refusal bears the order's id, so that it passed for the second answer while the searcher ran the order. Whether a response belongs to a call was decided by an id that names the caller's request and not the send, or is absent.

Ruled out: copies with other ids (none among the broken), broken or silent calls counted as not run (no broken order has such an outcome).

Now a call that may run only once is always the first one of its connection, and a connection is closed after a refusal and after a response without an id. No bytes of an earlier exchange can then be taken for a call's response.

--- a/src/target_client.c
+++ b/src/target_client.c
@@ -24,10 +24,6 @@
  * states: a request that crosses the target's close would be lost. */
 static const double IDLE_TIMEOUT_FRACTION = 0.7;
 static const MrTime DEFAULT_IDLE_TIMEOUT = 4 * MR_SECOND;
-/* A non-idempotent request reuses a connection only if it was in use this recently; otherwise
- * it opens a new one.  If an older connection were reset, it would be unknown whether the
- * request ran. */
-static const MrTime NON_IDEMPOTENT_REUSE_WINDOW = 500 * MR_MS;
 
 typedef struct
 {
@@ -276,6 +272,17 @@
   return !c->used || refusal ? MATCH_THIS_CALL : MATCH_UNKNOWN;
 }
 
+/* TRUE if a second copy of @response, wherever it arrives on the connection, cannot be taken for
+ * the response to a later call.  One without an id could be; and a refused call may be sent to the
+ * target again, with the id of the refusal. */
+static gboolean
+S_copy_is_harmless (const Connection *c, const MrHttpParser *response, MrCallOutcome outcome)
+{
+  guint ids = 0;
+  mr_http_parser_find_field (response, c->client->dialect->request_id, &ids);
+  return ids == 1 && outcome != MR_CALL_SHED && outcome != MR_CALL_MISDIRECTED;
+}
+
 static void
 S_make_idle (Connection *c)
 {
@@ -294,10 +301,13 @@
   MrCallOutcome outcome = S_classify_response (c, response);
   /* A target may respond before it has read the whole request; it would take the remaining bytes
    * for the next request. */
-  gboolean keep = mr_http_parser_keep_alive (response) && trailing == 0 &&
-                  mr_stream_buffered_bytes (c->stream) == 0;
+  gboolean in_sync = mr_http_parser_keep_alive (response) && trailing == 0 &&
+                     mr_stream_buffered_bytes (c->stream) == 0;
+  gboolean keep = in_sync && S_copy_is_harmless (c, response, outcome);
   if (trailing > 0)
     c->client->counts.stray_byte_closes++;
+  else if (in_sync && !keep)
+    c->client->counts.ambiguous_closes++;
   c->idle_timeout = S_idle_timeout (response);
   c->used = TRUE;
   guint64 id = c->call_id;
@@ -503,24 +513,36 @@
 }
 
 static Connection *
-S_take_idle (MrTargetClient *client, MrTime now, const MrTargetCall *call)
+S_take_idle (MrTargetClient *client, ConnectionPool *pool)
 {
-  ConnectionPool *pool = S_get_pool (client, call->target->id);
   Connection *c = g_queue_peek_head (&pool->idle);
   if (!c)
     return NULL;
-  MrTime idle_for = now - (c->timer.due - c->idle_timeout);
-  if (!call->idempotent && idle_for > NON_IDEMPOTENT_REUSE_WINDOW)
-    {
-      S_close (c); /* leaves room for a new connection */
-      return NULL;
-    }
   S_remove_from_idle (c);
   mr_timers_set (client->timers, &c->timer, MR_NEVER);
   client->counts.reused++;
   return c;
 }
 
+/* Returns a connection for @call, or NULL. */
+static Connection *
+S_get_connection (MrTargetClient *client, MrTime now, const MrTargetCall *call)
+{
+  ConnectionPool *pool = S_get_pool (client, call->target->id);
+  if (call->idempotent)
+    {
+      Connection *c = S_take_idle (client, pool);
+      return c ? c : S_connect (client, now, call->target);
+    }
+  /* On a connection that has carried another call, an extra response could be taken for the refusal
+   * of this call, which would then run a second time elsewhere; and after a reset it would be
+   * unknown whether this call ran. */
+  if (!g_queue_is_empty (&pool->idle))
+    S_close (g_queue_peek_tail (&pool->idle)); /* leaves room within the target's limit */
+  client->counts.once_only_connections++;
+  return S_connect (client, now, call->target);
+}
+
 void
 mr_target_client_set_memory_limit (MrTargetClient *client, gsize bytes)
 {
@@ -530,9 +552,7 @@
 void
 mr_target_client_call (MrTargetClient *client, MrTime now, const MrTargetCall *call)
 {
-  Connection *c = S_take_idle (client, now, call);
-  if (!c)
-    c = S_connect (client, now, call->target);
+  Connection *c = S_get_connection (client, now, call);
   if (!c)
     {
       EndedCall failed = { .id = call->id, .outcome = MR_CALL_NOT_CONNECTED };
--- a/test/loopback.h
+++ b/test/loopback.h
@@ -22,6 +22,28 @@
   return port;
 }
 
+/* Returns a socket that listens, and its port in @port; -1 if it cannot.  It does not block. */
+static inline int
+listen_loopback (int *port)
+{
+  enum
+  {
+    BACKLOG_MAX = 16,
+  };
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  if (bind (fd, (struct sockaddr *) &address, length) == 0 && listen (fd, BACKLOG_MAX) == 0 &&
+      getsockname (fd, (struct sockaddr *) &address, &length) == 0)
+    {
+      *port = ntohs (address.sin_port);
+      return fd;
+    }
+  close (fd);
+  return -1;
+}
+
 /* Returns a socket that is connected to @port and has a receive buffer of @receive_bytes; -1 if it
  * cannot connect. */
 static inline int
--- /dev/null
+++ b/test/test_late_copies.c
@@ -0,0 +1,296 @@
+/* Guards against an order that runs twice, or is refused though it runs: a late second copy of a
+ * target's response must not be taken for the response to a later call on the connection, whether
+ * it has the id of another request, of the same request when it is sent again, or none. */
+
+#include "target_client.h"
+
+#include "loopback.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+
+#include <cmocka.h>
+
+enum
+{
+  DESCRIPTORS = 64,
+  CONNECTIONS_MAX = 8,
+  CALLS_MAX = 4,
+  REQUEST_BYTES_MAX = 4096,
+};
+
+static const MrTime TEST_TIMEOUT = 3 * MR_SECOND;
+
+#define SIGNED "X-Signature: i-1\r\nContent-Length: 2\r\n\r\n"
+
+typedef struct
+{
+  const char *name;
+  const char *format; /* of the response to the first request, whose id it may contain */
+  MrCallOutcome outcome;
+} FirstResponse;
+
+static const FirstResponse first_responses[] = {
+  { "answer", "HTTP/1.1 200 OK\r\nX-Id: %s\r\n" SIGNED "q1", MR_CALL_ANSWER },
+  { "refusal", "HTTP/1.1 503 Busy\r\nX-Id: %s\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    MR_CALL_SHED },
+  { "refusal without an id", "HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n",
+    MR_CALL_SHED },
+  { "misdirected", "HTTP/1.1 421 Misdirected\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n",
+    MR_CALL_MISDIRECTED },
+  { "misdirected without an id", "HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+    MR_CALL_MISDIRECTED },
+  { "error", "HTTP/1.1 500 Error\r\nX-Id: %s\r\n" SIGNED "no", MR_CALL_ERROR },
+  { "error without an id", "HTTP/1.1 500 Error\r\n" SIGNED "no", MR_CALL_ERROR },
+};
+
+typedef enum
+{
+  COPY_AT_ONCE,     /* in the same segment as the response */
+  COPY_WHILE_IDLE,  /* before the next call */
+  COPY_BEFORE_NEXT, /* where the response to the next call on the connection is expected */
+  COPY_BEFORE_LAST, /* the same, after another call on it */
+  COPY_TIMES,
+} CopyTime;
+
+static const char *const copy_times[COPY_TIMES] = { "at once", "while idle", "before the next",
+                                                    "before the last" };
+
+typedef struct
+{
+  const char *name;
+  const char *id;
+  gboolean idempotent;
+  gboolean only_after_refusal; /* an id is used again only if the first call did not run */
+} LaterCall;
+
+static const LaterCall later_calls[] = {
+  { "search", "q3", TRUE, FALSE },
+  { "search sent again", "q1", TRUE, TRUE },
+  { "order", "q3", FALSE, FALSE },
+  { "order sent again", "q1", FALSE, TRUE },
+};
+
+static const MrDialect dialect = {
+  .request_id = "X-Id",
+  .signature = "X-Signature",
+  .not_run = "X-Not-Run",
+};
+
+typedef struct
+{
+  MrLoopHandler loop_handler;
+  MrTargetClientHost client_host;
+  MrTargetClient *client;
+  MrLoop *loop;
+  MrTargetState *target;
+  int listener;
+  int fds[CONNECTIONS_MAX];
+  guint connections;
+  gboolean ended[CALLS_MAX]; /* by call id */
+  MrCallOutcome outcomes[CALLS_MAX];
+} Fixture;
+
+static void
+S_on_call_ended (MrTargetClientHost *host,
+                 guint64 id,
+                 MrCallOutcome outcome,
+                 MrHttpParser *response)
+{
+  Fixture *f = (Fixture *) ((char *) host - offsetof (Fixture, client_host));
+  assert_false (f->ended[id]);
+  f->ended[id] = TRUE;
+  f->outcomes[id] = outcome;
+  mr_http_parser_free (response);
+}
+
+static void
+S_on_probed (MrTargetClientHost *host, const char *target, gboolean answered)
+{
+  (void) host;
+  (void) target;
+  (void) answered;
+}
+
+static MrTime
+S_on_tick (MrLoopHandler *handler, MrTime now)
+{
+  const Fixture *f = (const Fixture *) handler;
+  return MIN (mr_target_client_tick (f->client, now), now + MR_MS);
+}
+
+static void
+S_step (Fixture *f)
+{
+  mr_loop_step (f->loop);
+  int fd = accept4 (f->listener, NULL, NULL, SOCK_NONBLOCK);
+  if (fd < 0)
+    return;
+  assert_true (f->connections < CONNECTIONS_MAX);
+  f->fds[f->connections++] = fd;
+}
+
+static void
+S_call (Fixture *f, guint64 number, const char *id, gboolean idempotent)
+{
+  MrTargetCall call = { .id = number,
+                        .target = f->target,
+                        .request = MR_TEXT ("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n"),
+                        .request_id = mr_text (id),
+                        .idempotent = idempotent };
+  mr_target_client_call (f->client, mr_now (), &call);
+}
+
+/* Waits until a request arrives; returns the index of its connection. */
+static guint
+S_receive (Fixture *f)
+{
+  char bytes[REQUEST_BYTES_MAX];
+  MrTime end = mr_now () + TEST_TIMEOUT;
+  while (mr_now () < end)
+    {
+      S_step (f);
+      for (guint i = 0; i < f->connections; i++)
+        if (recv (f->fds[i], bytes, sizeof bytes, MSG_DONTWAIT) > 0)
+          return i;
+    }
+  fail_msg ("no request arrives");
+  return 0;
+}
+
+/* A connection that the client has closed takes nothing. */
+static void
+S_send (const Fixture *f, guint connection, const char *bytes)
+{
+  send (f->fds[connection], bytes, strlen (bytes), MSG_NOSIGNAL);
+}
+
+static void
+S_await_end (Fixture *f, guint64 number)
+{
+  MrTime end = mr_now () + TEST_TIMEOUT;
+  while (!f->ended[number] && mr_now () < end)
+    S_step (f);
+  assert_true (f->ended[number]);
+}
+
+/* Longer than the loopback takes to deliver bytes. */
+static void
+S_settle (Fixture *f)
+{
+  for (MrTime end = mr_now () + 3 * MR_MS; mr_now () < end;)
+    S_step (f);
+}
+
+/* A call between the first one and the last one, without a fault. */
+static void
+S_make_other_call (Fixture *f, guint64 number)
+{
+  S_call (f, number, "q2", TRUE);
+  guint connection = S_receive (f);
+  S_send (f, connection, "HTTP/1.1 200 OK\r\nX-Id: q2\r\n" SIGNED "q2");
+  S_await_end (f, number);
+}
+
+static void
+S_fixture_init (Fixture *f)
+{
+  MrTarget target = { .id = "i-1", .ip = "127.0.0.1" };
+  *f = (Fixture){ .loop_handler = { .on_tick = S_on_tick },
+                  .client_host = { .call_ended = S_on_call_ended, .probed = S_on_probed } };
+  f->listener = listen_loopback (&target.port);
+  assert_true (f->listener >= 0);
+  f->loop = mr_loop_new (&f->loop_handler, DESCRIPTORS);
+  f->client = mr_target_client_new (&f->client_host, f->loop, &dialect);
+  f->target = mr_target_state_new (&target, "127.0.0.1");
+}
+
+static void
+S_fixture_clear (Fixture *f)
+{
+  for (guint i = 0; i < f->connections; i++)
+    close (f->fds[i]);
+  close (f->listener);
+  mr_loop_free (f->loop);
+  mr_target_client_free (f->client);
+  mr_target_state_free (f->target);
+}
+
+/* TRUE if the later call gets its own response, an order on a connection of its own. */
+static gboolean
+S_run_case (const FirstResponse *first, CopyTime copy_time, const LaterCall *later)
+{
+  Fixture f;
+  S_fixture_init (&f);
+  g_autofree char *response = g_strdup_printf (first->format, "q1");
+  g_autofree char *twice = g_strconcat (response, response, NULL);
+  S_call (&f, 1, "q1", later->idempotent);
+  guint first_connection = S_receive (&f);
+  S_send (&f, first_connection, copy_time == COPY_AT_ONCE ? twice : response);
+  S_await_end (&f, 1);
+  assert_int_equal (f.outcomes[1], first->outcome);
+  if (copy_time == COPY_WHILE_IDLE)
+    S_send (&f, first_connection, response);
+  S_settle (&f);
+  if (copy_time == COPY_BEFORE_LAST)
+    S_make_other_call (&f, 2);
+  guint connections = f.connections;
+  S_call (&f, 3, later->id, later->idempotent);
+  guint connection = S_receive (&f);
+  gboolean is_new = connection >= connections;
+  if (copy_time >= COPY_BEFORE_NEXT)
+    S_send (&f, first_connection, response);
+  S_settle (&f);
+  g_autofree char *answer =
+      g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Id: %s\r\n" SIGNED "ok", later->id);
+  S_send (&f, connection, answer);
+  S_await_end (&f, 3);
+  gboolean passed = f.outcomes[3] == MR_CALL_ANSWER && (later->idempotent || is_new);
+  if (!passed)
+    print_error ("%s, copy %s, then %s: outcome %s, new connection %d\n", first->name,
+                 copy_times[copy_time], later->name, mr_call_outcome_name (f.outcomes[3]), is_new);
+  S_fixture_clear (&f);
+  return passed;
+}
+
+static void
+test_copies (void **state)
+{
+  guint failures = 0;
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (first_responses); i++)
+    for (CopyTime time = 0; time < COPY_TIMES; time++)
+      for (gsize k = 0; k < G_N_ELEMENTS (later_calls); k++)
+        {
+          MrCallOutcome outcome = first_responses[i].outcome;
+          gboolean refused = outcome == MR_CALL_SHED || outcome == MR_CALL_MISDIRECTED;
+          if (refused || !later_calls[k].only_after_refusal)
+            failures += S_run_case (&first_responses[i], time, &later_calls[k]) ? 0 : 1;
+        }
+  assert_int_equal (failures, 0);
+}
+
+/* Searches go on using the connection of an answer. */
+static void
+test_reuse (void **state)
+{
+  Fixture f;
+  (void) state;
+  S_fixture_init (&f);
+  S_make_other_call (&f, 1);
+  S_make_other_call (&f, 2);
+  assert_int_equal (f.connections, 1);
+  assert_int_equal (mr_target_client_counts (f.client).reused, 1);
+  S_fixture_clear (&f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_copies),
+    cmocka_unit_test (test_reuse),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
