Orders of merlinringd: no late refusal of an earlier call is taken for theirs

Callers could be told "not run" of an order that runs, and the order could be sent to another searcher: the same cause as in the relay's client, found by looking at the other client for searchers. Refusals of the product's own protocol have no id, and orders shared connections with searches, so that a late second copy of a search's refusal passed for the refusal of the order.

An order now has a connection of its own. Searches still share connections; a copy sends them to another searcher at most.

test_late_refusal (test_target_task) failed before: the order counts as not run while its searcher answers. Ruled out: answers, which echo an id that is never used twice. process_orders, process_search, process_documents, process_silent, process_quarantine_daemons, process_stop_requests pass.

--- a/src/target_task.c
+++ b/src/target_task.c
@@ -198,6 +198,9 @@
         .ip = exchange->ip,
         .port = exchange->port,
         .connection_slot = exchange->slot,
+        /* A refusal has no id: on a connection that has carried another call, a late copy of one
+         * could be taken for the refusal of the order, which would run again elsewhere. */
+        .new_connection = exchange->is_order,
         .path = exchange->path,
         .body = exchange->body ? mr_text_of (exchange->body) : (MrText){ 0 },
         .on_response = S_on_call_done,
