--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -130,12 +130,34 @@
   return task->relay != (index >= WATCH_CONFIGURATION);
 }
 
+/* Time until the next call, ms; -1: one is open. */
+static gint64
+S_due_ms (const MrWatch *watch, MrTime now)
+{
+  return watch->in_flight ? -1 : MAX (watch->due - now, 0) / MR_MS;
+}
+
+static void
+S_set_watching (MrControlTask *task, MrTime now, gboolean watcher)
+{
+  if (watcher == task->watches_platform)
+    return;
+  task->watches_platform = watcher;
+  mr_metrics_add (MR_METRIC_WATCH_DUTIES, watcher ? 1 : 0);
+  MrLogLine *line = mr_log_begin (MR_LOG_INFO, MR_EVENT_WATCH_DUTY);
+  mr_log_number (line, "watches", watcher);
+  mr_log_number (line, "configuration_due_ms", S_due_ms (&task->watches[WATCH_CONFIGURATION], now));
+  mr_log_number (line, "targets_due_ms", S_due_ms (&task->watches[WATCH_TARGETS], now));
+  mr_log_end (line);
+}
+
 void
 mr_control_platform_tick (MrControlTask *task, MrTime now, MrTime *next)
 {
   gboolean watcher = mr_control_is_watcher (task);
   if (task->relay && S_is_bootstrapping (task, now, watcher, next))
     return;
+  S_set_watching (task, now, watcher);
   for (int i = 0; i < WATCH_COUNT; i++)
     {
       MrWatch *watch = &task->watches[i];
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -100,6 +100,7 @@
   gboolean deferral_over;           /* nothing is deferred any more */
   gboolean restriction_call_failed; /* since everything else was read */
   guint64 store_era;                /* highest one seen in an answer or a version; 0: none */
+  gboolean watches_platform;        /* as of the last tick */
   gboolean reads_alone;     /* no other daemon is known to read the store in its current era */
   gboolean reads_again;     /* the targets have not been read yet since the store came back */
   GHashTable *held_entries; /* "<kind>/<name>" -> MrDeferredOffer */
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -50,6 +50,7 @@
   [MR_METRIC_STORE_ERAS] = { "store_eras", "times the store came back from a copy" },
   [MR_METRIC_ANSWERS_OUTDATED] = { "answers_outdated", "answers of an earlier era discarded" },
   [MR_METRIC_ENTRIES_HELD] = { "entries_held", "entries of a restored store held back" },
+  [MR_METRIC_WATCH_DUTIES] = { "watch_duties", "times this daemon began to watch the platform" },
   [MR_METRIC_RESPONSES_GIVEN_UP] = { "responses_given_up", "responses too large to be taken" },
   [MR_METRIC_VIEWS] = { "views", "views published by the control task" },
   [MR_METRIC_DENIAL_QUERIES] = { "denial_queries", "daemons asked before a key was denied" },
