Watch: a daemon that watches again calls the platform at once

Cause: the retry delay and the due time of a watch outlived the duty to watch. A relay that had stood in for its failure domain in an earlier cut, and whose calls had failed then, kept the retry delay when it ceased to watch, and was due in 90 to 270 s like any daemon that does not watch. When it had to watch again, its calls were brought forward only without a retry delay.

Beginning and ceasing to watch are now events of the watch: both forget the retries, and the next call of a daemon that begins is due after its usual pause. What a call's end means is decided by the duty that the watch was told of, so that no change of it is missed between two ticks. This holds for all watches: configurations, targets (leaving ones, too), evidence, evacuations.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -143,6 +143,8 @@
   if (watcher == task->watches_platform)
     return;
   task->watches_platform = watcher;
+  for (int i = 0; i < WATCH_COUNT; i++)
+    mr_watch_set_watching (&task->watches[i], now, watcher);
   mr_metrics_add (MR_METRIC_WATCH_DUTIES, watcher ? 1 : 0);
   MrLogLine *line = mr_log_begin (MR_LOG_INFO, MR_EVENT_WATCH_DUTY);
   mr_log_number (line, "watches", watcher);
@@ -163,8 +165,6 @@
       MrWatch *watch = &task->watches[i];
       if (watch->in_flight || S_skips_watch (task, i, watcher))
         continue;
-      if (watcher && watch->retry_delay == 0)
-        watch->due = MIN (watch->due, now + watch->call_pause); /* a new watcher */
       if (now < watch->due)
         {
           *next = MIN (*next, watch->due);
@@ -411,7 +411,7 @@
 S_on_watch_result (MrControlTask *task, MrTime now, int index, const MrPlatformResult *result)
 {
   gboolean success = result->status == MR_OK;
-  gboolean watcher = mr_control_is_watcher (task);
+  gboolean watcher = task->watches_platform;
   if (success && index == WATCH_VMS)
     S_on_vms (task, result);
   else if (success && task->relay)
@@ -486,7 +486,7 @@
 {
   if (index < WATCH_COUNT)
     {
-      mr_watch_ended (&task->watches[index], now, false, mr_control_is_watcher (task),
+      mr_watch_ended (&task->watches[index], now, false, task->watches_platform,
                       g_rand_double (task->random));
       return;
     }
--- a/src/watch.c
+++ b/src/watch.c
@@ -142,6 +142,14 @@
   return watch->in_flight && watch->call_number == call;
 }
 
+void
+mr_watch_set_watching (MrWatch *watch, MrTime now, gboolean watching)
+{
+  watch->retry_delay = 0;
+  if (watching)
+    watch->due = MIN (watch->due, now + watch->call_pause);
+}
+
 void
 mr_watch_ended (MrWatch *watch, MrTime now, gboolean success, gboolean watcher, double jitter)
 {
@@ -151,6 +159,7 @@
     {
       /* Also after a failure: retries of a whole fleet would keep an overloaded store down. */
       MrTime interval = mr_watch_read_interval (watch->reader_count);
+      watch->retry_delay = 0;
       watch->due = now + interval / 2 + (MrTime) (jitter * (double) interval);
       return;
     }
--- a/src/watch.h
+++ b/src/watch.h
@@ -61,5 +61,9 @@
  * add one concurrent call with each restart. */
 bool mr_watch_is_current (const MrWatch *watch, guint call);
 
+/* This daemon begins or ceases to watch.  Retries of an earlier time are forgotten: a daemon that
+ * begins makes its next call after the usual pause. */
+void mr_watch_set_watching (MrWatch *watch, MrTime now, gboolean watching);
+
 /* Ends the call and schedules the next one.  @jitter: random, 0 to 1. */
 void mr_watch_ended (MrWatch *watch, MrTime now, gboolean success, gboolean watcher, double jitter);
--- a/test/tcp_proxy.c
+++ b/test/tcp_proxy.c
@@ -1,7 +1,8 @@
 /* TCP proxy on the loopback interface for failure tests: tcp_proxy LISTEN_PORT TARGET_PORT
  *
  * SIGUSR1: connections that exist at that time stay open but drop all further data, as if a
- * middlebox had lost their state.  New connections work. */
+ * middlebox had lost their state.  New connections work.
+ * SIGUSR2: resets all connections, and new ones until the next SIGUSR2. */
 
 #include <arpa/inet.h>
 #include <poll.h>
@@ -24,12 +25,23 @@
 } Connection;
 
 static volatile sig_atomic_t drop_requested;
+static volatile sig_atomic_t cut;
 
 static void
 S_on_signal (int number)
 {
-  (void) number;
-  drop_requested = 1;
+  if (number == SIGUSR1)
+    drop_requested = 1;
+  else
+    cut = !cut;
+}
+
+static void
+S_reset (int fd)
+{
+  const struct linger at_once = { .l_onoff = 1 };
+  setsockopt (fd, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  close (fd);
 }
 
 static struct sockaddr_in
@@ -58,10 +70,10 @@
   int client = accept (listener, NULL, NULL);
   int server = socket (AF_INET, SOCK_STREAM, 0);
   struct sockaddr_in address = S_address (port);
-  if (client < 0 || *count == CONNECTIONS_MAX ||
+  if (client < 0 || cut || *count == CONNECTIONS_MAX ||
       connect (server, (struct sockaddr *) &address, sizeof address) != 0)
     {
-      close (client);
+      S_reset (client);
       close (server);
       return;
     }
@@ -119,12 +131,16 @@
     }
   signal (SIGPIPE, SIG_IGN);
   signal (SIGUSR1, S_on_signal);
+  signal (SIGUSR2, S_on_signal);
   for (;;)
     {
       if (drop_requested)
         for (int i = 0; i < count; i++)
           connections[i].dropping = true;
       drop_requested = 0;
+      for (; cut && count > 0; count--)
+        for (int side = 0; side < 2; side++)
+          S_reset (connections[count - 1].fds[side]);
       S_poll (listener, atoi (argv[2]), connections, &count);
     }
 }
--- a/test/test_fleet_shares.c
+++ b/test/test_fleet_shares.c
@@ -476,11 +476,77 @@
   assert_false (mr_watch_is_current (&watch, second));
 }
 
+typedef enum
+{
+  DUTY_BEGINS,
+  DUTY_ENDS,
+  CALL_SUCCEEDS,
+  CALL_FAILS,
+} WatchEvent;
+
+/* Guards against a daemon that watches again and does not read the platform: its next call was due
+ * minutes later, because an earlier call of its had failed before it ceased to watch. */
+static void
+test_watch_again (void **state)
+{
+  enum
+  {
+    EVENTS_MAX = 8,
+  };
+  static const MrTime PAUSE = 400 * MR_MS;
+  static const struct
+  {
+    const char *name;
+    guint count;
+    WatchEvent events[EVENTS_MAX]; /* a second apart; the last one begins the duty */
+  } cases[] = {
+    { "first time", 2, { CALL_SUCCEEDS, DUTY_BEGINS } },
+    { "after calls that succeeded",
+      5,
+      { CALL_SUCCEEDS, DUTY_BEGINS, CALL_SUCCEEDS, DUTY_ENDS, DUTY_BEGINS } },
+    { "after a read", 5, { DUTY_BEGINS, CALL_SUCCEEDS, DUTY_ENDS, CALL_SUCCEEDS, DUTY_BEGINS } },
+    { "after a call that failed",
+      5,
+      { CALL_SUCCEEDS, DUTY_BEGINS, CALL_FAILS, DUTY_ENDS, DUTY_BEGINS } },
+    { "after a call that failed and a read",
+      6,
+      { CALL_SUCCEEDS, DUTY_BEGINS, CALL_FAILS, DUTY_ENDS, CALL_SUCCEEDS, DUTY_BEGINS } },
+    { "after calls that failed, the last without the duty",
+      7,
+      { CALL_SUCCEEDS, DUTY_BEGINS, CALL_FAILS, CALL_FAILS, DUTY_ENDS, CALL_FAILS, DUTY_BEGINS } },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      MrWatch watch = { .call_pause = PAUSE, .reader_count = 6 };
+      gboolean watches = FALSE;
+      MrTime now = 0;
+      for (guint k = 0; k < cases[i].count; k++)
+        {
+          WatchEvent event = cases[i].events[k];
+          now += MR_SECOND;
+          if (event == DUTY_BEGINS || event == DUTY_ENDS)
+            {
+              watches = event == DUTY_BEGINS;
+              mr_watch_set_watching (&watch, now, watches);
+              continue;
+            }
+          mr_watch_begin (&watch);
+          mr_watch_ended (&watch, now, event == CALL_SUCCEEDS, watches, 0.5);
+        }
+      if (watch.due > now + PAUSE || watch.retry_delay != 0)
+        fail_msg ("%s: the next call is due after %d ms, with a retry delay of %d ms",
+                  cases[i].name, (int) ((watch.due - now) / MR_MS),
+                  (int) (watch.retry_delay / MR_MS));
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_renewed_watch),
+    cmocka_unit_test (test_watch_again),
     cmocka_unit_test (test_window_budget),
     cmocka_unit_test (test_budget_of_restarting_process),
     cmocka_unit_test (test_startup_allowance),
