Watch: a relay that ceases to watch forgets that the platform did not answer

A relay whose calls failed while it watched for its failure domain, or found out whether it reaches the store, counted the store as down until its next call, up to 270 s later: it told the others so, and when it watched again, its first answer counted as the store's return, so that removals of searchers were delayed by 2.3 s. With the time that a cut takes to be noticed this comes to more than the 3 s for which a searcher that has left may get requests.

test_watch_duty failed before ("the platform still counts as down"). process_watch_duty passes in both forms.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -153,6 +153,19 @@
   mr_log_end (line);
 }
 
+/* A relay that makes no calls for others does not know whether the platform answers.  What it knew
+ * would make it delay removals, and would keep others from it, for as long as it makes no call. */
+static void
+S_forget_platform_state (MrControlTask *task, MrTime now)
+{
+  if (task->platform_up)
+    return;
+  task->platform_up = TRUE;
+  task->view_changed = TRUE;
+  mr_removal_filter_set_store_up (task->removal_filter, now, TRUE);
+  mr_membership_set_platform_unreachable (task->membership, now, FALSE);
+}
+
 /* A relay that has to find out whether it reaches the platform reads the configuration. */
 static void
 S_tick_stand_in (MrControlTask *task, MrTime now, MrTime *next)
@@ -182,6 +195,8 @@
     S_tick_stand_in (task, now, next);
   watcher = mr_control_is_watcher (task);
   S_set_watching (task, now, watcher);
+  if (task->relay && !watcher && !task->stand_in.needed)
+    S_forget_platform_state (task, now);
   for (int i = 0; i < WATCH_COUNT; i++)
     {
       MrWatch *watch = &task->watches[i];
