Target client: no id is sent twice on a connection

A caller that used one id for two searches could get the late copy of the first answer for the second one: of two answers with one id on a connection nothing tells which is which.

A connection remembers the ids of its last 32 calls and carries none of them again. A call that finds only such connections closes the least recently used one and opens another, so that a caller with one id for all requests does not add connections. Ids of the platform's callers differ, so that nothing changes for them.

--- a/src/target_client.c
+++ b/src/target_client.c
@@ -5,8 +5,12 @@
 #include "stream.h"
 #include "timers.h"
 
+#include <xxhash.h>
+
 enum
 {
+  /* Ids of the latest calls of a connection that are remembered. */
+  CARRIED_IDS_MAX = 32,
   /* No response of a search target comes near this; it bounds the memory that a faulty one can
    * take. */
   RESPONSE_BODY_MAX = 8 * 1024 * 1024,
@@ -46,6 +50,8 @@
   guint64 call_id;       /* 0: none */
   guint64 sent_at_start; /* bytes sent on the connection before the call */
   char *request_id;
+  guint64 carried_ids[CARRIED_IDS_MAX]; /* hashes of request ids, in turn */
+  guint carried_count;                  /* calls carried so far */
   gboolean is_part;
   GString *pending_request; /* the request, until the connection is established */
   MrHttpParser *parser;
@@ -512,34 +518,54 @@
   return c;
 }
 
+static guint64
+S_hash_id (MrText id)
+{
+  return XXH64 (id.data, id.len, 0);
+}
+
+static gboolean
+S_has_carried (const Connection *c, guint64 id_hash)
+{
+  for (guint i = 0; i < MIN (c->carried_count, CARRIED_IDS_MAX); i++)
+    if (c->carried_ids[i] == id_hash)
+      return TRUE;
+  return FALSE;
+}
+
+/* Takes an idle connection that has not carried a call with this id: a late copy of the response to
+ * that call could not be told from the response to this one. */
 static Connection *
-S_take_idle (MrTargetClient *client, ConnectionPool *pool)
+S_take_idle (MrTargetClient *client, const ConnectionPool *pool, MrText request_id)
 {
-  Connection *c = g_queue_peek_head (&pool->idle);
-  if (!c)
+  guint64 id_hash = S_hash_id (request_id);
+  const GList *link = pool->idle.head;
+  while (link && request_id.len > 0 && S_has_carried (link->data, id_hash))
+    link = link->next;
+  if (!link)
     return NULL;
+  Connection *c = link->data;
   S_remove_from_idle (c);
   mr_timers_set (client->timers, &c->timer, MR_NEVER);
   client->counts.reused++;
   return c;
 }
 
-/* Returns a connection for @call, or NULL. */
+/* Returns a connection for @call, or NULL.
+ *
+ * A call that may run only once gets a new one: on a connection that has carried another call, an
+ * extra response could be taken for the refusal of this call, which would then run a second time
+ * elsewhere; and after a reset it would be unknown whether this call ran. */
 static Connection *
 S_get_connection (MrTargetClient *client, MrTime now, const MrTargetCall *call)
 {
   ConnectionPool *pool = S_get_pool (client, call->target->id);
-  if (call->idempotent)
-    {
-      Connection *c = S_take_idle (client, pool);
-      return c ? c : S_connect (client, now, call->target);
-    }
-  /* On a connection that has carried another call, an extra response could be taken for the refusal
-   * of this call, which would then run a second time elsewhere; and after a reset it would be
-   * unknown whether this call ran. */
+  Connection *c = call->idempotent ? S_take_idle (client, pool, call->request_id) : NULL;
+  if (c)
+    return c;
   if (!g_queue_is_empty (&pool->idle))
     S_close (g_queue_peek_tail (&pool->idle)); /* leaves room within the target's limit */
-  client->counts.once_only_connections++;
+  client->counts.once_only_connections += call->idempotent ? 0 : 1;
   return S_connect (client, now, call->target);
 }
 
@@ -563,6 +589,7 @@
   c->sent_at_start = mr_stream_sent_bytes (c->stream);
   g_free (c->request_id);
   c->request_id = mr_text_dup (call->request_id);
+  c->carried_ids[c->carried_count++ % CARRIED_IDS_MAX] = S_hash_id (call->request_id);
   c->is_part = call->is_part;
   mr_http_parser_reset (c->parser);
   mr_http_parser_set_bodiless (c->parser, call->bodiless);
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -13,7 +13,8 @@
  *
  * A faulty target may send a second copy of a response at any later time.  Therefore a connection
  * is closed after a response that has no request id, or that refuses the call, which may be sent
- * again with the same id; and a call that may run only once always gets a new connection. */
+ * again with the same id; a call does not use a connection that has carried its id, as far as that
+ * is remembered; and a call that may run only once always gets a new connection. */
 #pragma once
 
 #include "call.h"
--- a/test/test_late_copies.c
+++ b/test/test_late_copies.c
@@ -1,6 +1,6 @@
-/* Guards against an order that runs twice, or is refused though it runs: a late second copy of a
- * target's response must not be taken for the response to a later call on the connection, whether
- * it has the id of another request, of the same request when it is sent again, or none. */
+/* Guards against an order that runs twice, or is refused though it runs, and against answers to
+ * other requests: a late second copy of a target's response must not be taken for the response to a
+ * later call on the connection, whether it has the id of another request, the same id, or none. */
 
 #include "target_client.h"
 
@@ -67,7 +67,7 @@
 
 static const LaterCall later_calls[] = {
   { "search", "q3", TRUE, FALSE },
-  { "search sent again", "q1", TRUE, TRUE },
+  { "search with the same id", "q1", TRUE, FALSE },
   { "order", "q3", FALSE, FALSE },
   { "order sent again", "q1", FALSE, TRUE },
 };
@@ -90,6 +90,7 @@
   guint connections;
   gboolean ended[CALLS_MAX]; /* by call id */
   MrCallOutcome outcomes[CALLS_MAX];
+  char *bodies[CALLS_MAX]; /* NULL: none */
 } Fixture;
 
 static void
@@ -102,6 +103,8 @@
   assert_false (f->ended[id]);
   f->ended[id] = TRUE;
   f->outcomes[id] = outcome;
+  if (response)
+    f->bodies[id] = mr_text_dup (mr_http_parser_body (response));
   mr_http_parser_free (response);
 }
 
@@ -185,11 +188,12 @@
 
 /* A call between the first one and the last one, without a fault. */
 static void
-S_make_other_call (Fixture *f, guint64 number)
+S_make_other_call (Fixture *f, guint64 number, const char *id)
 {
-  S_call (f, number, "q2", TRUE);
+  g_autofree char *answer = g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Id: %s\r\n" SIGNED "ok", id);
+  S_call (f, number, id, TRUE);
   guint connection = S_receive (f);
-  S_send (f, connection, "HTTP/1.1 200 OK\r\nX-Id: q2\r\n" SIGNED "q2");
+  S_send (f, connection, answer);
   S_await_end (f, number);
 }
 
@@ -212,6 +216,8 @@
   for (guint i = 0; i < f->connections; i++)
     close (f->fds[i]);
   close (f->listener);
+  for (guint i = 0; i < CALLS_MAX; i++)
+    g_free (f->bodies[i]);
   mr_loop_free (f->loop);
   mr_target_client_free (f->client);
   mr_target_state_free (f->target);
@@ -234,7 +240,7 @@
     S_send (&f, first_connection, response);
   S_settle (&f);
   if (copy_time == COPY_BEFORE_LAST)
-    S_make_other_call (&f, 2);
+    S_make_other_call (&f, 2, "q2");
   guint connections = f.connections;
   S_call (&f, 3, later->id, later->idempotent);
   guint connection = S_receive (&f);
@@ -246,7 +252,8 @@
       g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Id: %s\r\n" SIGNED "ok", later->id);
   S_send (&f, connection, answer);
   S_await_end (&f, 3);
-  gboolean passed = f.outcomes[3] == MR_CALL_ANSWER && (later->idempotent || is_new);
+  gboolean passed = f.outcomes[3] == MR_CALL_ANSWER && g_str_equal (f.bodies[3], "ok") &&
+                    (later->idempotent || is_new);
   if (!passed)
     print_error ("%s, copy %s, then %s: outcome %s, new connection %d\n", first->name,
                  copy_times[copy_time], later->name, mr_call_outcome_name (f.outcomes[3]), is_new);
@@ -271,17 +278,22 @@
   assert_int_equal (failures, 0);
 }
 
-/* Searches go on using the connection of an answer. */
+/* Searches go on using the connection of an answer; with ids that are used again, the number of
+ * connections stays the same. */
 static void
 test_reuse (void **state)
 {
   Fixture f;
   (void) state;
   S_fixture_init (&f);
-  S_make_other_call (&f, 1);
-  S_make_other_call (&f, 2);
+  S_make_other_call (&f, 1, "q1");
+  S_make_other_call (&f, 2, "q2");
   assert_int_equal (f.connections, 1);
   assert_int_equal (mr_target_client_counts (f.client).reused, 1);
+  S_make_other_call (&f, 3, "q1");
+  S_settle (&f);
+  assert_int_equal (f.connections, 2);
+  assert_int_equal (recv (f.fds[0], (char[1]){ 0 }, 1, MSG_DONTWAIT), 0);
   S_fixture_clear (&f);
 }
 
