Watch: relays read from the platform as soon as the first members are cut off

One relay of 71 that was left by silent cuts served an old route 5.7 s after a change: the members of a failure domain take over one after the other, each after the time-out of the one before, and only after the third did the others find out whether they reach the store.

Relays now read as soon as the first members of all domains say that they do not reach it, once in 10 s while they get answers, and still watch only when no chosen member reaches it. Not chosen: more watchers for each member that is cut off; it adds watches for the whole time of a cut.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -75,7 +75,7 @@
   if (task->reads_alone)
     return TRUE;
   if (task->relay)
-    return task->stand_in.reaches || mr_watch_is_relay_watcher (task->roster, task->settings->name);
+    return task->stand_in.watches || mr_watch_is_relay_watcher (task->roster, task->settings->name);
   return mr_watch_rank (task->roster, task->settings->name) < MR_WATCHERS_PER_DOMAIN;
 }
 
@@ -166,14 +166,14 @@
   mr_membership_set_platform_unreachable (task->membership, now, FALSE);
 }
 
-/* A relay that has to find out whether it reaches the platform reads the configuration. */
+/* A relay that may have to stand in for the watchers reads the configuration now and then. */
 static void
 S_tick_stand_in (MrControlTask *task, MrTime now, MrTime *next)
 {
   gboolean chosen =
       task->reads_alone || mr_watch_is_relay_watcher (task->roster, task->settings->name);
   mr_stand_in_update (&task->stand_in, now, task->roster, chosen, g_rand_double (task->random));
-  if (!task->stand_in.needed || task->stand_in.reaches)
+  if (!task->stand_in.needed || task->stand_in.watches)
     return;
   MrWatch *watch = &task->watches[WATCH_CONFIGURATION];
   if (!mr_stand_in_is_due (&task->stand_in, now))
--- a/src/watch.c
+++ b/src/watch.c
@@ -73,12 +73,13 @@
   return above.reachable < limit && above.skipped <= SKIPPED_MAX;
 }
 
-/* Returns TRUE if a watcher in @domain that reaches the platform ranks above @score. */
+/* Returns TRUE if a member of @domain that reaches the platform ranks above @score, with at most
+ * @skipped_max others before it that do not reach it. */
 static gboolean
-S_has_watcher_above (const MrRoster *roster, guint domain, guint64 score)
+S_has_reachable_above (const MrRoster *roster, guint domain, guint64 score, guint skipped_max)
 {
   guint skipped = 0;
-  for (guint rank = 0; skipped <= SKIPPED_MAX; rank++)
+  for (guint rank = 0; skipped <= skipped_max; rank++)
     {
       const MrMember *member = mr_roster_at_rank (roster, domain, rank);
       if (!member || mr_roster_score (member->name) <= score)
@@ -100,20 +101,33 @@
   if (!mr_watch_is_relay_watcher (roster, self))
     return false;
   for (guint i = 0; i < mr_roster_domain_count (roster); i++)
-    if (S_has_watcher_above (roster, i, mr_roster_score (self)))
+    if (S_has_reachable_above (roster, i, mr_roster_score (self), SKIPPED_MAX))
       return false;
   return true;
 }
 
-bool
-mr_watch_has_reachable_watcher (const MrRoster *roster)
+/* Returns TRUE if any failure domain has a member as described for S_has_reachable_above (). */
+static bool
+S_any_domain_has_reachable (const MrRoster *roster, guint skipped_max)
 {
   for (guint i = 0; i < mr_roster_domain_count (roster); i++)
-    if (S_has_watcher_above (roster, i, 0))
+    if (S_has_reachable_above (roster, i, 0, skipped_max))
       return true;
   return false;
 }
 
+bool
+mr_watch_has_reachable_watcher (const MrRoster *roster)
+{
+  return S_any_domain_has_reachable (roster, SKIPPED_MAX);
+}
+
+bool
+mr_watch_has_reachable_first_member (const MrRoster *roster)
+{
+  return S_any_domain_has_reachable (roster, 0);
+}
+
 MrTime
 mr_watch_read_interval (guint readers)
 {
--- a/src/watch.h
+++ b/src/watch.h
@@ -34,6 +34,10 @@
  * @roster says. */
 bool mr_watch_has_reachable_watcher (const MrRoster *roster);
 
+/* Returns TRUE if the first member of a failure domain reaches the platform, as far as @roster
+ * says. */
+bool mr_watch_has_reachable_first_member (const MrRoster *roster);
+
 /* One kind of repeated call to the platform. */
 typedef struct
 {
--- a/test/test_stand_in.c
+++ b/test/test_stand_in.c
@@ -92,6 +92,17 @@
     }
 }
 
+/* The first member in rank is cut off, or no more. */
+static void
+S_set_first (Daemon *daemons, MrRoster *roster, gboolean cut)
+{
+  guint i = 0;
+  while (S_rank (roster, &daemons[i].member) > 0)
+    i++;
+  daemons[i].member.platform_unreachable = cut;
+  mr_roster_put (roster, &daemons[i].member);
+}
+
 static void
 S_run_case (const Case *c)
 {
@@ -138,31 +149,30 @@
     S_run_case (&cases[i]);
 }
 
-/* Once a chosen daemon reaches the platform again, the others cease. */
+/* While the first member alone is cut off, one that is not chosen reads now and then, and does not
+ * watch.  It watches once no chosen member reaches the platform, and until the first one does. */
 static void
-test_end (void **state)
+test_duty (void **state)
 {
   (void) state;
-  const Case c = { "end", 6, 1, 1, 0 };
+  const Case c = { "duty", 6, 1, 1, 0 };
   MrRoster *roster = mr_roster_new ();
   Daemon *daemons = S_make_fleet (&c, roster);
   MrStandIn stand_in = { 0 };
   mr_stand_in_update (&stand_in, 0, roster, FALSE, 0);
   assert_false (stand_in.needed);
-  S_let_chosen_fail (&c, daemons, roster);
+  S_set_first (daemons, roster, TRUE);
   mr_stand_in_update (&stand_in, 0, roster, FALSE, 0);
   assert_true (mr_stand_in_is_due (&stand_in, 0));
   mr_stand_in_called (&stand_in, 0, TRUE, 0);
-  assert_true (stand_in.reaches);
-  for (guint i = 0; i < c.members; i++)
-    if (S_rank (roster, &daemons[i].member) == 0)
-      {
-        daemons[i].member.platform_unreachable = FALSE;
-        mr_roster_put (roster, &daemons[i].member);
-        break;
-      }
+  mr_stand_in_update (&stand_in, 1 * MR_SECOND, roster, FALSE, 0);
+  assert_false (mr_stand_in_is_due (&stand_in, 1 * MR_SECOND) || stand_in.watches);
+  S_let_chosen_fail (&c, daemons, roster);
+  mr_stand_in_update (&stand_in, 0, roster, FALSE, 0);
+  assert_true (stand_in.watches);
+  S_set_first (daemons, roster, FALSE);
   mr_stand_in_update (&stand_in, 0, roster, FALSE, 0);
-  assert_false (stand_in.needed || stand_in.reaches);
+  assert_false (stand_in.needed || stand_in.watches);
   g_free (daemons);
   mr_roster_free (roster);
 }
@@ -172,7 +182,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cuts),
-    cmocka_unit_test (test_end),
+    cmocka_unit_test (test_duty),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
