Watch: only relays that watch announce that they do not reach the platform

In an outage each relay that finds out whether it reaches the store would announce that it does not, and later that it does, to the whole fleet; nobody needs to know it of a relay that is not chosen to watch. Relays that do not watch therefore keep it to themselves, and forget what they knew when they cease to watch.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -153,8 +153,8 @@
   mr_log_end (line);
 }
 
-/* A relay that makes no calls for others does not know whether the platform answers.  What it knew
- * would make it delay removals, and would keep others from it, for as long as it makes no call. */
+/* A relay that does not watch makes calls too rarely to know whether the platform answers.  What it
+ * knew would make it delay removals, and keep others from it, until its next call. */
 static void
 S_forget_platform_state (MrControlTask *task, MrTime now)
 {
@@ -195,7 +195,7 @@
     S_tick_stand_in (task, now, next);
   watcher = mr_control_is_watcher (task);
   S_set_watching (task, now, watcher);
-  if (task->relay && !watcher && !task->stand_in.needed)
+  if (task->relay && !watcher)
     S_forget_platform_state (task, now);
   for (int i = 0; i < WATCH_COUNT; i++)
     {
@@ -234,7 +234,9 @@
 {
   if (!up)
     mr_metrics_add (MR_METRIC_PLATFORM_FAILURES, 1);
-  if (up == task->platform_up)
+  /* Others are told only by relays that watch: in an outage each member of the fleet would announce
+   * it, and nobody needs to know. */
+  if (up == task->platform_up || (!up && task->relay && !task->watches_platform))
     return;
   task->platform_up = up;
   task->view_changed = TRUE;
