Target client: orders reuse connections again

The rule for connections in general is enough: what is kept has carried only responses with ids that do not come again there, so that a copy of any of them is skipped. Orders reuse connections within half a second as before.

--- a/src/relay_choice.c
+++ b/src/relay_choice.c
@@ -17,9 +17,10 @@
  * were refused where half of the targets refused 45 % of their calls. */
 static const double FAILURE_COST_WEIGHT = 60;
 /* A target that has responded this recently probably has an idle connection to this daemon.  Idle
- * connections are closed after 4 s, or earlier if the target says so; calls that are not idempotent
- * never use them (target_client.c). */
+ * connections are closed after 4 s, or earlier if the target says so; those of calls that are not
+ * idempotent are reused for 500 ms (target_client.c). */
 static const MrTime REUSE_TIME = 2800 * MR_MS;
+static const MrTime NON_IDEMPOTENT_REUSE_TIME = 500 * MR_MS;
 
 gboolean
 mr_relay_is_stalled (const MrTargetState *target, MrTime now)
@@ -188,12 +189,13 @@
 {
   const Call *latest = g_queue_peek_tail (&target->open_calls);
   MrTime responded = target->health.last_response_at;
+  MrTime reusable_for = part->request->route->idempotent ? REUSE_TIME : NON_IDEMPOTENT_REUSE_TIME;
   return (MrTargetCandidate){
     .target = target,
     .cost = S_cost (relay, now, target, mr_speed_estimate_get (&target->speed, now)),
     .last_used = MAX (responded, latest ? latest->started : 0),
-    .has_idle_connection = part->request->route->idempotent && target->in_flight == 0 &&
-                           responded > 0 && now - responded < REUSE_TIME,
+    .has_idle_connection =
+        target->in_flight == 0 && responded > 0 && now - responded < reusable_for,
   };
 }
 
--- a/src/relay_pages.c
+++ b/src/relay_pages.c
@@ -118,7 +118,6 @@
     { "relay_skipped_answers_total", client.unmatched_responses },
     { "relay_stray_bytes_total", client.stray_byte_closes },
     { "relay_ambiguous_closes_total", client.ambiguous_closes },
-    { "relay_once_only_connections_total", client.once_only_connections },
     { "relay_probes_repeated_total", client.repeated_probes },
     { "relay_oversized_answers_total", client.oversized_responses },
     { "relay_evicted_answers_total", client.evicted_responses },
--- a/src/target_client.c
+++ b/src/target_client.c
@@ -28,6 +28,10 @@
  * states: a request that crosses the target's close would be lost. */
 static const double IDLE_TIMEOUT_FRACTION = 0.7;
 static const MrTime DEFAULT_IDLE_TIMEOUT = 4 * MR_SECOND;
+/* A non-idempotent request reuses a connection only if it was in use this recently; otherwise
+ * it opens a new one.  If an older connection were reset, it would be unknown whether the
+ * request ran. */
+static const MrTime NON_IDEMPOTENT_REUSE_WINDOW = 500 * MR_MS;
 
 typedef struct
 {
@@ -536,37 +540,34 @@
 /* Takes an idle connection that has not carried a call with this id: a late copy of the response to
  * that call could not be told from the response to this one. */
 static Connection *
-S_take_idle (MrTargetClient *client, const ConnectionPool *pool, MrText request_id)
+S_take_idle (MrTargetClient *client, MrTime now, const MrTargetCall *call)
 {
-  guint64 id_hash = S_hash_id (request_id);
+  const ConnectionPool *pool = S_get_pool (client, call->target->id);
+  guint64 id_hash = S_hash_id (call->request_id);
   const GList *link = pool->idle.head;
-  while (link && request_id.len > 0 && S_has_carried (link->data, id_hash))
+  while (link && call->request_id.len > 0 && S_has_carried (link->data, id_hash))
     link = link->next;
   if (!link)
     return NULL;
   Connection *c = link->data;
+  MrTime idle_for = now - (c->timer.due - c->idle_timeout);
+  if (!call->idempotent && idle_for > NON_IDEMPOTENT_REUSE_WINDOW)
+    return NULL;
   S_remove_from_idle (c);
   mr_timers_set (client->timers, &c->timer, MR_NEVER);
   client->counts.reused++;
   return c;
 }
 
-/* Returns a connection for @call, or NULL.
- *
- * A call that may run only once gets a new one: on a connection that has carried another call, an
- * extra response could be taken for the refusal of this call, which would then run a second time
- * elsewhere; and after a reset it would be unknown whether this call ran. */
+/* Opens a new connection; closes an idle one, which leaves room within the target's limit. */
 static Connection *
-S_get_connection (MrTargetClient *client, MrTime now, const MrTargetCall *call)
+S_replace_idle (MrTargetClient *client, MrTime now, const MrTargetState *target)
 {
-  ConnectionPool *pool = S_get_pool (client, call->target->id);
-  Connection *c = call->idempotent ? S_take_idle (client, pool, call->request_id) : NULL;
-  if (c)
-    return c;
-  if (!g_queue_is_empty (&pool->idle))
-    S_close (g_queue_peek_tail (&pool->idle)); /* leaves room within the target's limit */
-  client->counts.once_only_connections += call->idempotent ? 0 : 1;
-  return S_connect (client, now, call->target);
+  ConnectionPool *pool = S_get_pool (client, target->id);
+  Connection *least_recent = g_queue_peek_tail (&pool->idle);
+  if (least_recent)
+    S_close (least_recent);
+  return S_connect (client, now, target);
 }
 
 void
@@ -578,7 +579,9 @@
 void
 mr_target_client_call (MrTargetClient *client, MrTime now, const MrTargetCall *call)
 {
-  Connection *c = S_get_connection (client, now, call);
+  Connection *c = S_take_idle (client, now, call);
+  if (!c)
+    c = S_replace_idle (client, now, call->target);
   if (!c)
     {
       EndedCall failed = { .id = call->id, .outcome = MR_CALL_NOT_CONNECTED };
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -11,10 +11,10 @@
  * another request id is skipped; bytes after a response, or on a connection without a call,
  * close the connection.
  *
- * A faulty target may send a second copy of a response at any later time.  Therefore a connection
- * is closed after a response that has no request id, or that refuses the call, which may be sent
- * again with the same id; a call does not use a connection that has carried its id, as far as that
- * is remembered; and a call that may run only once always gets a new connection. */
+ * A faulty target may send a second copy of a response at any later time.  So that it cannot be
+ * taken for the response to a later call, a connection is closed after a response that has no
+ * request id, or that refuses the call, which may be sent again with the same id; and a call does
+ * not use a connection that has carried its id, as far as that is remembered. */
 #pragma once
 
 #include "call.h"
@@ -57,10 +57,9 @@
   guint64 stray_byte_closes;   /* connections closed because of bytes that belong to no call */
   guint64 ambiguous_closes;    /* connections closed after a response of which a late copy could be
                                   taken for the response to a later call */
-  guint64 once_only_connections; /* opened for calls that are not idempotent */
-  guint64 repeated_probes;       /* probes repeated because their connection was reset */
-  guint64 oversized_responses;   /* calls ended because of the size of their response */
-  guint64 evicted_responses;     /* calls ended to free the memory of their response */
+  guint64 repeated_probes;     /* probes repeated because their connection was reset */
+  guint64 oversized_responses; /* calls ended because of the size of their response */
+  guint64 evicted_responses;   /* calls ended to free the memory of their response */
 } MrTargetClientCounts;
 
 MrTargetClient *
