Watch: names of the backup watcher and of the watcher's role

The bounds of test_backup_watcher follow from the stated rate of reads, not from literal times.

test_late_copies has copies that come after more calls than a connection remembers: without the close after a refusal that bears an id a resend takes the copy, which no case showed before (found by removing each safeguard in turn; all others were found by a test). 135 of its 636 cases are wrong on the code before.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -75,7 +75,8 @@
   if (task->reads_alone)
     return TRUE;
   if (task->relay)
-    return task->stand_in.watches || mr_watch_is_relay_watcher (task->roster, task->settings->name);
+    return task->backup_watcher.watches ||
+           mr_watch_is_relay_watcher (task->roster, task->settings->name);
   return mr_watch_rank (task->roster, task->settings->name) < MR_WATCHERS_PER_DOMAIN;
 }
 
@@ -145,16 +146,16 @@
   task->watches_platform = watcher;
   for (int i = 0; i < WATCH_COUNT; i++)
     mr_watch_set_watching (&task->watches[i], now, watcher);
-  mr_metrics_add (MR_METRIC_WATCH_DUTIES, watcher ? 1 : 0);
-  MrLogLine *line = mr_log_begin (MR_LOG_INFO, MR_EVENT_WATCH_DUTY);
+  mr_metrics_add (MR_METRIC_WATCHER_STARTS, watcher ? 1 : 0);
+  MrLogLine *line = mr_log_begin (MR_LOG_INFO, MR_EVENT_WATCHER_ROLE);
   mr_log_number (line, "watches", watcher);
   mr_log_number (line, "configuration_due_ms", S_due_ms (&task->watches[WATCH_CONFIGURATION], now));
   mr_log_number (line, "targets_due_ms", S_due_ms (&task->watches[WATCH_TARGETS], now));
   mr_log_end (line);
 }
 
-/* A relay that does not watch makes calls too rarely to know whether the platform answers.  What it
- * knew would make it delay removals, and keep others from it, until its next call. */
+/* A relay that does not watch calls the platform too rarely to know whether it answers.  An
+ * outdated state would delay removals once the relay watches again. */
 static void
 S_forget_platform_state (MrControlTask *task, MrTime now)
 {
@@ -166,22 +167,23 @@
   mr_membership_set_platform_unreachable (task->membership, now, FALSE);
 }
 
-/* A relay that may have to stand in for the watchers reads the configuration now and then. */
+/* A relay that may have to become a watcher reads the configuration now and then. */
 static void
-S_tick_stand_in (MrControlTask *task, MrTime now, MrTime *next)
+S_tick_backup_watcher (MrControlTask *task, MrTime now, MrTime *next)
 {
   gboolean chosen =
       task->reads_alone || mr_watch_is_relay_watcher (task->roster, task->settings->name);
-  mr_stand_in_update (&task->stand_in, now, task->roster, chosen, g_rand_double (task->random));
-  if (!task->stand_in.needed || task->stand_in.watches)
+  mr_backup_watcher_update (&task->backup_watcher, now, task->roster, chosen,
+                            g_rand_double (task->random));
+  if (!task->backup_watcher.needed || task->backup_watcher.watches)
     return;
   MrWatch *watch = &task->watches[WATCH_CONFIGURATION];
-  if (!mr_stand_in_is_due (&task->stand_in, now))
-    *next = MIN (*next, task->stand_in.try_at);
+  if (!mr_backup_watcher_is_due (&task->backup_watcher, now))
+    *next = MIN (*next, task->backup_watcher.try_at);
   else if (!watch->in_flight && watch->due > now)
     {
       watch->due = now;
-      mr_metrics_add (MR_METRIC_STAND_IN_CALLS, 1);
+      mr_metrics_add (MR_METRIC_BACKUP_READS, 1);
     }
 }
 
@@ -192,7 +194,7 @@
   if (task->relay && S_is_bootstrapping (task, now, watcher, next))
     return;
   if (task->relay)
-    S_tick_stand_in (task, now, next);
+    S_tick_backup_watcher (task, now, next);
   watcher = mr_control_is_watcher (task);
   S_set_watching (task, now, watcher);
   if (task->relay && !watcher)
@@ -234,8 +236,8 @@
 {
   if (!up)
     mr_metrics_add (MR_METRIC_PLATFORM_FAILURES, 1);
-  /* Others are told only by relays that watch: in an outage each member of the fleet would announce
-   * it, and nobody needs to know. */
+  /* Only watchers announce an outage: from all relays it would be two announcements a member to the
+   * whole fleet. */
   if (up == task->platform_up || (!up && task->relay && !task->watches_platform))
     return;
   task->platform_up = up;
@@ -551,7 +553,7 @@
   mr_control_era_add_to_versions (task, result);
   gboolean up = result->status == MR_OK || result->status == MR_ERROR_NOT_FOUND ||
                 result->status == MR_ERROR_CONFLICT;
-  mr_stand_in_called (&task->stand_in, now, up, g_rand_double (task->random));
+  mr_backup_watcher_called (&task->backup_watcher, now, up, g_rand_double (task->random));
   S_set_platform_up (task, up);
   if (result->request->action == MR_PLATFORM_READ)
     S_on_read_result (task, now, result);
--- a/src/control_private.h
+++ b/src/control_private.h
@@ -9,6 +9,7 @@
  *   control_era.c         what changes when the store comes back from a copy */
 #pragma once
 
+#include "backup_watcher.h"
 #include "bootstrap.h"
 #include "control_task.h"
 #include "controller.h"
@@ -17,7 +18,6 @@
 #include "removal_filter.h"
 #include "replication.h"
 #include "roster.h"
-#include "stand_in.h"
 #include "target_table.h"
 #include "task_message.h"
 #include "watch.h"
@@ -101,7 +101,7 @@
   gboolean deferral_over;           /* nothing is deferred any more */
   gboolean restriction_call_failed; /* since everything else was read */
   guint64 store_era;                /* highest one seen in an answer or a version; 0: none */
-  MrStandIn stand_in;               /* relays only */
+  MrBackupWatcher backup_watcher;   /* relays only */
   gboolean watches_platform;        /* as of the last tick */
   gboolean reads_alone;     /* no other daemon is known to read the store in its current era */
   gboolean reads_again;     /* the targets have not been read yet since the store came back */
--- a/test/platform/process_watch_duty.sh
+++ b/test/platform/process_watcher_role.sh
@@ -67,4 +67,4 @@
 one-zone) run z1 z1 z1 z1 z1 z1 ;;
 *) run z1 z1 z1 z2 z2 z3 ;;
 esac
-say "watch duty: ok"
+say "watcher role: ok"
--- a/test/test_stand_in.c
+++ b/test/test_backup_watcher.c
@@ -2,7 +2,7 @@
  * chosen to watch it are cut off; and against an outage in which every relay calls the platform
  * again and again. */
 
-#include "stand_in.h"
+#include "backup_watcher.h"
 
 #include "watch.h"
 
@@ -12,11 +12,6 @@
 
 #include <cmocka.h>
 
-enum
-{
-  CALLS_PER_SECOND_MAX = 60,
-};
-
 static const MrTime STEP = 5 * MR_MS;
 
 typedef struct
@@ -24,24 +19,20 @@
   const char *name;
   guint members;
   guint domains;
-  guint left;        /* members that reach the platform, the last in rank of their domains */
-  MrTime reached_by; /* since the cut began */
+  guint left; /* members that reach the platform, the last in rank of their domains */
 } Case;
 
 static const Case cases[] = {
-  { "six in one domain", 6, 1, 1, 200 * MR_MS },
-  { "six in two domains", 6, 2, 1, 200 * MR_MS },
-  { "71, one left", 71, 3, 1, 1500 * MR_MS },
-  { "71, some left", 71, 3, 7, 1500 * MR_MS },
-  { "295, a tenth left", 295, 5, 30, 3 * MR_SECOND },
-  { "295, outage", 295, 5, 0, MR_NEVER },
-  { "2,000, outage", 2000, 12, 0, MR_NEVER },
+  { "six in one domain", 6, 1, 1 },    { "six in two domains", 6, 2, 1 },
+  { "71, one left", 71, 3, 1 },        { "71, some left", 71, 3, 7 },
+  { "295, a tenth left", 295, 5, 30 }, { "295, outage", 295, 5, 0 },
+  { "2,000, outage", 2000, 12, 0 },
 };
 
 typedef struct
 {
   MrMember member;
-  MrStandIn stand_in;
+  MrBackupWatcher backup;
   gboolean reaches;
 } Daemon;
 
@@ -123,19 +114,28 @@
         gboolean chosen = mr_watch_is_relay_watcher (roster, d->member.name);
         if (chosen && d->reaches)
           reached_at = MIN (reached_at, now);
-        mr_stand_in_update (&d->stand_in, now, roster, chosen, g_rand_double (random));
-        if (!mr_stand_in_is_due (&d->stand_in, now))
+        mr_backup_watcher_update (&d->backup, now, roster, chosen, g_rand_double (random));
+        if (!mr_backup_watcher_is_due (&d->backup, now))
           continue;
         calls[now / MR_SECOND]++;
-        mr_stand_in_called (&d->stand_in, now, d->reaches, g_rand_double (random));
+        mr_backup_watcher_called (&d->backup, now, d->reaches, g_rand_double (random));
         if (d->reaches)
           reached_at = MIN (reached_at, now);
       }
-  if (reached_at > c->reached_by)
+  /* All read once within the time that the fleet takes for so many calls. */
+  MrTime all_read = c->members * MR_SECOND / MR_BACKUP_READS_PER_SECOND;
+  if (c->left > 0 && reached_at > all_read)
     fail_msg ("%s: reached after %d ms", c->name, (int) (reached_at / MR_MS));
+  /* The times are random: the limit holds on average, and with a quarter more in each second. */
+  guint total = 0;
   for (guint s = 0; s < SECONDS; s++)
-    if (calls[s] > CALLS_PER_SECOND_MAX)
-      fail_msg ("%s: %u calls in second %u", c->name, calls[s], s);
+    {
+      total += calls[s];
+      if (calls[s] > MR_BACKUP_READS_PER_SECOND * 5 / 4)
+        fail_msg ("%s: %u calls in second %u", c->name, calls[s], s);
+    }
+  if (total > SECONDS * MR_BACKUP_READS_PER_SECOND)
+    fail_msg ("%s: %u calls", c->name, total);
   g_free (daemons);
   g_rand_free (random);
   mr_roster_free (roster);
@@ -152,27 +152,27 @@
 /* While the first member alone is cut off, one that is not chosen reads now and then, and does not
  * watch.  It watches once no chosen member reaches the platform, and until the first one does. */
 static void
-test_duty (void **state)
+test_role (void **state)
 {
   (void) state;
-  const Case c = { "duty", 6, 1, 1, 0 };
+  const Case c = { "role", 6, 1, 1 };
   MrRoster *roster = mr_roster_new ();
   Daemon *daemons = S_make_fleet (&c, roster);
-  MrStandIn stand_in = { 0 };
-  mr_stand_in_update (&stand_in, 0, roster, FALSE, 0);
-  assert_false (stand_in.needed);
+  MrBackupWatcher backup = { 0 };
+  mr_backup_watcher_update (&backup, 0, roster, FALSE, 0);
+  assert_false (backup.needed);
   S_set_first (daemons, roster, TRUE);
-  mr_stand_in_update (&stand_in, 0, roster, FALSE, 0);
-  assert_true (mr_stand_in_is_due (&stand_in, 0));
-  mr_stand_in_called (&stand_in, 0, TRUE, 0);
-  mr_stand_in_update (&stand_in, 1 * MR_SECOND, roster, FALSE, 0);
-  assert_false (mr_stand_in_is_due (&stand_in, 1 * MR_SECOND) || stand_in.watches);
+  mr_backup_watcher_update (&backup, 0, roster, FALSE, 0);
+  assert_true (mr_backup_watcher_is_due (&backup, 0));
+  mr_backup_watcher_called (&backup, 0, TRUE, 0);
+  mr_backup_watcher_update (&backup, 1 * MR_SECOND, roster, FALSE, 0);
+  assert_false (mr_backup_watcher_is_due (&backup, 1 * MR_SECOND) || backup.watches);
   S_let_chosen_fail (&c, daemons, roster);
-  mr_stand_in_update (&stand_in, 0, roster, FALSE, 0);
-  assert_true (stand_in.watches);
+  mr_backup_watcher_update (&backup, 0, roster, FALSE, 0);
+  assert_true (backup.watches);
   S_set_first (daemons, roster, FALSE);
-  mr_stand_in_update (&stand_in, 0, roster, FALSE, 0);
-  assert_false (stand_in.needed || stand_in.watches);
+  mr_backup_watcher_update (&backup, 0, roster, FALSE, 0);
+  assert_false (backup.needed || backup.watches);
   g_free (daemons);
   mr_roster_free (roster);
 }
@@ -182,7 +182,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_cuts),
-    cmocka_unit_test (test_duty),
+    cmocka_unit_test (test_role),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/test/test_fleet_shares.c
+++ b/test/test_fleet_shares.c
@@ -478,8 +478,8 @@
 
 typedef enum
 {
-  DUTY_BEGINS,
-  DUTY_ENDS,
+  ROLE_BEGINS,
+  ROLE_ENDS,
   CALL_SUCCEEDS,
   CALL_FAILS,
 } WatchEvent;
@@ -498,22 +498,22 @@
   {
     const char *name;
     guint count;
-    WatchEvent events[EVENTS_MAX]; /* a second apart; the last one begins the duty */
+    WatchEvent events[EVENTS_MAX]; /* a second apart; the last one begins the role */
   } cases[] = {
-    { "first time", 2, { CALL_SUCCEEDS, DUTY_BEGINS } },
+    { "first time", 2, { CALL_SUCCEEDS, ROLE_BEGINS } },
     { "after calls that succeeded",
       5,
-      { CALL_SUCCEEDS, DUTY_BEGINS, CALL_SUCCEEDS, DUTY_ENDS, DUTY_BEGINS } },
-    { "after a read", 5, { DUTY_BEGINS, CALL_SUCCEEDS, DUTY_ENDS, CALL_SUCCEEDS, DUTY_BEGINS } },
+      { CALL_SUCCEEDS, ROLE_BEGINS, CALL_SUCCEEDS, ROLE_ENDS, ROLE_BEGINS } },
+    { "after a read", 5, { ROLE_BEGINS, CALL_SUCCEEDS, ROLE_ENDS, CALL_SUCCEEDS, ROLE_BEGINS } },
     { "after a call that failed",
       5,
-      { CALL_SUCCEEDS, DUTY_BEGINS, CALL_FAILS, DUTY_ENDS, DUTY_BEGINS } },
+      { CALL_SUCCEEDS, ROLE_BEGINS, CALL_FAILS, ROLE_ENDS, ROLE_BEGINS } },
     { "after a call that failed and a read",
       6,
-      { CALL_SUCCEEDS, DUTY_BEGINS, CALL_FAILS, DUTY_ENDS, CALL_SUCCEEDS, DUTY_BEGINS } },
-    { "after calls that failed, the last without the duty",
+      { CALL_SUCCEEDS, ROLE_BEGINS, CALL_FAILS, ROLE_ENDS, CALL_SUCCEEDS, ROLE_BEGINS } },
+    { "after calls that failed, the last without the role",
       7,
-      { CALL_SUCCEEDS, DUTY_BEGINS, CALL_FAILS, CALL_FAILS, DUTY_ENDS, CALL_FAILS, DUTY_BEGINS } },
+      { CALL_SUCCEEDS, ROLE_BEGINS, CALL_FAILS, CALL_FAILS, ROLE_ENDS, CALL_FAILS, ROLE_BEGINS } },
   };
   (void) state;
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -525,9 +525,9 @@
         {
           WatchEvent event = cases[i].events[k];
           now += MR_SECOND;
-          if (event == DUTY_BEGINS || event == DUTY_ENDS)
+          if (event == ROLE_BEGINS || event == ROLE_ENDS)
             {
-              watches = event == DUTY_BEGINS;
+              watches = event == ROLE_BEGINS;
               mr_watch_set_watching (&watch, now, watches);
               continue;
             }
--- a/test/test_late_copies.c
+++ b/test/test_late_copies.c
@@ -18,6 +18,7 @@
   CONNECTIONS_MAX = 8,
   CALLS_MAX = 4,
   REQUEST_BYTES_MAX = 4096,
+  OTHERS_MANY = 40,
 };
 
 static const MrTime TEST_TIMEOUT = 3 * MR_SECOND;
@@ -57,11 +58,12 @@
   COPY_WHILE_IDLE,  /* before the next call */
   COPY_BEFORE_NEXT, /* where the response to the next call on the connection is expected */
   COPY_BEFORE_LAST, /* the same, after another call on it */
+  COPY_AFTER_MANY,  /* the same, after more calls than a connection remembers ids of */
   COPY_TIMES,
 } CopyTime;
 
 static const char *const copy_times[COPY_TIMES] = { "at once", "while idle", "before the next",
-                                                    "before the last" };
+                                                    "before the last", "after many calls" };
 
 typedef struct
 {
@@ -194,13 +196,16 @@
 
 /* A call between the first one and the last one, without a fault. */
 static void
-S_make_other_call (Fixture *f, guint64 number, const char *id)
+S_make_other_call (Fixture *f, guint index)
 {
+  g_autofree char *id = g_strdup_printf ("other-%u", index);
   g_autofree char *answer = g_strdup_printf ("HTTP/1.1 200 OK\r\nX-Id: %s\r\n" SIGNED "ok", id);
-  S_call (f, number, id, &later_calls[0]);
+  f->ended[2] = FALSE;
+  g_clear_pointer (&f->bodies[2], g_free);
+  S_call (f, 2, id, &later_calls[0]);
   guint connection = S_receive (f);
   S_send (f, connection, answer);
-  S_await_end (f, number);
+  S_await_end (f, 2);
 }
 
 static void
@@ -247,8 +252,9 @@
   if (copy_time == COPY_WHILE_IDLE)
     S_send (&f, first_connection, copy);
   S_settle (&f);
-  if (copy_time == COPY_BEFORE_LAST)
-    S_make_other_call (&f, 2, "q2");
+  guint others = copy_time == COPY_AFTER_MANY ? OTHERS_MANY : copy_time == COPY_BEFORE_LAST;
+  for (guint i = 0; i < others; i++)
+    S_make_other_call (&f, i);
   S_call (&f, 3, later->id, later);
   guint connection = S_receive (&f);
   if (copy_time >= COPY_BEFORE_NEXT)
@@ -267,6 +273,14 @@
   return passed;
 }
 
+/* Ids are remembered of the latest calls only; a refused call may come again at any time. */
+static gboolean
+S_is_recognised (const FirstResponse *first, CopyTime copy_time, const LaterCall *later)
+{
+  gboolean refused = first->outcome == MR_CALL_SHED || first->outcome == MR_CALL_MISDIRECTED;
+  return copy_time != COPY_AFTER_MANY || refused || !g_str_equal (later->id, "q1");
+}
+
 static void
 test_copies (void **state)
 {
@@ -276,7 +290,8 @@
     for (CopyTime time = 0; time < COPY_TIMES; time++)
       for (int whole = 0; whole <= 1; whole++)
         for (gsize k = 0; k < G_N_ELEMENTS (later_calls); k++)
-          failures += S_run_case (&first_responses[i], time, whole, &later_calls[k]) ? 0 : 1;
+          if (S_is_recognised (&first_responses[i], time, &later_calls[k]))
+            failures += S_run_case (&first_responses[i], time, whole, &later_calls[k]) ? 0 : 1;
   assert_int_equal (failures, 0);
 }
 
@@ -288,11 +303,11 @@
   Fixture f;
   (void) state;
   S_fixture_init (&f);
-  S_make_other_call (&f, 1, "q1");
-  S_make_other_call (&f, 2, "q2");
+  S_make_other_call (&f, 0);
+  S_make_other_call (&f, 1);
   assert_int_equal (f.connections, 1);
   assert_int_equal (mr_target_client_counts (f.client).reused, 1);
-  S_make_other_call (&f, 3, "q1");
+  S_make_other_call (&f, 0);
   S_settle (&f);
   assert_int_equal (f.connections, 2);
   assert_int_equal (recv (f.fds[0], (char[1]){ 0 }, 1, MSG_DONTWAIT), 0);
--- a/test/test_watch_duty.c
+++ b/test/test_watcher_role.c
@@ -96,10 +96,10 @@
 typedef struct
 {
   const char *name;
-  gboolean stand_in; /* it was not chosen, but found out whether it reaches the platform */
+  gboolean backup; /* it was not chosen, and read as a backup */
 } Case;
 
-static const Case cases[] = { { "watcher", FALSE }, { "stand-in", TRUE } };
+static const Case cases[] = { { "watcher", FALSE }, { "backup watcher", TRUE } };
 
 static void
 S_run_case (const Case *c)
@@ -121,13 +121,13 @@
   /* In a first cut its calls fail. */
   f.above[0].platform_unreachable = TRUE;
   mr_roster_put (f.task->roster, &f.above[0]);
-  if (c->stand_in)
+  if (c->backup)
     S_set_above (&f, FALSE);
   f.now += 3 * MR_SECOND;
   S_tick (&f);
   S_tick (&f);
   assert_true (S_end_calls (&f, MR_ERROR_UNAVAILABLE) > 0);
-  assert_int_equal (f.task->platform_up, c->stand_in);
+  assert_int_equal (f.task->platform_up, c->backup);
   S_set_above (&f, TRUE);
   if (!f.task->platform_up)
     fail_msg ("%s: the platform still counts as down", c->name);
@@ -149,7 +149,7 @@
 }
 
 static void
-test_second_duty (void **state)
+test_second_time (void **state)
 {
   (void) state;
   for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -160,7 +160,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_second_duty),
+    cmocka_unit_test (test_second_time),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
