Store codecs: names in paths and queries are percent-encoded

What callers saw: after all processes had restarted, almost no request was served while an entry of another writer stood in the list of searchers.

Cause: the next page of a listing is requested with `after=` and the last name of the previous page, which was copied into the query as it stood. '&' begins another argument there, '#' ends the query, '+' is a blank and '%' begins an escape (RFC 3986, 3.4); a blank ends the request target (RFC 9112, 3). The store then got another request, or none that it understood, and the searchers after that name were never listed. The same held for names in the paths of writes and reads, in this codec and in that of the own object API, and in merlinringctl.

Ruled out: the contents of the entry; a page with an unreadable entry is read as before (test_unreadable_entries).

Evidence: before, test_store fails with "/objects/servers?after=b&watch=1" and "/objects/evacuations/a/b?c". The stand-in of the store now decodes what it is sent, as a server does.

Why it works: only unreserved characters (RFC 3986, 2.3) are sent as they stand, so that no name can be read as a part of the request's syntax.

--- a/src/ctl_document.c
+++ b/src/ctl_document.c
@@ -18,7 +18,8 @@
 S_read_object (
     const CtlOptions *options, const char *kind, const char *name, guint64 *version, GString *body)
 {
-  g_autofree char *path = g_strdup_printf ("/v1/objects/%s/%s", kind, name);
+  g_autofree char *escaped = g_uri_escape_string (name, NULL, FALSE);
+  g_autofree char *path = g_strdup_printf ("/v1/objects/%s/%s", kind, escaped);
   GString *answer = g_string_new (NULL);
   int status = 0;
   MrStatus result =
@@ -310,8 +311,9 @@
                   const GString *body,
                   guint64 base_version)
 {
-  g_autofree char *path =
-      g_strdup_printf ("/v1/objects/documents/%s?version=%" G_GUINT64_FORMAT, name, base_version);
+  g_autofree char *escaped = g_uri_escape_string (name, NULL, FALSE);
+  g_autofree char *path = g_strdup_printf ("/v1/objects/documents/%s?version=%" G_GUINT64_FORMAT,
+                                           escaped, base_version);
   GString *answer = g_string_new (NULL);
   int status = 0;
   guint64 version = 0;
--- a/src/ctl_evacuation.c
+++ b/src/ctl_evacuation.c
@@ -22,7 +22,8 @@
                  int *status,
                  GString *answer)
 {
-  g_autofree char *path = g_strdup_printf ("/v1/objects/evacuations/%s%s", domain, query);
+  g_autofree char *escaped = g_uri_escape_string (domain, NULL, FALSE);
+  g_autofree char *path = g_strdup_printf ("/v1/objects/evacuations/%s%s", escaped, query);
   g_string_truncate (answer, 0);
   MrStatus result =
       ctl_send_request (options, options->platform, method, path, body, status, answer);
--- a/src/ctl_show.c
+++ b/src/ctl_show.c
@@ -135,9 +135,10 @@
 CtlExit
 ctl_addresses (const CtlOptions *options)
 {
-  g_autofree char *path = options->domain
-                              ? g_strdup_printf ("/v1/addresses?domain=%s", options->domain)
-                              : g_strdup ("/v1/addresses");
+  g_autofree char *domain =
+      options->domain ? g_uri_escape_string (options->domain, NULL, FALSE) : NULL;
+  g_autofree char *path =
+      domain ? g_strdup_printf ("/v1/addresses?domain=%s", domain) : g_strdup ("/v1/addresses");
   json_t *root = ctl_get_json (options, options->entry, path);
   if (!root)
     return CTL_FAILED;
--- a/src/platform_codec.c
+++ b/src/platform_codec.c
@@ -6,18 +6,19 @@
 static char *
 S_path (const MrPlatformRequest *request)
 {
+  g_autofree char *name = g_uri_escape_string (request->name, NULL, FALSE);
   switch (request->action)
     {
     case MR_PLATFORM_LIST:
       return g_strdup_printf ("/v1/objects/%s?since=%" G_GUINT64_FORMAT "&wait_ms=%u",
                               request->kind, request->since_revision, request->wait_ms);
     case MR_PLATFORM_READ:
-      return g_strdup_printf ("/v1/objects/%s/%s", request->kind, request->name);
+      return g_strdup_printf ("/v1/objects/%s/%s", request->kind, name);
     case MR_PLATFORM_WRITE:
       if (request->expected_version == MR_VERSION_ANY)
-        return g_strdup_printf ("/v1/objects/%s/%s?version=any", request->kind, request->name);
+        return g_strdup_printf ("/v1/objects/%s/%s?version=any", request->kind, name);
       return g_strdup_printf ("/v1/objects/%s/%s?version=%" G_GUINT64_FORMAT, request->kind,
-                              request->name, request->expected_version);
+                              name, request->expected_version);
     case MR_PLATFORM_LIST_VMS:
       return g_strdup ("/v1/vms");
     }
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -21,6 +21,9 @@
  * the peer closes the connection, as fast as it can, or with /mode/endless-NAME-slow in small
  * pieces. It prints how long that took and how many bytes the kernel accepted.
  *
+ * PUT /mode/odd-NAME makes a searcher send a response that is not valid HTTP.  The names in paths
+ * and queries of the store are percent-encoded, and '+' in a query stands for a blank.
+ *
  * PUT /mode/NAME sets a fault of either.  For the store, "slow" and "error" affect only
  * listings of quarantines, and "shed" leaves all reads but those of configurations
  * without a response. */
@@ -107,6 +110,39 @@
   { "large-body", "HTTP/1.1 200 OK\r\n%sContent-Length: 8000000\r\n\r\n", LINE_64, 6000000 },
 };
 
+/* A response that is not valid HTTP; "%s" in it stands for the fields of the searcher. */
+typedef struct
+{
+  const char *name;
+  const char *text;
+} OddResponse;
+
+static const OddResponse odd_responses[] = {
+  { "status-000", "HTTP/1.1 000 OK\r\n%sContent-Length: 5\r\n\r\nodd: " },
+  { "status-099", "HTTP/1.1 099 OK\r\n%sContent-Length: 5\r\n\r\nodd: " },
+  { "status-600", "HTTP/1.1 600 OK\r\n%sContent-Length: 5\r\n\r\nodd: " },
+  { "status-20", "HTTP/1.1 20 OK\r\n%sContent-Length: 5\r\n\r\nodd: " },
+  { "interim-with-body", "HTTP/1.1 100 OK\r\n%sContent-Length: 5\r\n\r\nodd: " },
+  { "switching-protocols",
+    "HTTP/1.1 101 OK\r\n%sUpgrade: odd\r\nConnection: upgrade\r\n\r\nodd: " },
+  { "version", "HTTP/3.7 200 OK\r\n%sContent-Length: 5\r\n\r\nodd: " },
+  { "control-in-reason", "HTTP/1.1 200 O\1K\r\n%sContent-Length: 5\r\n\r\nodd: " },
+  { "blank-in-name", "HTTP/1.1 200 OK\r\n%sX Odd: 1\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "blank-before-colon", "HTTP/1.1 200 OK\r\n%sContent-Length : 5\r\n\r\nodd: " },
+  { "control-in-name", "HTTP/1.1 200 OK\r\n%sX\1Odd: 1\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "control-in-length-name", "HTTP/1.1 200 OK\r\n%sContent-Length\13: 5\r\n\r\nodd: " },
+  { "delete-in-name", "HTTP/1.1 200 OK\r\n%sX\177Odd: 1\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "empty-name", "HTTP/1.1 200 OK\r\n%s: 1\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "no-colon", "HTTP/1.1 200 OK\r\n%sodd\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "control-in-value", "HTTP/1.1 200 OK\r\n%sX-Odd: a\1b\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "chunk-end", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5\r\nodd: XX0\r\n\r\n" },
+  { "chunk-size",
+    "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5 odd\r\nodd: \r\n0\r\n\r\n" },
+  { "chunk-line-feed", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5\nodd: \n0\n\n" },
+  { "trailer",
+    "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5\r\nodd: \r\n0\r\nX Odd: 1\r\n\r\n" },
+};
+
 typedef struct
 {
   MrStreamHandler handler;
@@ -137,7 +173,8 @@
   Mode mode;
   const Endless *endless; /* NULL: responses end */
   gboolean endless_is_slow;
-  gint64 era; /* counts the restores */
+  const OddResponse *odd; /* NULL: responses are valid */
+  gint64 era;             /* counts the restores */
   gint64 revision;
   json_t *kinds;      /* kind -> name -> object */
   json_t *changes;    /* [{kind, revision, deleted, object}] */
@@ -321,18 +358,28 @@
                           "store_revision", (json_int_t) connection->server->revision));
 }
 
-/* Returns the value of @key in a query; empty if it is absent. */
+/* Decodes a part of a path or query; NULL if it has an invalid escape. */
+static char *
+S_decode_part (const char *part, gsize len, gboolean query)
+{
+  g_autofree char *text = g_strndup (part, len);
+  return g_uri_unescape_string (query ? g_strdelimit (text, "+", ' ') : text, NULL);
+}
+
+/* Returns the decoded value of @key in a query, which a '#' ends; empty if it is absent, NULL if it
+ * has an invalid escape. */
 static char *
 S_find_query_argument (const char *target, const char *key)
 {
   g_autofree char *start = g_strdup_printf ("%s=", key);
-  const char *at = strchr (target, '?');
+  g_autofree char *request = g_strndup (target, strcspn (target, "#"));
+  const char *at = strchr (request, '?');
   while (at && !g_str_has_prefix (at + 1, start))
     at = strchr (at + 1, '&');
   if (!at)
     return g_strdup ("");
   at += 1 + strlen (start);
-  return g_strndup (at, strcspn (at, "&"));
+  return S_decode_part (at, strcspn (at, "&"), TRUE);
 }
 
 /* Handles a conditional write: POST creates an object; PUT replaces it if the given revision
@@ -362,9 +409,15 @@
 S_on_store_request (Connection *connection, const char *method, const char *target)
 {
   Server *server = connection->server;
-  g_autofree char *path = g_strndup (target, strcspn (target, "?"));
+  g_autofree char *path = g_strndup (target, strcspn (target, "?#"));
   g_auto (GStrv) parts = g_strsplit (path, "/", -1); /* "", objects, kind, name */
   guint count = g_strv_length (parts);
+  for (guint i = 0; i < count; i++)
+    {
+      char *decoded = S_decode_part (parts[i], strlen (parts[i]), FALSE);
+      g_free (parts[i]);
+      parts[i] = decoded ? decoded : g_strdup ("");
+    }
   if (count < 3 || (server->mode == MODE_SILENT && g_str_equal (method, "GET")))
     return;
   if (server->mode == MODE_DOWN && g_str_equal (method, "GET"))
@@ -396,6 +449,11 @@
   g_autofree char *watch = S_find_query_argument (target, "watch");
   g_autofree char *wait = S_find_query_argument (target, "wait_ms");
   g_autofree char *after = S_find_query_argument (target, "after");
+  if (!watch || !wait || !after)
+    {
+      S_send (connection, 400, "", (MrText){ 0 });
+      return;
+    }
   gboolean quarantines = g_str_equal (parts[2], "quarantine");
   if (server->mode == MODE_SHED && !g_str_equal (parts[2], "config"))
     return;
@@ -569,6 +627,14 @@
   g_string_free (connection->endless_units, TRUE);
 }
 
+static void
+S_send_odd (Connection *connection, const char *fields)
+{
+  g_auto (GStrv) parts = g_strsplit (connection->server->odd->text, "%s", 2);
+  g_autofree char *text = g_strjoinv (fields, parts);
+  mr_stream_write (connection->stream, mr_text (text));
+}
+
 static void
 S_send_response (Connection *connection, const char *id)
 {
@@ -583,6 +649,11 @@
       S_begin_endless (connection, fields);
       return;
     }
+  if (server->odd)
+    {
+      S_send_odd (connection, fields);
+      return;
+    }
   if (server->mode == MODE_CUT)
     {
       g_autofree char *half =
@@ -678,6 +749,15 @@
       server->endless = &endless_responses[i];
 }
 
+static void
+S_set_odd (Server *server, const char *name)
+{
+  server->odd = NULL;
+  for (gsize i = 0; i < G_N_ELEMENTS (odd_responses); i++)
+    if (g_str_equal (name, odd_responses[i].name))
+      server->odd = &odd_responses[i];
+}
+
 static void
 S_on_request (Connection *connection)
 {
@@ -687,6 +767,7 @@
     {
       const char *mode = target + strlen ("/mode/");
       S_set_endless (connection->server, g_str_has_prefix (mode, "endless-") ? mode + 8 : "");
+      S_set_odd (connection->server, g_str_has_prefix (mode, "odd-") ? mode + 4 : "");
       for (guint i = 0; i < MODE_COUNT; i++)
         if (g_str_equal (mode, mode_names[i]))
           connection->server->mode = (Mode) i;
--- a/test/platform/test_store.c
+++ b/test/platform/test_store.c
@@ -3,6 +3,7 @@
 #include "adapter.h"
 
 #include "configuration.h"
+#include "controller.h"
 #include "evacuation.h"
 #include "registry.h"
 #include "target_record.h"
@@ -390,6 +391,8 @@
     }
 }
 
+/* Guards against a list that is never read to its end because the last name on a page, written by
+ * another program, changes the request for the next page. */
 static void
 test_request_paths (void **state)
 {
@@ -401,6 +404,14 @@
   } cases[] = {
     { 0, "", "/objects/servers" },
     { 0, "i-9", "/objects/servers?after=i-9" },
+    { 0, "a.b_c~d", "/objects/servers?after=a.b_c~d" },
+    { 0, "b&watch=1", "/objects/servers?after=b%26watch%3D1" },
+    { 0, "b+c", "/objects/servers?after=b%2Bc" },
+    { 0, "b#c", "/objects/servers?after=b%23c" },
+    { 0, "b%41", "/objects/servers?after=b%2541" },
+    { 0, "b c", "/objects/servers?after=b%20c" },
+    { 0, "b\r\nX: y", "/objects/servers?after=b%0D%0AX%3A%20y" },
+    { 0, "b/\xc3\xa4", "/objects/servers?after=b%2F%C3%A4" },
     { 530, "", "/objects/servers?watch=530&wait_ms=28000" },
   };
   (void) state;
@@ -418,6 +429,44 @@
     }
 }
 
+/* Guards against a call for another object than the one named. */
+static void
+test_names_in_paths (void **state)
+{
+  static const struct
+  {
+    const MrPlatformCodec *codec;
+    MrPlatformAction action;
+    guint64 expected_version;
+    const char *name;
+    const char *path;
+  } cases[] = {
+    { &mr_adapter_store, MR_PLATFORM_WRITE, 8, "z1", "/objects/evacuations/z1" },
+    { &mr_adapter_store, MR_PLATFORM_WRITE, 8, "a/b?c", "/objects/evacuations/a%2Fb%3Fc" },
+    { &mr_adapter_store, MR_PLATFORM_WRITE, 0, "a/b?c", "/objects/evacuations" },
+    { &mr_platform_codec, MR_PLATFORM_READ, 0, "z1", "/v1/objects/evacuations/z1" },
+    { &mr_platform_codec, MR_PLATFORM_READ, 0, "a b/..", "/v1/objects/evacuations/a%20b%2F.." },
+    { &mr_platform_codec, MR_PLATFORM_WRITE, 5, "a#b", "/v1/objects/evacuations/a%23b?version=5" },
+    { &mr_platform_codec, MR_PLATFORM_WRITE, MR_VERSION_ANY, "a?b&c",
+      "/v1/objects/evacuations/a%3Fb%26c?version=any" },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      MrPlatformCall call = { 0 };
+      MrPlatformRequest *request =
+          mr_platform_request_new (cases[i].action, "evacuations", cases[i].name);
+      request->expected_version = cases[i].expected_version;
+      request->body = g_string_new ("{}");
+      cases[i].codec->encode (request, &call);
+      assert_string_equal (call.path, cases[i].path);
+      g_free (call.path);
+      if (call.body)
+        g_string_free (call.body, TRUE);
+      mr_message_free (&request->base);
+    }
+}
+
 int
 main (void)
 {
@@ -426,7 +475,7 @@
     cmocka_unit_test (test_response_statuses),  cmocka_unit_test (test_evacuations),
     cmocka_unit_test (test_configuration),      cmocka_unit_test (test_wrong_organisations),
     cmocka_unit_test (test_request_paths),      cmocka_unit_test (test_entry_validation),
-    cmocka_unit_test (test_unreadable_entries),
+    cmocka_unit_test (test_unreadable_entries), cmocka_unit_test (test_names_in_paths),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
