--- a/src/target_codec.c
+++ b/src/target_codec.c
@@ -12,16 +12,18 @@
 {
   const MrBatch *batch = call->batch;
   gint64 remaining_ms = MAX ((batch->deadline - now) / MR_MS, 1);
+  g_autofree char *ticket = g_uri_escape_string (batch->ticket, NULL, FALSE);
   if (batch->is_order)
     return g_strdup_printf ("/v1/order?id=%s-%" G_GUINT64_FORMAT
                             "&ticket=%s&deadline_ms=%" G_GINT64_FORMAT,
-                            id_prefix, call->id, batch->ticket, remaining_ms);
+                            id_prefix, call->id, ticket, remaining_ms);
   const MrShardMap *map = batch->map;
+  g_autofree char *snapshot = g_uri_escape_string (map->snapshot, NULL, FALSE);
+  g_autofree char *shard = g_uri_escape_string (map->shards[call->shard].name, NULL, FALSE);
   g_autofree char *query = g_uri_escape_string (batch->payload->str, NULL, FALSE);
   return g_strdup_printf ("/v1/search?id=%s-%" G_GUINT64_FORMAT
                           "&snapshot=%s&shard=%s&k=%u&deadline_ms=%" G_GINT64_FORMAT "&q=%s",
-                          id_prefix, call->id, map->snapshot, map->shards[call->shard].name,
-                          batch->top_k, remaining_ms, query);
+                          id_prefix, call->id, snapshot, shard, batch->top_k, remaining_ms, query);
 }
 
 static guint64
