Listings of the store go on after any name, or stall and say so

What callers saw: no searcher known after a start while certain entries stood in the list.

Cause: the next page was requested after the last entry that was taken, so a page on which none was taken (names that are too long) restarted the listing, at once and for ever, without a line in the log; a name of more than 63 bytes was cut off. A relay was not ready before a listing had ended, even if most of it had been read.

Now the codec reports the last name on a page as stored, whatever becomes of its entry, and the listing goes on after that. If there is none, or the page ends with the name after which it should begin, the listing stalls: E1307 and a counter say so, it is repeated after a pause, nothing counts as removed, and a relay that starts serves with what was read.

--- a/src/control_platform.c
+++ b/src/control_platform.c
@@ -212,7 +212,9 @@
       MrPlatformAction action = i == WATCH_VMS ? MR_PLATFORM_LIST_VMS : MR_PLATFORM_LIST;
       MrPlatformRequest *request = mr_platform_request_new (action, watch_kinds[i].kind, "");
       request->since_revision = watch->since;
-      g_strlcpy (request->after_name, watch->page_after, sizeof request->after_name);
+      if (watch->page_after)
+        request->after_name =
+            g_string_new_len (watch->page_after->str, (gssize) watch->page_after->len);
       if (watcher && watch->has_succeeded && watch->retry_delay == 0 && watch->since > 0)
         request->wait_ms = S_watch_wait_ms (task, i);
       request->watch_call = mr_watch_begin (watch);
@@ -393,6 +395,19 @@
 }
 
 static void
+S_report_stalled_listing (int index, const MrPlatformRequest *request)
+{
+  const GString *after = request->after_name;
+  mr_metrics_add (MR_METRIC_LISTINGS_STALLED, 1);
+  mr_log (MR_LOG_WARNING, MR_EVENT_LISTING_STALLED,
+          "the list of %s cannot be read beyond '%s': the next page has no further name that can "
+          "be read; what was read is kept, and the list is read again",
+          watch_kinds[index].kind, after ? after->str : "");
+}
+
+/* Returns FALSE if the listing cannot go on: it is repeated after a pause, as after a failed call,
+ * since the objects on the pages not read would otherwise count as removed. */
+static gboolean
 S_on_relay_list (MrControlTask *task, MrTime now, int index, const MrPlatformResult *result)
 {
   MrWatch *watch = &task->watches[index];
@@ -402,9 +417,9 @@
   if (result->history_expired)
     {
       watch->since = 0;
-      return;
+      return TRUE;
     }
-  if (full && result->request->after_name[0] == '\0')
+  if (full && !result->request->after_name)
     {
       watch->listing_revision = result->revision;
       mr_control_era_release_kind (task, watch_kinds[index].object);
@@ -415,23 +430,21 @@
     }
   for (guint i = 0; i < result->objects->len; i++)
     S_on_relay_object (task, now, index, full, g_ptr_array_index (result->objects, i));
-  watch->page_after[0] = '\0';
-  /* The store announces more objects, but an empty page has no name to continue after. The
-   * listing is restarted, since the objects on the pages not read would otherwise count as
-   * removed. */
-  if (full && result->truncated && result->objects->len == 0)
-    return;
   if (full && result->truncated)
     {
-      const MrPlatformObject *last = g_ptr_array_index (result->objects, result->objects->len - 1);
-      g_strlcpy (watch->page_after, last->name, sizeof watch->page_after);
-      return;
+      gboolean advances = mr_watch_next_page (watch, result->last_name);
+      if (!advances)
+        S_report_stalled_listing (index, result->request);
+      return advances;
     }
+  if (full)
+    mr_watch_listing_ended (watch);
   if (full && index == WATCH_TARGETS)
     S_remove_unlisted_targets (task, now);
   if (full && index == WATCH_EVACUATIONS)
     mr_control_evacuation_end_listing (task);
   watch->since = full ? watch->listing_revision : MAX (watch->since, result->revision);
+  return TRUE;
 }
 
 void
@@ -456,7 +469,7 @@
   if (success && index == WATCH_VMS)
     S_on_vms (task, result);
   else if (success && task->relay)
-    S_on_relay_list (task, now, index, result);
+    success = S_on_relay_list (task, now, index, result);
   else if (success)
     S_on_list (task, now, index, result);
   mr_watch_ended (&task->watches[index], now, success, watcher, g_rand_double (task->random));
@@ -465,7 +478,7 @@
   if (!success && mr_control_is_restriction (index))
     mr_control_start_restriction_failed (task, now, index);
   /* The next page of a full listing, and the first watch after it, are requested at once. */
-  gboolean more = task->watches[index].page_after[0] != '\0';
+  gboolean more = task->watches[index].page_after != NULL;
   if (success && task->relay && (more || (watcher && result->request->since_revision == 0)))
     task->watches[index].due = now;
 }
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -253,11 +253,13 @@
 }
 
 /* A relay serves with what it has: the store's answers are current, and a peer's objects are
- * at most slightly older. */
+ * at most slightly older.  If the list of targets cannot be read to its end, it serves with those
+ * that were read. */
 static void
 S_check_relay_ready (MrControlTask *task)
 {
-  gboolean read = task->watches[WATCH_TARGETS].since > 0 && mr_control_start_is_complete (task);
+  const MrWatch *targets = &task->watches[WATCH_TARGETS];
+  gboolean read = (targets->since > 0 || targets->stalled) && mr_control_start_is_complete (task);
   if (task->configuration && (read || mr_replication_is_synced (task->replication)))
     S_set_ready (task, read);
 }
@@ -507,6 +509,8 @@
   mr_control_evidence_clear (task);
   mr_control_start_clear (task);
   mr_control_era_clear (task);
+  for (int i = 0; i < WATCH_COUNT; i++)
+    mr_watch_clear (&task->watches[i]);
   g_hash_table_unref (task->listed_evacuations);
   mr_removal_filter_free (task->removal_filter);
   mr_configuration_unref (task->configuration);
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -47,6 +47,8 @@
   [MR_METRIC_PLATFORM_CALLS] = { "platform_calls", "calls to the platform" },
   [MR_METRIC_PLATFORM_FAILURES] = { "platform_failures", "of these, failed" },
   [MR_METRIC_ENTRIES_UNUSABLE] = { "entries_unusable", "entries read that name no target" },
+  [MR_METRIC_LISTINGS_STALLED] = { "listings_stalled",
+                                   "lists that could not be read to their end" },
   [MR_METRIC_STORE_ERAS] = { "store_eras", "times the store came back from a copy" },
   [MR_METRIC_ANSWERS_OUTDATED] = { "answers_outdated", "answers of an earlier era discarded" },
   [MR_METRIC_ENTRIES_HELD] = { "entries_held", "entries of a restored store held back" },
--- a/src/platform_codec.c
+++ b/src/platform_codec.c
@@ -17,8 +17,8 @@
     case MR_PLATFORM_WRITE:
       if (request->expected_version == MR_VERSION_ANY)
         return g_strdup_printf ("/v1/objects/%s/%s?version=any", request->kind, name);
-      return g_strdup_printf ("/v1/objects/%s/%s?version=%" G_GUINT64_FORMAT, request->kind,
-                              name, request->expected_version);
+      return g_strdup_printf ("/v1/objects/%s/%s?version=%" G_GUINT64_FORMAT, request->kind, name,
+                              request->expected_version);
     case MR_PLATFORM_LIST_VMS:
       return g_strdup ("/v1/vms");
     }
--- a/src/task_message.c
+++ b/src/task_message.c
@@ -155,8 +155,10 @@
 static void
 S_free_platform_request (MrMessage *message)
 {
-  S_free_string (((MrPlatformRequest *) message)->body);
-  g_free (message);
+  MrPlatformRequest *request = (MrPlatformRequest *) message;
+  S_free_string (request->after_name);
+  S_free_string (request->body);
+  g_free (request);
 }
 
 MrPlatformRequest *
@@ -183,6 +185,7 @@
 {
   MrPlatformResult *result = (MrPlatformResult *) message;
   mr_message_free (&result->request->base);
+  S_free_string (result->last_name);
   g_ptr_array_unref (result->objects);
   g_array_unref (result->vms);
   g_free (result);
--- a/src/task_message.h
+++ b/src/task_message.h
@@ -151,8 +151,8 @@
   MrPlatformAction action;
   char kind[24];
   char name[MR_NAME_MAX + 1];
-  guint64 since_revision;           /* of LIST; 0 lists all objects */
-  char after_name[MR_NAME_MAX + 1]; /* of LIST: only names after this one */
+  guint64 since_revision;   /* of LIST; 0 lists all objects */
+  GString *after_name;      /* of LIST: only names after this one; NULL: all */
   guint wait_ms;            /* of LIST: how long the call may wait for changes; 0: no watch */
   guint watch_call;         /* of LIST and LIST_VMS: number of the call within its watch */
   guint64 expected_version; /* of WRITE */
@@ -188,7 +188,10 @@
   /* Of LIST: version of the removal of objects that it lacks; above every listed version, below
    * any later one. */
   guint64 removed_version;
-  gboolean truncated;       /* of LIST: there are more names after the last one */
+  gboolean truncated; /* of LIST: there are more names after the last one */
+  /* Of LIST: the last name on the page that could be read, as stored, also of an entry that was
+   * refused; NULL: none. */
+  GString *last_name;
   gboolean history_expired; /* of LIST: the changes since that revision are no longer available */
   GPtrArray *objects;
   GArray *vms; /* MrPlatformVm */
--- a/src/watch.c
+++ b/src/watch.c
@@ -148,13 +148,44 @@
   watch->due = 0;
 }
 
+static void
+S_set_page_after (MrWatch *watch, const GString *name)
+{
+  if (watch->page_after)
+    g_string_free (watch->page_after, TRUE);
+  watch->page_after = name ? g_string_new_len (name->str, (gssize) name->len) : NULL;
+}
+
+void
+mr_watch_clear (MrWatch *watch)
+{
+  S_set_page_after (watch, NULL);
+}
+
+bool
+mr_watch_next_page (MrWatch *watch, const GString *last_name)
+{
+  bool advances =
+      last_name && !(watch->page_after && g_string_equal (watch->page_after, last_name));
+  S_set_page_after (watch, advances ? last_name : NULL);
+  watch->stalled = watch->stalled || !advances;
+  return advances;
+}
+
+void
+mr_watch_listing_ended (MrWatch *watch)
+{
+  S_set_page_after (watch, NULL);
+  watch->stalled = FALSE;
+}
+
 void
 mr_watch_start_over (MrWatch *watch, gboolean now_due)
 {
   watch->in_flight = FALSE;
   watch->since = 0;
   watch->listing_revision = 0;
-  watch->page_after[0] = '\0';
+  mr_watch_listing_ended (watch);
   if (now_due)
     watch->due = 0;
 }
@@ -188,7 +219,9 @@
     }
   if (success)
     {
-      watch->retry_delay = 0;
+      /* The first pages of a listing that stalled are not yet a success. */
+      if (!watch->stalled)
+        watch->retry_delay = 0;
       watch->due = now + watch->call_pause;
       return;
     }
--- a/src/watch.h
+++ b/src/watch.h
@@ -38,13 +38,15 @@
  * says. */
 bool mr_watch_has_reachable_first_member (const MrRoster *roster);
 
-/* One kind of repeated call to the platform. */
+/* One kind of repeated call to the platform.  mr_watch_clear () frees what it holds. */
 typedef struct
 {
   guint64 since;            /* last revision read */
   guint64 listing_revision; /* revision of the full listing in progress */
-  /* Last name on the previous page of a full listing; "": first page. */
-  char page_after[MR_NAME_MAX + 1];
+  GString *page_after;      /* last name on the previous page of a full listing; NULL: first page */
+  /* A full listing could not be read to its end, and none has been since: a page led to no further
+   * one. */
+  gboolean stalled;
   gboolean in_flight;     /* a call awaits its result */
   guint call_number;      /* calls begun so far; also the number of the current call */
   gboolean has_succeeded; /* at least one call has succeeded */
@@ -58,6 +60,8 @@
  * total call rate stays constant in a large fleet. */
 MrTime mr_watch_read_interval (guint readers);
 
+void mr_watch_clear (MrWatch *watch);
+
 /* Starts a call; returns its number. */
 guint mr_watch_begin (MrWatch *watch);
 /* Discards the call in progress, if any, and makes the next one due now. */
@@ -65,6 +69,12 @@
 /* Discards the call in progress and what was read, so that the next call lists everything. It is
  * due now if @now_due, and otherwise when the next call was due. */
 void mr_watch_start_over (MrWatch *watch, gboolean now_due);
+/* Continues a full listing after a page that is not its last one.  @last_name: the last name on the
+ * page; NULL: none could be read.  Returns FALSE if no further page can be requested, so that the
+ * listing has to be read again from its start. */
+bool mr_watch_next_page (MrWatch *watch, const GString *last_name);
+/* The full listing was read to its end. */
+void mr_watch_listing_ended (MrWatch *watch);
 /* Returns FALSE if @call has been discarded.  Taking its end for the end of its successor would
  * add one concurrent call with each restart. */
 bool mr_watch_is_current (const MrWatch *watch, guint call);
--- a/test/platform/era_sim.c
+++ b/test/platform/era_sim.c
@@ -286,7 +286,8 @@
     body = json_pack ("{s:[],s:b,s:I}", "items", "has_more", 0, "store_revision",
                       (json_int_t) sim->revision);
   else if (request->since_revision == 0)
-    body = S_list (sim, S_store_kind (request), request->after_name);
+    body =
+        S_list (sim, S_store_kind (request), request->after_name ? request->after_name->str : "");
   else if ((gint64) request->since_revision <= sim->revision)
     {
       json_t *events =
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -72,12 +72,13 @@
   MODE_BUSY,   /* runs, then responds 503 with a signature and without X-Not-Executed */
   MODE_HUGE,   /* announces a response of HUGE_BYTES */
   MODE_DRIP,   /* sends the header of a response, then a byte every 50 ms */
+  MODE_REPEAT, /* the store lists the first page, whatever page is asked for */
   MODE_COUNT,
 } Mode;
 
 static const char *const mode_names[MODE_COUNT] = { "ok",    "down",  "silent", "gone", "shed",
                                                     "cut",   "reset", "extra",  "slow", "late",
-                                                    "error", "busy",  "huge",   "drip" };
+                                                    "error", "busy",  "huge",   "drip", "repeat" };
 
 typedef struct Server Server;
 
@@ -346,7 +347,7 @@
   json_t *object = NULL;
   json_object_foreach (objects, name, object)
   {
-    if (strcmp (name, after) > 0)
+    if (strcmp (name, after) > 0 || connection->server->mode == MODE_REPEAT)
       g_ptr_array_add (names, (gpointer) name);
   }
   qsort (names->pdata, names->len, sizeof (gpointer), S_compare_names);
--- a/test/platform/test_store.c
+++ b/test/platform/test_store.c
@@ -510,7 +510,7 @@
       MrPlatformRequest *request = mr_platform_request_new (MR_PLATFORM_LIST, "targets", "");
       request->since_revision = cases[i].since;
       request->wait_ms = cases[i].since ? 28000 : 0;
-      g_strlcpy (request->after_name, cases[i].after, sizeof request->after_name);
+      request->after_name = *cases[i].after ? g_string_new (cases[i].after) : NULL;
       mr_adapter_store.encode (request, &call);
       assert_string_equal (call.path, cases[i].path);
       g_free (call.path);
