Store codec: entries whose name or revision nobody of ours writes are refused

What callers saw: an entry of another writer, under a name with '&', '+', '#', '%' or a blank, was used as a searcher. Its id went into the header of each request to it (X-Expect-Instance), where a line break in the name would begin another field.

Cause: names were taken as they stood. An entry of kind config under any name was taken for the configuration, so that "config/other" could replace config/main. A revision below zero or above what a version can hold (2^42 - 1) made a version that no later one exceeds. Integers up to 2^63 were accepted for slots and times, and a start time near that would have made all later starts of the same searcher "an earlier process".

--- a/src/target_record.c
+++ b/src/target_record.c
@@ -10,6 +10,9 @@
   COLD_MS_MAX = 600000,
 };
 
+/* Largest integer that every JSON implementation represents exactly. */
+static const json_int_t EXACT_MAX = ((json_int_t) 1 << 53) - 1;
+
 MrTargetRecord *
 mr_target_record_ref (MrTargetRecord *record)
 {
@@ -33,6 +36,35 @@
   return started > 0 ? (guint64) started : 0;
 }
 
+gboolean
+mr_target_id_is_valid (MrText id)
+{
+  static const char other_characters[] = "-._~:@";
+  if (id.len == 0 || id.len > MR_NAME_MAX)
+    return FALSE;
+  for (size_t i = 0; i < id.len; i++)
+    if (!g_ascii_isalnum (id.data[i]) &&
+        (id.data[i] == '\0' || !strchr (other_characters, id.data[i])))
+      return FALSE;
+  return TRUE;
+}
+
+static gboolean
+S_domain_is_valid (const char *domain)
+{
+  for (const char *at = domain; *at; at++)
+    if (g_ascii_iscntrl (*at) || *at == '"' || *at == '\\')
+      return FALSE;
+  return strlen (domain) <= MR_NAME_MAX;
+}
+
+static gboolean
+S_is_exact_integer (const json_t *value)
+{
+  json_int_t number = json_integer_value (value);
+  return json_is_integer (value) && number >= -EXACT_MAX && number <= EXACT_MAX;
+}
+
 static MrStatus
 S_parse_fields (const json_t *root, MrTargetRecord *record)
 {
@@ -47,15 +79,20 @@
   if (!g_hostname_is_ip_address (ip))
     return mr_fail (MR_ERROR_INVALID, "target record: host of address '%.60s' is not an IP address",
                     address);
+  if (!S_domain_is_valid (domain))
+    return mr_fail (MR_ERROR_INVALID, "target record: invalid domain '%.60s'", domain);
   record->service = g_strdup (service);
   g_strlcpy (record->target.ip, ip, sizeof record->target.ip);
   g_strlcpy (record->target.domain, domain, sizeof record->target.domain);
   const json_t *slots = json_object_get (root, "slots");
   const json_t *leaving = json_object_get (root, "leaving");
   const json_t *cold_ms = json_object_get (root, "cold_ms");
-  if (!json_is_integer (slots) || !json_is_boolean (leaving) || !json_is_integer (cold_ms))
-    return mr_fail (MR_ERROR_INVALID,
-                    "target record: expected integers slots and cold_ms and Boolean leaving");
+  const json_t *started = json_object_get (root, "started");
+  if (!S_is_exact_integer (slots) || !json_is_boolean (leaving) || !S_is_exact_integer (cold_ms) ||
+      (started && !S_is_exact_integer (started)))
+    return mr_fail (
+        MR_ERROR_INVALID,
+        "target record: expected exact integers slots, cold_ms and started and Boolean leaving");
   record->target.slots = (guint) CLAMP (json_integer_value (slots), 1, SLOTS_MAX);
   record->target.connections = record->target.slots;
   record->target.started = S_start_time (root);
@@ -78,10 +115,12 @@
 {
   json_error_t error;
   json_t *root = json_loadb (json.data, json.len, 0, &error);
-  if (!root || id.len == 0 || id.len > MR_NAME_MAX)
+  if (!root || !mr_target_id_is_valid (id))
     {
-      mr_fail (MR_ERROR_INVALID, "target record: invalid JSON, or an id not of 1 to %d bytes",
-               MR_NAME_MAX);
+      mr_fail (
+          MR_ERROR_INVALID,
+          "target record: invalid JSON, or an id not of 1 to %d letters, digits and \"-._~:@\"",
+          MR_NAME_MAX);
       json_decref (root);
       return NULL;
     }
--- a/src/target_record.h
+++ b/src/target_record.h
@@ -17,7 +17,16 @@
   MrTime cold_remaining;
 } MrTargetRecord;
 
-/* Parses the JSON form; returns NULL and sets the status message on error. */
+/* TRUE for 1 to MR_NAME_MAX letters, digits and characters of "-._~:@".  The id of a target is sent
+ * to it in a header field and is shown on pages. */
+gboolean mr_target_id_is_valid (MrText id);
+
+/* Parses the JSON form; returns NULL and sets the status message on error.  A record has
+ *   an id as above,
+ *   an address IP:PORT with a port from 1 to 65535,
+ *   a domain of at most MR_NAME_MAX bytes without control characters, quotes and backslashes,
+ *   integers within +-(2^53 - 1), the range in which JSON numbers are exact; larger slots and
+ *   times within it count as the largest that are used. */
 MrTargetRecord *mr_target_record_parse (MrText id, MrText json);
 /* Start time (Unix ms) of the process that @json describes; 0 if it is not stated or @json is
  * not valid. */
--- a/test/platform/test_store.c
+++ b/test/platform/test_store.c
@@ -5,6 +5,7 @@
 #include "configuration.h"
 #include "controller.h"
 #include "evacuation.h"
+#include "metrics.h"
 #include "registry.h"
 #include "target_record.h"
 
@@ -190,6 +191,29 @@
       FALSE },
     { "start below zero",
       "{" SERVICE_AND_ADDRESS OTHER_FIELDS ",\"slots\":5,\"state\":\"ready\",\"born\":-4}", FALSE },
+    { "port too large",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:65536\"," OTHER_FIELDS
+      ",\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
+    { "port 0",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:0\"," OTHER_FIELDS
+      ",\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
+    { "port below zero",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:-1\"," OTHER_FIELDS
+      ",\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
+    { "more slots than an exact number",
+      "{" SERVICE_AND_ADDRESS OTHER_FIELDS ",\"slots\":9007199254740992,\"state\":\"ready\"}",
+      FALSE },
+    { "start beyond exact numbers",
+      "{" SERVICE_AND_ADDRESS OTHER_FIELDS
+      ",\"slots\":5,\"state\":\"ready\",\"born\":9223372036854775807}",
+      FALSE },
+    { "line break in the zone",
+      "{" SERVICE_AND_ADDRESS "\"zone\":\"z\\r\\nX: y\",\"version\":\"v1\",\"warmup_left_ms\":0,"
+      "\"seq\":1,\"slots\":5,\"state\":\"ready\"}",
+      FALSE },
     { "empty", "{}", FALSE },
     { "not an object", "[]", FALSE },
     { "text", "\"ready\"", FALSE },
@@ -359,6 +383,86 @@
     }
 }
 
+/* Guards against the use of an entry whose name or revision is none that a searcher, an operator or
+ * merlinring itself writes, and against a list that does not continue after its name. */
+static void
+test_refused_entries (void **state)
+{
+#define NAME_63 "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcde"
+  static const struct
+  {
+    const char *kind;
+    const char *name;     /* in JSON */
+    const char *revision; /* in JSON */
+    const char *after;    /* of the request for the next page; NULL: none */
+    gboolean taken;
+  } cases[] = {
+    { "targets", "\"i-7f3a91c2\"", "5", "i-7f3a91c2", TRUE },
+    { "targets", "\"A.b_c~d:e@f\"", "5", "A.b_c~d%3Ae%40f", TRUE },
+    { "targets", "\"" NAME_63 "\"", "5", NAME_63, TRUE },
+    { "targets", "\"" NAME_63 "f\"", "5", NAME_63 "f", FALSE },
+    { "targets", "\"b&watch=1\"", "5", "b%26watch%3D1", FALSE },
+    { "targets", "\"b+c\"", "5", "b%2Bc", FALSE },
+    { "targets", "\"b#c\"", "5", "b%23c", FALSE },
+    { "targets", "\"b%41\"", "5", "b%2541", FALSE },
+    { "targets", "\"b c\"", "5", "b%20c", FALSE },
+    { "targets", "\"b/c\"", "5", "b%2Fc", FALSE },
+    { "targets", "\"b?c\"", "5", "b%3Fc", FALSE },
+    { "targets", "\"b\\r\\nX-Deadline-Ms: 9\"", "5", "b%0D%0AX-Deadline-Ms%3A%209", FALSE },
+    { "targets", "\"b\\u0001\"", "5", "b%01", FALSE },
+    { "targets", "\"b\\u0000c\"", "5", "b%00c", FALSE },
+    { "targets", "\"b\\u00e4\"", "5", "b%C3%A4", FALSE },
+    { "targets", "\"\"", "5", NULL, FALSE },
+    { "targets", "7", "5", NULL, FALSE },
+    { "targets", "null", "5", NULL, FALSE },
+    { "targets", "\"i-1\"", "0", "i-1", FALSE },
+    { "targets", "\"i-1\"", "-5", "i-1", FALSE },
+    { "targets", "\"i-1\"", "5.0", "i-1", FALSE },
+    { "targets", "\"i-1\"", "\"5\"", "i-1", FALSE },
+    { "targets", "\"i-1\"", "4398046511103", "i-1", TRUE },
+    { "targets", "\"i-1\"", "4398046511104", "i-1", FALSE },
+    { "targets", "\"i-1\"", "9223372036854775807", "i-1", FALSE },
+    { "targets", "\"i-1\"", "null", "i-1", FALSE },
+    { "configurations", "\"main\"", "5", "main", TRUE },
+    { "configurations", "\"other\"", "5", "other", FALSE },
+    { "quarantine", "\"0123456789abcdef0123456789abcdef\"", "5", "0123456789abcdef0123456789abcdef",
+      TRUE },
+    { "quarantine", "\"odd\"", "5", "odd", FALSE },
+    { "evacuations", "\"khomas-a\"", "5", "khomas-a", TRUE },
+    { "evacuations", "\"khomas a\"", "5", "khomas%20a", TRUE },
+    { "evacuations", "\"a\\\"b\"", "5", "a%22b", FALSE },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *body = g_strdup_printf (
+          "{\"store_revision\":9,\"has_more\":true,\"items\":[{\"meta\":{\"name\":%s,"
+          "\"revision\":%s},\"spec\":{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+          "\"zone\":\"z\",\"version\":\"v1\",\"slots\":5,\"state\":\"ready\","
+          "\"warmup_left_ms\":0,\"seq\":1}}]}",
+          cases[i].name, cases[i].revision);
+      guint64 refused = mr_metrics_get (MR_METRIC_ENTRIES_UNUSABLE);
+      MrPlatformResult *result = S_decode (cases[i].kind, 0, 200, body);
+      assert_int_equal (result->status, MR_OK);
+      if ((result->objects->len == 1) != cases[i].taken)
+        fail_msg ("%s/%s, revision %s: %s", cases[i].kind, cases[i].name, cases[i].revision,
+                  cases[i].taken ? "refused" : "taken");
+      if ((mr_metrics_get (MR_METRIC_ENTRIES_UNUSABLE) > refused) == cases[i].taken)
+        fail_msg ("%s/%s: wrong count of refused entries", cases[i].kind, cases[i].name);
+      MrPlatformRequest *next = mr_platform_request_new (MR_PLATFORM_LIST, "targets", "");
+      MrPlatformCall call = { 0 };
+      next->after_name = g_steal_pointer (&result->last_name);
+      mr_adapter_store.encode (next, &call);
+      g_autofree char *path = cases[i].after
+                                  ? g_strdup_printf ("/objects/servers?after=%s", cases[i].after)
+                                  : g_strdup ("/objects/servers");
+      assert_string_equal (call.path, path);
+      g_free (call.path);
+      mr_message_free (&next->base);
+      mr_message_free (&result->base);
+    }
+}
+
 typedef struct
 {
   const char *name;
@@ -566,7 +670,7 @@
     cmocka_unit_test (test_request_paths),      cmocka_unit_test (test_entry_validation),
     cmocka_unit_test (test_unreadable_entries), cmocka_unit_test (test_names_in_paths),
     cmocka_unit_test (test_forged_entries),     cmocka_unit_test (test_time_for_odd_entries),
-
+    cmocka_unit_test (test_refused_entries),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
