HTTP messages are checked by one stated grammar before they are used

What callers saw: an answer with status 000 from a searcher in trouble. Also possible: a status of one or two digits or over 599, HTTP/3.7, control characters in the reason or in values, and a body whose chunks end with any two bytes.

Cause: what http-parser accepts was taken for valid. It reads any one to three digits as a status, any version, control characters, any two bytes after the data of a chunk, any text after its size, and a trailer whose name has a blank. It gives a 1xx, 204 or 304 the body that its head announces, although these end with their head (RFC 9112, 6.3): an interim response with a length was passed on as the answer.

Now http_grammar.h states what is accepted, and the parser applies it to heads, chunks and trailers of answers and requests alike, before http-parser's result is used.

Bytes above 127 in the target of a request are still accepted: callers send them, and no implementation takes one for a delimiter.

--- a/src/caller_server.c
+++ b/src/caller_server.c
@@ -1,5 +1,6 @@
 #include "caller_server.h"
 
+#include "log.h"
 #include "stream.h"
 #include "timers.h"
 
@@ -66,6 +67,7 @@
   MrCallerLimits limits;
   GQueue callers;
   MrTimers *timers;
+  guint64 malformed_requests;
   gboolean draining;
   gboolean closed;
 };
@@ -216,6 +218,11 @@
       c->continue_handled = TRUE;
       return;
     case MR_HTTP_MALFORMED:
+      c->server->malformed_requests++;
+      mr_log (MR_LOG_NOTICE, MR_EVENT_REQUEST_MALFORMED, "a request is not valid HTTP: %s",
+              mr_http_parser_error (c->parser));
+      S_reject (c, STATUS_BAD_REQUEST);
+      return;
     case MR_HTTP_OVERHEAD_TOO_LARGE:
       S_reject (c, STATUS_BAD_REQUEST);
       return;
@@ -365,6 +372,12 @@
     }
 }
 
+guint64
+mr_caller_server_malformed_requests (const MrCallerServer *server)
+{
+  return server->malformed_requests;
+}
+
 guint
 mr_caller_server_connections (const MrCallerServer *server)
 {
--- a/src/caller_server.h
+++ b/src/caller_server.h
@@ -42,6 +42,8 @@
  * request.  Requests of which the kernel has received bytes are still read. */
 void mr_caller_server_close (MrCallerServer *server);
 
+/* Requests that were refused because they are not valid HTTP. */
+guint64 mr_caller_server_malformed_requests (const MrCallerServer *server);
 guint mr_caller_server_connections (const MrCallerServer *server);
 /* Requests that were read and are not answered. */
 guint mr_caller_server_open_requests (const MrCallerServer *server);
--- a/src/http_message.c
+++ b/src/http_message.c
@@ -1,6 +1,7 @@
 #include "http_message.h"
 
 #include "buffer.h"
+#include "http_grammar.h"
 #include <http_parser.h>
 
 enum
@@ -9,6 +10,8 @@
   DEFAULT_MAX_HEAD_BYTES = 80 * 1024,
   /* A larger allocation of a body is not kept for the next message. */
   KEPT_BODY_ALLOCATION = 64 * 1024,
+  NO_CONTENT = 204,
+  NOT_MODIFIED = 304,
   MIN_FIELD_BYTES = 4, /* of a field in a head: a name, a colon and the end of the line */
 };
 
@@ -28,6 +31,8 @@
   MrHttpState state;
   MrHttpLimits limits;
   gboolean bodiless;
+  const char *error; /* what is wrong with the message; NULL: nothing was found */
+  MrHttpChunks chunks;
   GString *head;  /* raw bytes up to and including the empty line */
   GArray *fields; /* FieldRange */
   gsize target;
@@ -81,12 +86,20 @@
   return 0;
 }
 
+/* TRUE for a response that ends with its head, whatever that announces (RFC 9112, 6.3). */
+static gboolean
+S_ends_with_head (const MrHttpParser *p)
+{
+  int status = p->parser.status_code;
+  return p->bodiless || (p->kind == MR_HTTP_RESPONSE &&
+                         (status < 200 || status == NO_CONTENT || status == NOT_MODIFIED));
+}
+
 static int
 S_on_headers_complete (http_parser *parser)
 {
-  const MrHttpParser *p = parser->data;
   const int no_body = 1;
-  return p->bodiless ? no_body : 0;
+  return S_ends_with_head (parser->data) ? no_body : 0;
 }
 
 static int
@@ -179,6 +192,8 @@
   http_parser_init (&p->parser, p->kind == MR_HTTP_REQUEST ? HTTP_REQUEST : HTTP_RESPONSE);
   p->parser.data = p;
   p->state = MR_HTTP_IDLE;
+  p->error = NULL;
+  p->chunks = (MrHttpChunks){ 0 };
   p->target = 0;
   p->target_len = 0;
   g_string_truncate (p->head, 0);
@@ -239,26 +254,6 @@
   return TRUE;
 }
 
-static gboolean
-S_has_folded_line (const GString *head)
-{
-  return strstr (head->str, "\n ") != NULL || strstr (head->str, "\n\t") != NULL;
-}
-
-/* http-parser reads "Content-Length : 5" as a field with a different name, while other
- * implementations may read it as the length. */
-static gboolean
-S_field_names_are_valid (const MrHttpParser *p)
-{
-  for (guint i = 0; i < p->fields->len; i++)
-    {
-      MrText name = mr_http_parser_field (p, i).name;
-      if (memchr (name.data, ' ', name.len) || memchr (name.data, '\t', name.len))
-        return FALSE;
-    }
-  return TRUE;
-}
-
 static gboolean
 S_all_digits (MrText text)
 {
@@ -272,12 +267,16 @@
 static gboolean
 S_framing_is_unambiguous (const MrHttpParser *p)
 {
+  gboolean interim = p->kind == MR_HTTP_RESPONSE && p->parser.status_code < 200;
   guint length_count = 0;
   guint coding_count = 0;
   MrText length = mr_http_parser_find_field (p, "Content-Length", &length_count);
   MrText coding = mr_http_parser_find_field (p, "Transfer-Encoding", &coding_count);
-  if (!S_field_names_are_valid (p) || length_count > 1 || coding_count > 1 ||
-      (length_count > 0 && coding_count > 0))
+  if (length_count > 1 || coding_count > 1 || (length_count > 0 && coding_count > 0))
+    return FALSE;
+  /* An interim response has no body, and HTTP/1.0 has no codings. */
+  if ((interim && length_count + coding_count > 0) ||
+      (coding_count > 0 && p->parser.http_minor == 0))
     return FALSE;
   if (length_count == 1 && !S_all_digits (length))
     return FALSE;
@@ -294,26 +293,42 @@
          p->parser.method != HTTP_CONNECT;
 }
 
-/* Parses the complete head in `head`. */
+/* Parses the complete head in `head`.  Returns what is wrong with it; NULL if nothing is. */
+static const char *
+S_parse_head_fields (MrHttpParser *p)
+{
+  MrText head = mr_text_of (p->head);
+  const char *error = p->kind == MR_HTTP_REQUEST ? mr_http_find_request_error (head)
+                                                 : mr_http_find_response_error (head);
+  if (error)
+    return error;
+  gsize consumed = http_parser_execute (&p->parser, &callbacks, p->head->str, p->head->len);
+  enum http_errno status = HTTP_PARSER_ERRNO (&p->parser);
+  if ((status != HPE_OK && status != HPE_PAUSED) || consumed < p->head->len - 1)
+    return http_errno_description (status);
+  if (!S_framing_is_unambiguous (p))
+    return "ambiguous length";
+  if (p->kind == MR_HTTP_REQUEST && !S_request_is_acceptable (p))
+    return "unacceptable method or target, or not one host";
+  return NULL;
+}
+
+static void
+S_set_malformed (MrHttpParser *p, const char *error)
+{
+  p->state = MR_HTTP_MALFORMED;
+  p->error = error;
+}
+
 static void
 S_parse_head (MrHttpParser *p)
 {
   p->state = MR_HTTP_HEAD;
-  if (S_has_folded_line (p->head))
-    {
-      p->state = MR_HTTP_MALFORMED;
-      return;
-    }
-  gsize consumed = http_parser_execute (&p->parser, &callbacks, p->head->str, p->head->len);
-  enum http_errno error = HTTP_PARSER_ERRNO (&p->parser);
-  if ((error != HPE_OK && error != HPE_PAUSED) || consumed < p->head->len - 1 ||
-      !S_framing_is_unambiguous (p) || (p->kind == MR_HTTP_REQUEST && !S_request_is_acceptable (p)))
-    {
-      p->state = MR_HTTP_MALFORMED;
-      return;
-    }
-  if (p->limits.max_body_bytes > 0 && p->parser.content_length != G_MAXUINT64 &&
-      p->parser.content_length > p->limits.max_body_bytes)
+  const char *error = S_parse_head_fields (p);
+  if (error)
+    S_set_malformed (p, error);
+  else if (p->limits.max_body_bytes > 0 && p->parser.content_length != G_MAXUINT64 &&
+           p->parser.content_length > p->limits.max_body_bytes && !S_ends_with_head (p))
     p->state = MR_HTTP_BODY_TOO_LARGE;
   else if (p->state == MR_HTTP_HEAD)
     p->state = MR_HTTP_BODY;
@@ -335,7 +350,7 @@
       p->limits.max_head_bytes > 0 ? p->limits.max_head_bytes : DEFAULT_MAX_HEAD_BYTES;
   p->state = MR_HTTP_HEAD;
   if (!S_append_head (p, bytes, &consumed, &complete))
-    p->state = MR_HTTP_MALFORMED;
+    S_set_malformed (p, "invalid end of a line, or NUL, in the head");
   else if (p->head->len > max_bytes)
     p->state = MR_HTTP_HEAD_TOO_LARGE;
   else if (complete)
@@ -350,10 +365,13 @@
 static gsize
 S_feed_body (MrHttpParser *p, MrText bytes)
 {
+  const char *error = NULL;
+  if (p->parser.flags & F_CHUNKED)
+    bytes.len = mr_http_chunks_check (&p->chunks, bytes, &error);
   gsize consumed = http_parser_execute (&p->parser, &callbacks, bytes.data, bytes.len);
-  enum http_errno error = HTTP_PARSER_ERRNO (&p->parser);
-  if (p->state == MR_HTTP_BODY && error != HPE_OK)
-    p->state = MR_HTTP_MALFORMED;
+  enum http_errno status = HTTP_PARSER_ERRNO (&p->parser);
+  if (p->state == MR_HTTP_BODY && (error || status != HPE_OK))
+    S_set_malformed (p, error ? error : http_errno_description (status));
   return consumed;
 }
 
@@ -421,6 +439,12 @@
   return (MrText){ .data = p->head->str + p->target, .len = p->target_len };
 }
 
+const char *
+mr_http_parser_error (const MrHttpParser *p)
+{
+  return p->error ? p->error : "incomplete";
+}
+
 int
 mr_http_parser_status (const MrHttpParser *p)
 {
--- a/src/http_message.h
+++ b/src/http_message.h
@@ -1,10 +1,11 @@
-/* Parser for HTTP/1.1 messages on top of http-parser, with strict framing checks against request
- * smuggling.
+/* Parser for HTTP/1.1 messages on top of http-parser, with the grammar of http_grammar.h and strict
+ * framing checks against request smuggling.
  *
  * A parser reads one message at a time and stops exactly at its end, so that the bytes after it are
  * not mistaken for a part of it.  A head that two implementations could frame differently is
  * rejected: bare line feeds, folded lines, more than one length, a length together with a transfer
- * coding. */
+ * coding, either of them in an interim response, a transfer coding in HTTP/1.0.  A response with
+ * status 204 or 304 ends with its head. */
 #pragma once
 
 #include "text.h"
@@ -68,6 +69,8 @@
 void mr_http_parser_finish (MrHttpParser *parser);
 
 MrHttpState mr_http_parser_state (const MrHttpParser *parser);
+/* What is wrong with a malformed message; static. */
+const char *mr_http_parser_error (const MrHttpParser *parser);
 
 /* Memory that the parser has allocated for the message, and the most that it will have after it was
  * fed @count more bytes.  A body grows by a quarter, at most to its limit. */
--- a/src/target_client.c
+++ b/src/target_client.c
@@ -346,7 +346,7 @@
   host->call_ended (host, id, outcome, NULL);
 }
 
-/* Ends a call whose response exceeds a limit or cannot be attributed to it. */
+/* Ends a call whose response is malformed or exceeds a limit. */
 static void
 S_fail_response (Connection *c)
 {
@@ -356,7 +356,14 @@
     [MR_HTTP_OVERHEAD_TOO_LARGE] = "too many bytes that are no part of it",
   };
   MrHttpState state = mr_http_parser_state (c->parser);
-  if (state < G_N_ELEMENTS (reasons) && reasons[state])
+  if (state == MR_HTTP_MALFORMED)
+    {
+      c->client->counts.malformed_responses++;
+      mr_log (MR_LOG_WARNING, MR_EVENT_RESPONSE_MALFORMED,
+              "response of target %s to call %s is not valid HTTP: %s", c->pool->target,
+              c->request_id, mr_http_parser_error (c->parser));
+    }
+  else if (state < G_N_ELEMENTS (reasons) && reasons[state])
     {
       c->client->counts.oversized_responses++;
       mr_log (MR_LOG_WARNING, MR_EVENT_RESPONSE_TOO_LARGE,
--- a/test/test_http_message.c
+++ b/test/test_http_message.c
@@ -111,6 +111,277 @@
     OK "Transfer-Encoding: chunked\r\n\r\n0\r\nX-A: " TEXT_64 "\r\n\r\n",
     MR_HTTP_OVERHEAD_TOO_LARGE, NULL, NULL },
   { "response that is not HTTP", MR_HTTP_RESPONSE, "garbage\r\n\r\n", MR_HTTP_MALFORMED, "", NULL },
+
+  /* Guard against messages that another implementation reads differently. */
+  { "status 000", MR_HTTP_RESPONSE,
+    "HTTP/1.1 000 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "status 099", MR_HTTP_RESPONSE,
+    "HTTP/1.1 099 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "status 600", MR_HTTP_RESPONSE,
+    "HTTP/1.1 600 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "status 999", MR_HTTP_RESPONSE,
+    "HTTP/1.1 999 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "status of one digit", MR_HTTP_RESPONSE,
+    "HTTP/1.1 2 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "status of two digits", MR_HTTP_RESPONSE,
+    "HTTP/1.1 20 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "status of four digits", MR_HTTP_RESPONSE,
+    "HTTP/1.1 2000 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "status with a sign", MR_HTTP_RESPONSE,
+    "HTTP/1.1 +20 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "no status", MR_HTTP_RESPONSE,
+    "HTTP/1.1  OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "switching protocols", MR_HTTP_RESPONSE,
+    "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n" OK "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "interim response with a length", MR_HTTP_RESPONSE,
+    "HTTP/1.1 100 X\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "interim response in chunks", MR_HTTP_RESPONSE,
+    "HTTP/1.1 102 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", MR_HTTP_MALFORMED, "", NULL },
+  { "no content, with a length", MR_HTTP_RESPONSE,
+    "HTTP/1.1 204 X\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "", "ab" },
+  { "not modified, with a length over the limit", MR_HTTP_RESPONSE,
+    "HTTP/1.1 304 X\r\nContent-Length: 900\r\n\r\n", MR_HTTP_DONE, "", "" },
+  { "largest status", MR_HTTP_RESPONSE,
+    "HTTP/1.1 599 X\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "ab", "" },
+  { "no reason", MR_HTTP_RESPONSE,
+    "HTTP/1.1 200 \r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "ab", "" },
+  { "no reason and no space", MR_HTTP_RESPONSE,
+    "HTTP/1.1 200\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "ab", "" },
+  { "reason in UTF-8", MR_HTTP_RESPONSE,
+    "HTTP/1.1 200 \xc3\xa4\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "ab", "" },
+  { "version 0.9", MR_HTTP_RESPONSE,
+    "HTTP/0.9 200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "version 2.0", MR_HTTP_RESPONSE,
+    "HTTP/2.0 200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "version 3.7", MR_HTTP_RESPONSE,
+    "HTTP/3.7 200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "version of one number", MR_HTTP_RESPONSE,
+    "HTTP/1 200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "version in lower case", MR_HTTP_RESPONSE,
+    "http/1.1 200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "other protocol", MR_HTTP_RESPONSE,
+    "ICY 200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "later version", MR_HTTP_RESPONSE,
+    "HTTP/1.2 200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "ab", "" },
+  { "two spaces before the status", MR_HTTP_RESPONSE,
+    "HTTP/1.1  200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "tab before the status", MR_HTTP_RESPONSE,
+    "HTTP/1.1\t200 OK\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "control character in the reason", MR_HTTP_RESPONSE,
+    "HTTP/1.1 200 O\x01K\r\n"
+    "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "blank in a field name", MR_HTTP_RESPONSE,
+    OK "X A: 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "blank before the colon", MR_HTTP_RESPONSE,
+    OK "X-A : 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "blank before the colon of the length", MR_HTTP_RESPONSE,
+    OK "Content-Length : 2\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "tab in a field name", MR_HTTP_RESPONSE,
+    OK "X\tA: 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "control character in a field name", MR_HTTP_RESPONSE,
+    OK "X\001A: 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "vertical tab after the name of the length", MR_HTTP_RESPONSE,
+    OK "Content-Length\013: 2\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "delete in a field name", MR_HTTP_RESPONSE,
+    OK "X\177A: 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "byte over 127 in a field name", MR_HTTP_RESPONSE,
+    OK "X\xe4: 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "delimiter in a field name", MR_HTTP_RESPONSE,
+    OK "X(A): 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "empty field name", MR_HTTP_RESPONSE,
+    OK ": 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "no colon", MR_HTTP_RESPONSE,
+    OK "X-A\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "folded field", MR_HTTP_RESPONSE,
+    OK " X-A: 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "control character in a value", MR_HTTP_RESPONSE,
+    OK "X-A: b\001c\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "delete in a value", MR_HTTP_RESPONSE,
+    OK "X-A: b\177c\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "tab and bytes over 127 in a value", MR_HTTP_RESPONSE,
+    OK "X-A: b\t\xe4\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "ab", "" },
+  { "all characters of a token", MR_HTTP_RESPONSE,
+    OK "!#$%&'*+-.^_`|~9z: 1\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "ab", "" },
+  { "empty value", MR_HTTP_RESPONSE,
+    OK "X-A:\r\n"
+       "Content-Length: 2\r\n\r\nab",
+    MR_HTTP_DONE, "ab", "" },
+  { "coding in HTTP/1.0", MR_HTTP_RESPONSE,
+    "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", MR_HTTP_MALFORMED, "", NULL },
+  { "chunk that ends with other bytes", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\r\nabXX0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "chunk that ends with a line feed", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\r\nab\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "chunk size that ends with a line feed", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\nab\r\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "blank after a chunk size", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2 \r\nab\r\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "text after a chunk size", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2 x\r\nab\r\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "no chunk size", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "\r\nab\r\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "chunk size with a sign", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "+2\r\nab\r\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "chunk size over 64 bits", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "10000000000000002\r\nab\r\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "only an extension", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       ";a\r\nab\r\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "control character in an extension", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2;a\x01\r\nab\r\n0\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "bytes after the last chunk", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\r\nab\r\n0\r\nX\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "line feed after the last chunk", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\r\nab\r\n0\r\n\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "blank in the name of a trailer", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\r\nab\r\n0\r\nX A: 1\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "control character in a trailer", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\r\nab\r\n0\r\nX-A: b\x01\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "trailer without a name", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\r\nab\r\n0\r\n: 1\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "folded trailer", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "2\r\nab\r\n0\r\nX-A: 1\r\n b\r\n\r\n",
+    MR_HTTP_MALFORMED, NULL, NULL },
+  { "extension, leading zeros and trailers", MR_HTTP_RESPONSE,
+    OK "Transfer-Encoding: chunked\r\n\r\n"
+       "002;a=\"b\"\r\nab\r\n0\r\nX-A: 1\r\nX-B:\r\n\r\nX",
+    MR_HTTP_DONE, "ab", "X" },
+  { "version of a request", MR_HTTP_REQUEST, "GET /a HTTP/3.7\r\nHost: h\r\n\r\n",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "two blanks in a request line", MR_HTTP_REQUEST, "GET  /a HTTP/1.1\r\nHost: h\r\n\r\n",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "blank in a target", MR_HTTP_REQUEST, "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n", MR_HTTP_MALFORMED,
+    "", NULL },
+  { "control character in a target", MR_HTTP_REQUEST, "GET /a\x01 HTTP/1.1\r\nHost: h\r\n\r\n",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "delete in a target", MR_HTTP_REQUEST, "GET /a\x7f HTTP/1.1\r\nHost: h\r\n\r\n",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "method that is no token", MR_HTTP_REQUEST, "GE(T /a HTTP/1.1\r\nHost: h\r\n\r\n",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "no version", MR_HTTP_REQUEST, "GET /a\r\nHost: h\r\n\r\n", MR_HTTP_MALFORMED, "", NULL },
+  { "bytes over 127 in a target", MR_HTTP_REQUEST, "GET /\xc3\xa4 HTTP/1.1\r\nHost: h\r\n\r\n",
+    MR_HTTP_DONE, "", "" },
+  { "control character in a value of a request", MR_HTTP_REQUEST, GET "X-A: b\x01\r\n\r\n",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "control character in a field name of a request", MR_HTTP_REQUEST, GET "X\x01: b\r\n\r\n",
+    MR_HTTP_MALFORMED, "", NULL },
+  { "chunk of a request that ends with other bytes", MR_HTTP_REQUEST,
+    POST "Transfer-Encoding: chunked\r\n\r\n1\r\naXX0\r\n\r\n", MR_HTTP_MALFORMED, NULL, NULL },
+  { "blank in the trailer of a request", MR_HTTP_REQUEST,
+    POST "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\nX A: 1\r\n\r\n", MR_HTTP_MALFORMED, NULL,
+    NULL },
 };
 
 static const MrHttpLimits limits = {
