--- a/test/platform/test_store.c
+++ b/test/platform/test_store.c
@@ -484,6 +484,10 @@
     { "unavailable", 503, "", MR_ERROR_UNAVAILABLE, FALSE },
     { "truncated", 200, "{\"items\":[", MR_ERROR_UNAVAILABLE, FALSE },
     { "no revision", 200, "{}", MR_ERROR_UNAVAILABLE, FALSE },
+    { "revision below zero", 200, "{\"items\":[],\"store_revision\":-1}", MR_ERROR_UNAVAILABLE,
+      FALSE },
+    { "revision too large", 200, "{\"items\":[],\"store_revision\":4398046511104}",
+      MR_ERROR_UNAVAILABLE, FALSE },
     { "not an object", 200, "[]", MR_ERROR_UNAVAILABLE, FALSE },
   };
   (void) state;
