Target client: a signature has to be one visible text without a comma

What callers saw: a success whose signature was empty, held a blank, or was a list. In the answer to a search the signatures of the parts are joined by commas, so that a part signed "odd.1, odd.2" stood for two parts, and the caller had to reject the whole answer.

Cause: only the number of signature fields was checked, never the value.

Such an answer is treated like one without a signature: it reaches nobody.

Evidence: process_odd_answers on the code before: empty-signature, blank-in-signature and list-of-signatures reached callers, and searches counted them as parts; no-signature, two-signatures and encoded were refused already.

--- a/src/target_client.c
+++ b/src/target_client.c
@@ -229,6 +229,19 @@
   return status == REQUEST_TIMEOUT || status == TOO_MANY_REQUESTS || status == UNAVAILABLE;
 }
 
+/* TRUE if @response has one signature: visible characters without a comma, which separates
+ * signatures in the answer to a search. */
+static gboolean
+S_is_signed (const MrTargetClient *client, const MrHttpParser *response)
+{
+  guint count = 0;
+  MrText signature = mr_http_parser_find_field (response, client->dialect->signature, &count);
+  for (gsize i = 0; i < signature.len; i++)
+    if (!g_ascii_isgraph (signature.data[i]) || signature.data[i] == ',')
+      return FALSE;
+  return count == 1 && signature.len > 0;
+}
+
 static MrCallOutcome
 S_classify_response (const Connection *c, const MrHttpParser *response)
 {
@@ -240,18 +253,16 @@
     SERVER_ERRORS = 500,
   };
   int status = mr_http_parser_status (response);
-  guint signatures = 0;
   guint encodings = 0;
   if (status == MISDIRECTED)
     return MR_CALL_MISDIRECTED;
   if (S_states_not_run (c->client, response))
     return MR_CALL_SHED;
-  mr_http_parser_find_field (response, c->client->dialect->signature, &signatures);
   mr_http_parser_find_field (response, "Content-Encoding", &encodings);
   if (status >= SUCCESS_FIRST && status <= SUCCESS_LAST)
     /* A 2xx response that the target has not signed, or with a body that was encoded on the way,
      * cannot be attributed to the target. */
-    return signatures == 1 && encodings == 0 ? MR_CALL_ANSWER : MR_CALL_BROKEN;
+    return S_is_signed (c->client, response) && encodings == 0 ? MR_CALL_ANSWER : MR_CALL_BROKEN;
   if (S_implies_not_run (status))
     return MR_CALL_ERROR;
   return c->is_part || status >= SERVER_ERRORS ? MR_CALL_ERROR : MR_CALL_ANSWER;
@@ -293,6 +304,15 @@
   return ids == 1 && outcome != MR_CALL_SHED && outcome != MR_CALL_MISDIRECTED;
 }
 
+static void
+S_report_malformed (const Connection *c, const char *reason)
+{
+  c->client->counts.malformed_responses++;
+  mr_log (MR_LOG_WARNING, MR_EVENT_RESPONSE_MALFORMED,
+          "response of target %s to call %s is invalid: %s", c->pool->target, c->request_id,
+          reason);
+}
+
 static void
 S_make_idle (Connection *c)
 {
@@ -320,6 +340,8 @@
     c->client->counts.ambiguous_closes++;
   c->idle_timeout = S_idle_timeout (response);
   c->used = TRUE;
+  if (outcome == MR_CALL_BROKEN)
+    S_report_malformed (c, "it has not one valid signature, or its body is encoded");
   guint64 id = c->call_id;
   g_hash_table_remove (c->client->calls, &c->call_id);
   c->call_id = 0;
@@ -357,12 +379,7 @@
   };
   MrHttpState state = mr_http_parser_state (c->parser);
   if (state == MR_HTTP_MALFORMED)
-    {
-      c->client->counts.malformed_responses++;
-      mr_log (MR_LOG_WARNING, MR_EVENT_RESPONSE_MALFORMED,
-              "response of target %s to call %s is not valid HTTP: %s", c->pool->target,
-              c->request_id, mr_http_parser_error (c->parser));
-    }
+    S_report_malformed (c, mr_http_parser_error (c->parser));
   else if (state < G_N_ELEMENTS (reasons) && reasons[state])
     {
       c->client->counts.oversized_responses++;
--- a/src/target_client.h
+++ b/src/target_client.h
@@ -59,7 +59,8 @@
                                   taken for the response to a later call */
   guint64 repeated_probes;     /* probes repeated because their connection was reset */
   guint64 oversized_responses; /* calls ended because of the size of their response */
-  guint64 malformed_responses; /* calls ended because their response is not valid HTTP */
+  guint64 malformed_responses; /* calls ended because their response is not valid HTTP or not
+                                  signed */
   guint64 evicted_responses;   /* calls ended to free the memory of their response */
 } MrTargetClientCounts;
 
--- a/test/platform/process_odd_answers.sh
+++ b/test/platform/process_odd_answers.sh
@@ -1,8 +1,8 @@
 #!/usr/bin/env bash
-# Responses of searchers that are not valid HTTP.
+# Responses of searchers that are not valid HTTP, or are not signed.
 #
-# Guards against a response that reaches the caller although its status line, its fields or its
-# framing are invalid.
+# Guards against a response that reaches the caller although its status line, its fields, its
+# framing or its signature are invalid.
 set -u
 BUILD=$1
 . "$(dirname "$0")/lib.sh"
--- a/test/platform/standin.c
+++ b/test/platform/standin.c
@@ -111,7 +111,8 @@
   { "large-body", "HTTP/1.1 200 OK\r\n%sContent-Length: 8000000\r\n\r\n", LINE_64, 6000000 },
 };
 
-/* A response that is not valid HTTP; "%s" in it stands for the fields of the searcher. */
+/* A response that no searcher sends when it works; "%s" in it stands for the fields of the
+ * searcher. */
 typedef struct
 {
   const char *name;
@@ -136,6 +137,15 @@
   { "empty-name", "HTTP/1.1 200 OK\r\n%s: 1\r\nContent-Length: 5\r\n\r\nodd: " },
   { "no-colon", "HTTP/1.1 200 OK\r\n%sodd\r\nContent-Length: 5\r\n\r\nodd: " },
   { "control-in-value", "HTTP/1.1 200 OK\r\n%sX-Odd: a\1b\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "no-signature", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "empty-signature", "HTTP/1.1 200 OK\r\nX-Server-Stamp:\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "list-of-signatures",
+    "HTTP/1.1 200 OK\r\nX-Server-Stamp: odd.1, odd.2\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "blank-in-signature",
+    "HTTP/1.1 200 OK\r\nX-Server-Stamp: odd 1\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "two-signatures",
+    "HTTP/1.1 200 OK\r\n%sX-Server-Stamp: odd.1\r\nContent-Length: 5\r\n\r\nodd: " },
+  { "encoded", "HTTP/1.1 200 OK\r\n%sContent-Encoding: gzip\r\nContent-Length: 5\r\n\r\nodd: " },
   { "chunk-end", "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5\r\nodd: XX0\r\n\r\n" },
   { "chunk-size",
     "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n5 odd\r\nodd: \r\n0\r\n\r\n" },
