Configurations: numbers and lists are checked before they are used

Found by the check of every other decoder of entries. A version like 1e300 was taken (its conversion to an integer is undefined); every later configuration then had a lower number and was refused. Times and counts of that size overflowed. A configuration whose list of routes was missing, or was no list, was in force without routes: 404 for everyone. The address of a target in a shard map could be a host name, which would have been looked up.

A version is a number up to 2^53 - 1; other numbers above 2^31 - 1 count as that. The codec gives no default for a missing list. What is refused leaves the configuration in force as it is; refused configurations, targets and shard maps are counted.

--- a/src/configuration.c
+++ b/src/configuration.c
@@ -15,6 +15,12 @@
   MrOrganisations *organisations; /* NULL: none */
 };
 
+/* A larger number counts as this one. */
+static const double NUMBER_MAX = G_MAXINT32;
+/* Largest integer that every JSON implementation represents exactly.  A version is never taken for
+ * another one: no later one could follow. */
+static const double VERSION_MAX = 9007199254740991.0;
+
 static void
 S_route_free (gpointer data)
 {
@@ -80,9 +86,27 @@
     const json_t *object, const char *where, const char *field, double minimum, double *out)
 {
   const json_t *value = json_object_get (object, field);
-  if (!json_is_number (value) || json_number_value (value) < minimum)
+  if (!json_is_number (value) || !(json_number_value (value) >= minimum))
     return S_fail_field (where, field);
-  *out = json_number_value (value);
+  *out = MIN (json_number_value (value), NUMBER_MAX);
+  return MR_OK;
+}
+
+/* Returns the number of a version; 0 if @value is none. */
+static guint64
+S_version_number (const json_t *value)
+{
+  double number = json_number_value (value);
+  return number > 0 && number <= VERSION_MAX ? (guint64) number : 0;
+}
+
+static MrStatus
+S_read_version (const json_t *root, guint64 *out)
+{
+  const json_t *value = json_object_get (root, "version");
+  *out = S_version_number (value);
+  if (!json_is_number (value) || (*out == 0 && json_number_value (value) != 0))
+    return S_fail_field ("top", "version");
   return MR_OK;
 }
 
@@ -270,19 +294,23 @@
 static MrStatus
 S_parse (MrConfiguration *c, const json_t *root)
 {
-  double version = 0;
   size_t i = 0;
   json_t *item = NULL;
-  MrStatus status = S_read_number (root, "top", "version", 0, &version);
+  const json_t *services = json_object_get (root, "services");
+  const json_t *routes = json_object_get (root, "routes");
+  MrStatus status = S_read_version (root, &c->version);
   if (status == MR_OK)
     status = S_read_limits (c, json_object_get (root, "limits"));
-  c->version = (guint64) version;
-  json_array_foreach (json_object_get (root, "services"), i, item)
+  if (status == MR_OK && services && !json_is_array (services))
+    status = S_fail_field ("top", "services");
+  if (status == MR_OK && routes && !json_is_array (routes))
+    status = S_fail_field ("top", "routes");
+  json_array_foreach (services, i, item)
   {
     if (status == MR_OK)
       status = S_read_service (c, item);
   }
-  json_array_foreach (json_object_get (root, "routes"), i, item)
+  json_array_foreach (routes, i, item)
   {
     if (status == MR_OK)
       status = S_read_route (c, item);
@@ -326,9 +354,9 @@
 mr_configuration_read_version (MrText json)
 {
   json_t *value = mr_json_read_member (json, "version");
-  double version = json_number_value (value);
+  guint64 version = S_version_number (value);
   json_decref (value);
-  return version > 0 ? (guint64) version : 0;
+  return version;
 }
 
 guint64
--- a/src/configuration.h
+++ b/src/configuration.h
@@ -60,7 +60,7 @@
 typedef struct _MrConfiguration MrConfiguration;
 
 /* Parses the JSON form (docs/CONFIGURATION.md). Returns NULL and sets the status message on
- * error. */
+ * error.  The version is a number up to 2^53 - 1; other numbers above 2^31 - 1 count as that. */
 MrConfiguration *mr_configuration_parse (MrText json);
 MrConfiguration *mr_configuration_ref (MrConfiguration *configuration);
 void mr_configuration_unref (MrConfiguration *configuration);
--- a/src/control_task.c
+++ b/src/control_task.c
@@ -129,6 +129,7 @@
       mr_shard_map_parse (mr_text (object->name), object->version, mr_text_of (object->body));
   if (!map)
     {
+      mr_metrics_add (MR_METRIC_ENTRIES_UNUSABLE, 1);
       mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_INVALID,
               "shardmaps/%s version %" G_GUINT64_FORMAT ": %s", object->name, object->version,
               mr_status_message ());
@@ -149,6 +150,7 @@
   task->configuration_object_version = object->version;
   if (!configuration)
     {
+      mr_metrics_add (MR_METRIC_ENTRIES_UNUSABLE, 1);
       mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_INVALID,
               "configurations/%s version %" G_GUINT64_FORMAT ": %s", object->name, object->version,
               mr_status_message ());
@@ -199,6 +201,7 @@
       return;
     }
   mr_target_table_remove (task->target_table, object->name);
+  mr_metrics_add (MR_METRIC_ENTRIES_UNUSABLE, 1);
   mr_log (MR_LOG_ERROR, MR_EVENT_OBJECT_INVALID, "targets/%s version %" G_GUINT64_FORMAT ": %s",
           object->name, object->version, mr_status_message ());
 }
--- a/src/metrics.c
+++ b/src/metrics.c
@@ -46,7 +46,7 @@
   [MR_METRIC_PEER_STALE] = { "peer_stale", "answers to an earlier process of this name" },
   [MR_METRIC_PLATFORM_CALLS] = { "platform_calls", "calls to the platform" },
   [MR_METRIC_PLATFORM_FAILURES] = { "platform_failures", "of these, failed" },
-  [MR_METRIC_ENTRIES_UNUSABLE] = { "entries_unusable", "entries read that name no target" },
+  [MR_METRIC_ENTRIES_UNUSABLE] = { "entries_unusable", "entries of the store or of a peer that were refused" },
   [MR_METRIC_LISTINGS_STALLED] = { "listings_stalled",
                                    "lists that could not be read to their end" },
   [MR_METRIC_STORE_ERAS] = { "store_eras", "times the store came back from a copy" },
--- a/src/shardmap.c
+++ b/src/shardmap.c
@@ -1,5 +1,6 @@
 #include "shardmap.h"
 
+#include <arpa/inet.h>
 #include <jansson.h>
 #include <stdatomic.h>
 
@@ -39,6 +40,15 @@
   return MR_OK;
 }
 
+static MrStatus
+S_check_ip (const char *ip)
+{
+  unsigned char binary_address[sizeof (struct in_addr)];
+  return inet_pton (AF_INET, ip, binary_address) == 1
+             ? MR_OK
+             : mr_fail (MR_ERROR_INVALID, "shard map: key 'ip': '%s' is not an IPv4 address", ip);
+}
+
 static MrStatus
 S_read_target (const json_t *object, MrTarget *target)
 {
@@ -48,7 +58,7 @@
   if (S_copy_name (object, "id", target->id, sizeof target->id) != MR_OK ||
       S_copy_name (object, "ip", target->ip, sizeof target->ip) != MR_OK ||
       S_copy_name (object, "domain", target->domain, sizeof target->domain) != MR_OK ||
-      S_read_count (object, "port", 0, 65535, &port) != MR_OK ||
+      S_check_ip (target->ip) != MR_OK || S_read_count (object, "port", 0, 65535, &port) != MR_OK ||
       S_read_count (object, "slots", DEFAULT_SLOTS, 10000, &slots) != MR_OK ||
       S_read_count (object, "connections", DEFAULT_CONNECTIONS, 100000, &connections) != MR_OK)
     return MR_ERROR_INVALID;
--- a/test/platform/test_store.c
+++ b/test/platform/test_store.c
@@ -588,6 +588,42 @@
     }
 }
 
+/* Guards against a configuration without routes because a list is missing or has another type. */
+static void
+test_lists_of_configurations (void **state)
+{
+  static const struct
+  {
+    const char *lists;
+    gboolean valid;
+  } cases[] = {
+    { "\"routes\":[],\"services\":[]", TRUE },
+    { "\"services\":[]", FALSE },
+    { "\"routes\":[]", FALSE },
+    { "\"routes\":{},\"services\":[]", FALSE },
+    { "\"routes\":null,\"services\":[]", FALSE },
+    { "\"routes\":[],\"services\":\"a\"", FALSE },
+    { "\"routes\":[[]],\"services\":[]", FALSE },
+  };
+  (void) state;
+  for (gsize i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *page = g_strdup_printf (
+          "{\"store_revision\":9,\"has_more\":false,\"items\":[{\"meta\":{\"name\":\"main\","
+          "\"revision\":8},\"spec\":{\"version\":7,%s,\"limits\":{\"max_header_bytes\":16384,"
+          "\"max_body_bytes\":262144,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}}]}",
+          cases[i].lists);
+      MrPlatformResult *result = S_decode ("configurations", 0, 200, page);
+      assert_int_equal (result->objects->len, 1);
+      const MrPlatformObject *object = g_ptr_array_index (result->objects, 0);
+      MrConfiguration *c = mr_configuration_parse (mr_text_of (object->body));
+      if ((c != NULL) != cases[i].valid)
+        fail_msg ("%s: %s", cases[i].lists, c ? "accepted" : "refused");
+      mr_configuration_unref (c);
+      mr_message_free (&result->base);
+    }
+}
+
 /* Guards against a list that is never read to its end because the last name on a page, written by
  * another program, changes the request for the next page. */
 static void
@@ -668,13 +704,13 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
-    cmocka_unit_test (test_stale_removal),      cmocka_unit_test (test_removal_follows_change),
-    cmocka_unit_test (test_response_statuses),  cmocka_unit_test (test_evacuations),
-    cmocka_unit_test (test_configuration),      cmocka_unit_test (test_wrong_organisations),
-    cmocka_unit_test (test_request_paths),      cmocka_unit_test (test_entry_validation),
-    cmocka_unit_test (test_unreadable_entries), cmocka_unit_test (test_names_in_paths),
-    cmocka_unit_test (test_forged_entries),     cmocka_unit_test (test_time_for_odd_entries),
-    cmocka_unit_test (test_refused_entries),
+    cmocka_unit_test (test_stale_removal),           cmocka_unit_test (test_removal_follows_change),
+    cmocka_unit_test (test_response_statuses),       cmocka_unit_test (test_evacuations),
+    cmocka_unit_test (test_configuration),           cmocka_unit_test (test_wrong_organisations),
+    cmocka_unit_test (test_request_paths),           cmocka_unit_test (test_entry_validation),
+    cmocka_unit_test (test_unreadable_entries),      cmocka_unit_test (test_names_in_paths),
+    cmocka_unit_test (test_lists_of_configurations), cmocka_unit_test (test_forged_entries),
+    cmocka_unit_test (test_time_for_odd_entries),    cmocka_unit_test (test_refused_entries),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
