--- a/src/http_grammar.h
+++ b/src/http_grammar.h
@@ -5,12 +5,13 @@
  * may read such a message differently, so it is refused here before it is used.  Accepted are
  *
  *   request line   token, visible characters or bytes above 127, "HTTP/1." and a digit, each after
- *                  one space
+ *                  one space (RFC 9112, 3)
  *   status line    "HTTP/1." and a digit, a space, a status from 100 to 599 other than 101; a space
- *                  and a reason may follow
- *   field line     token, colon, value
+ *                  and a reason may follow (RFC 9112, 4; RFC 9110, 15)
+ *   field line     token, colon, value (RFC 9112, 5; RFC 9110, 5.1 and 5.5)
  *   chunk          hexadecimal size, extensions after a semicolon, CR LF, data, CR LF
- *   trailers       field lines up to an empty line
+ *                  (RFC 9112, 7.1)
+ *   trailers       field lines up to an empty line (RFC 9112, 7.1.2)
  *
  * where a reason, a value and an extension consist of visible characters, spaces, tabs and bytes
  * above 127.  A protocol is never switched (101), because no request asks for it.  The order,
--- a/test/test_http_message.c
+++ b/test/test_http_message.c
@@ -360,6 +360,8 @@
     MR_HTTP_DONE, "ab", "X" },
   { "version of a request", MR_HTTP_REQUEST, "GET /a HTTP/3.7\r\nHost: h\r\n\r\n",
     MR_HTTP_MALFORMED, "", NULL },
+  { "tab in a request line", MR_HTTP_REQUEST, "GET\t/a HTTP/1.1\r\nHost: h\r\n\r\n",
+    MR_HTTP_MALFORMED, "", NULL },
   { "two blanks in a request line", MR_HTTP_REQUEST, "GET  /a HTTP/1.1\r\nHost: h\r\n\r\n",
     MR_HTTP_MALFORMED, "", NULL },
   { "blank in a target", MR_HTTP_REQUEST, "GET /a b HTTP/1.1\r\nHost: h\r\n\r\n", MR_HTTP_MALFORMED,
