--- a/test/test_listing.c
+++ b/test/test_listing.c
@@ -47,8 +47,8 @@
     }
 }
 
-/* Guards against a flood of calls: the first pages of a listing that stalls again and again must not
- * reset the delay of the retries. */
+/* Guards against a flood of calls: the first pages of a listing that stalls again and again must
+ * not reset the delay of the retries. */
 static void
 test_stalled_listing_backs_off (void **state)
 {
