--- a/test/platform/lib.sh
+++ b/test/platform/lib.sh
@@ -95,6 +95,16 @@
   MERLINRING_CONFIG="$LOGS/r$r.json" start "r$r" "$BUILD/merlinring-relay"
 }
 
+restart_relays() { # COUNT
+  local r
+  for ((r = 1; r <= $1; r++)); do stop r$r KILL; done
+  for ((r = 1; r <= $1; r++)); do start_relay $r z$r; done
+}
+
+metric() { # RELAY NAME: a counter or gauge without labels
+  http "http://127.0.0.1:$(relay_port "$1" 4)/metrics" | sed -n "s/^merlinring_$2 \([0-9]*\)$/\1/p"
+}
+
 relay_ready() { http -f "http://127.0.0.1:$(relay_port "$1" 1)/ready"; } # NUMBER
 
 # Directory for the response; concurrent callers use one each.
--- a/test/platform/process_odd_answers.sh
+++ b/test/platform/process_odd_answers.sh
@@ -12,10 +12,7 @@
 # The names in the table of the stand-in.
 mapfile -t odd < <(sed -n '/^static const OddResponse/,/^};/s/^  { "\([a-z0-9-]*\)".*/\1/p' "$(dirname "$0")/standin.c")
 [ "${#odd[@]}" -ge 20 ] || fail "found ${#odd[@]} odd responses"
-refused_total() {
-  http "http://127.0.0.1:$(relay_port 1 4)/metrics" |
-    sed -n 's/^merlinring_relay_malformed_answers_total \([0-9]*\)$/\1/p'
-}
+refused_total() { metric 1 relay_malformed_answers_total; }
 
 failed=
 for name in "${odd[@]}"; do
--- a/test/platform/process_odd_contents.sh
+++ b/test/platform/process_odd_contents.sh
@@ -45,8 +45,7 @@
   follow_changes || fail "an entry stops the relays: ${content:0:60}"
 done
 for r in 1 2; do kill -0 "${pids[$r]}" || fail "relay $r has ended"; done
-for r in 1 2; do stop r$r KILL; done
-for r in 1 2; do start_relay $r z$r; done
+restart_relays 2
 for r in 1 2; do until_true 10 relay_ready $r || fail "relay $r doesn't start"; done
 follow_changes || fail "the relays don't serve after a start"
 say "odd contents: ok"
--- a/test/platform/process_odd_entries.sh
+++ b/test/platform/process_odd_entries.sh
@@ -15,11 +15,6 @@
   register 1 "$(encode "$1")" a ready
 }
 unregister_odd() { unregister "$(encode "$1")"; } # NAME
-restart_relays() {
-  local r
-  for r in 1 2; do stop r$r KILL; done
-  for r in 1 2; do start_relay $r z$r; done
-}
 both_serve() { # for a whole search, each shard has to be known
   local r
   for r in 1 2; do
@@ -33,7 +28,7 @@
 odd=('b&watch=1' 'b+c' 'b#c' 'b%' 'b%41' 'b c' 'b/c' 'b?c' 'b"c' 'bü' 'b=c' 'b;c' "b$(printf '%080d' 0)")
 for name in "${odd[@]}"; do
   register_odd "$name"
-  restart_relays
+  restart_relays 2
   until_true 10 both_serve || failed+=" '$name'"
   ! grep -q '"event":"E1406".*target b' "$LOGS/r1.log" || failed+=" '$name' is used"
   grep -q '"event":"E1207".*name' "$LOGS/r1.log" || failed+=" '$name' isn't logged"
@@ -43,18 +38,15 @@
 
 # Pages without any usable name.
 for ((i = 0; i < 2 * PAGE; i++)); do register_odd "c $i"; done
-restart_relays
+restart_relays 2
 until_true 15 both_serve || fail "pages without a usable entry hide those that follow"
 
 # A list that leads back to its first page: what was read is used, and the store isn't flooded.
-metric() { # RELAY NAME
-  http "http://127.0.0.1:$(relay_port "$1" 4)/metrics" | sed -n "s/^merlinring_$2 \([0-9]*\)$/\1/p"
-}
 for ((i = 1; i < PAGE; i++)); do unregister "a$(printf '%02d' $i)"; done
 for ((i = 0; i < 2 * PAGE; i++)); do unregister_odd "c $i"; done
 for ((i = 0; i < PAGE; i++)); do register 1 "z$i" other ready; done
 mode "$STORE" repeat
-restart_relays
+restart_relays 2
 until_true 10 both_serve || fail "the first page of a list that doesn't end isn't used"
 before=$(metric 1 platform_calls_total)
 sleep 3
@@ -64,7 +56,7 @@
 [ "$(metric 1 listings_stalled_total)" -gt 0 ] || fail "the stalled list isn't counted"
 grep -q '"event":"E1307".*targets' "$LOGS/r1.log" || fail "no log line about the stalled list"
 mode "$STORE" ok
-restart_relays
+restart_relays 2
 until_true 10 both_serve || fail "the list isn't read once it ends again"
 
 say "odd entries: ok"
--- a/test/platform/process_odd_kinds.sh
+++ b/test/platform/process_odd_kinds.sh
@@ -11,19 +11,11 @@
 
 PAGE=50 # entries on a page of the store
 put() { http -X PUT "http://$STORE/objects/$1/$2" --data-binary "$3" >/dev/null; } # KIND ENCODED-NAME JSON
-metric() { # RELAY NAME
-  http "http://127.0.0.1:$(relay_port "$1" 4)/metrics" | sed -n "s/^merlinring_$2 \([0-9]*\)$/\1/p"
-}
 both() { "$@" 1 && "$@" 2; }
 serves() { [ "$(ask "$1" /all/q "q$RANDOM")" = 200 ] && [ "$(field X-Missing-Parts)" = 0 ]; }
 has_two_shards() { [ "$(ask "$1" /all/q "t$RANDOM")" = 200 ] && [ "$(field X-Part-Stamps | tr ',' '\n' | wc -l)" = 2 ]; }
 has_quarantine() { [ "$(metric "$1" relay_quarantined_contents)" = 1 ]; }
 evacuated() { [ "$(metric "$1" evacuated_domains)" -gt "$EVACUATED" ]; }
-restart_relays() {
-  local r
-  for r in 1 2; do stop r$r KILL; done
-  for r in 1 2; do start_relay $r z$r; done
-}
 
 for kind in config evacuations quarantine; do
   for ((i = 1; i < PAGE; i++)); do put $kind "$(printf 'A%02d' $i)" '{}'; done
@@ -31,7 +23,7 @@
 done
 put quarantine ffffffffffffffffffffffffffffffff \
   "{\"standing\":\"quarantined\",\"ended\":3,\"marks\":[1,2,3],\"occasions\":2,\"probations\":0,\"cleared\":0,\"at\":$(date +%s)}"
-restart_relays
+restart_relays 2
 until_true 10 both serves || fail "odd entries of other kinds hide the configuration"
 until_true 10 both has_quarantine || fail "odd entries hide a quarantine"
 EVACUATED=$(metric 1 evacuated_domains)
@@ -40,7 +32,7 @@
 configure 2 '"a","b"'
 until_true 5 both has_two_shards || fail "a configuration beside odd entries isn't followed"
 EVACUATED=$((EVACUATED - 1))
-restart_relays
+restart_relays 2
 until_true 10 both has_two_shards || fail "the relays don't start beside odd entries"
 until_true 5 both evacuated || fail "an evacuation beside odd entries is lost at a start"
 grep -q '"event":"E1207".*configurations/A' "$LOGS/r1.log" "$LOGS/r2.log" || fail "no log line about odd configurations"
